--- /dev/null
+++ b/packages/cli/program/main.cc
@@ -0,0 +1,8 @@
+#include <fmt/format.h>
+
+#include <cstdio>
+
+int main() {
+  fmt::print(stderr, "cranberryplank: no command given\n");
+  return 2;
+}
--- /dev/null
+++ b/packages/model/include/cranberryplank/model/fleet.h
@@ -0,0 +1,53 @@
+#ifndef CRANBERRYPLANK_MODEL_FLEET_H_
+#define CRANBERRYPLANK_MODEL_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/model/pool.h"
+#include "cranberryplank/model/queue.h"
+#include "cranberryplank/model/team.h"
+#include "cranberryplank/model/vm.h"
+
+namespace cranberryplank {
+
+inline constexpr std::string_view kTeamsPart = "teams";
+inline constexpr std::string_view kKeysPart = "keys";
+inline constexpr std::string_view kPoolsPart = "pools";
+inline constexpr std::string_view kQueuesPart = "queues";
+inline constexpr std::string_view kBundlePart = "bundle";
+
+/// Parts that VM records are spread over, so that no value nears the store's limit of 1 MB.
+inline constexpr int kVmShards = 16;
+
+/// Returns the name of the part that holds the VMs of `rack`: `vms/00` to `vms/15`.
+std::string VmPartName(std::string_view rack);
+
+/// Configuration of the whole fleet as named by one head revision.
+struct Fleet {
+  std::uint64_t revision = 0;
+  std::map<std::string, Team, std::less<>> teams;
+  std::map<std::string, KeyGrant, std::less<>> keys;  ///< By digest in hexadecimal.
+  std::map<std::string, Pool, std::less<>> pools;
+  std::map<std::string, Queue, std::less<>> queues;
+  std::map<std::string, Vm, std::less<>> vms;
+  std::string bundle;  ///< Text of the bundle in force; read by package `bundle`.
+
+  bool operator==(const Fleet&) const = default;
+};
+
+/// Returns the text of each part of `fleet`, by part name. Equal content gives equal text.
+std::map<std::string, std::string> EncodeFleet(const Fleet& fleet);
+
+/// Reads one part into `fleet`, replacing what that part held before.
+/// @return false, with `last_reason` set, if the part's name or text is not valid.
+bool DecodePart(std::string_view name, std::string_view text, Fleet* fleet,
+                std::string* last_reason);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_MODEL_FLEET_H_
--- /dev/null
+++ b/packages/model/include/cranberryplank/model/head.h
@@ -0,0 +1,56 @@
+#ifndef CRANBERRYPLANK_MODEL_HEAD_H_
+#define CRANBERRYPLANK_MODEL_HEAD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/model/digest.h"
+
+namespace cranberryplank {
+
+/// Store key of the head document.
+inline constexpr std::string_view kHeadKey = "cranberryplank/head";
+
+/// Store key of the immutable part with digest `digest`.
+std::string PartKey(const Digest& digest);
+
+/// Daemon registered in the head.
+struct DaemonRecord {
+  std::string id;           ///< Name of the entry VM.
+  std::string incarnation;  ///< Random; new at each start of the process.
+  std::string zone;
+  std::string peer_host;
+  std::uint16_t peer_port = 0;
+  std::string api_host;
+  std::uint16_t api_port = 0;
+
+  bool operator==(const DaemonRecord&) const = default;
+};
+
+/// The one agreed document. It names all other configuration by digest.
+struct Head {
+  std::uint64_t revision = 0;  ///< Rises by one with each change.
+  std::string writer;          ///< Nonce of the write that made this revision.
+  std::map<std::string, Digest> parts;
+  std::vector<DaemonRecord> daemons;
+  std::uint64_t registration_revision = 0;  ///< Revision of the last change of `daemons`.
+
+  bool operator==(const Head&) const = default;
+
+  /// Returns the record of a registered daemon's incarnation, or nullptr.
+  const DaemonRecord* FindIncarnation(std::string_view incarnation) const;
+};
+
+/// Returns `head` as JSON.
+std::string EncodeHead(const Head& head);
+
+/// Reads a head from JSON; on failure returns nothing and sets `last_reason`.
+std::optional<Head> DecodeHead(std::string_view text, std::string* last_reason);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_MODEL_HEAD_H_
--- /dev/null
+++ b/packages/model/include/cranberryplank/model/invariant.h
@@ -0,0 +1,33 @@
+#ifndef CRANBERRYPLANK_MODEL_INVARIANT_H_
+#define CRANBERRYPLANK_MODEL_INVARIANT_H_
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace cranberryplank {
+
+/// Number of invariant violations seen by this process.
+std::uint64_t InvariantViolations();
+
+/// Sets whether a violation aborts the process. Tests and test runs switch it on.
+void SetAbortOnInvariantViolation(bool abort_on_violation);
+
+/// Logs and counts a violation. Called by CP_INVARIANT only.
+void ReportInvariantViolation(std::string_view condition, std::string_view file, int line,
+                              std::string_view state);
+
+}  // namespace cranberryplank
+
+/// Asserts a promise of the system. The remaining arguments are an fmt format string and its
+/// arguments, which describe the state to log.
+#define CP_INVARIANT(condition, ...)                                             \
+  do {                                                                           \
+    if (!(condition)) {                                                          \
+      ::cranberryplank::ReportInvariantViolation(#condition, __FILE__, __LINE__, \
+                                                 fmt::format(__VA_ARGS__));      \
+    }                                                                            \
+  } while (false)
+
+#endif  // CRANBERRYPLANK_MODEL_INVARIANT_H_
