--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/http_server.h
@@ -0,0 +1,104 @@
+#ifndef CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
+#define CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/daemon/settings.h"
+#include "cranberryplank/model/time.h"
+
+struct event_base;
+struct evhttp;
+struct evhttp_request;
+struct evhttp_connection;
+struct evhttp_bound_socket;
+
+namespace cranberryplank {
+
+/// Request line, headers and body of one HTTP request.
+struct HttpRequest {
+  std::string method;
+  std::string path;  ///< Decoded, without the query.
+  std::map<std::string, std::string, std::less<>> query;
+  std::map<std::string, std::string, std::less<>> headers;  ///< Names in lower case.
+  std::string body;
+
+  /// Returns a header's value, or an empty view. `name` is in lower case.
+  std::string_view Header(std::string_view name) const;
+};
+
+/// Answer to an HTTP request.
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// One request on its way through the daemon. It may be answered at any later time, once.
+class HttpExchange {
+ public:
+  HttpExchange(evhttp_request* raw, HttpRequest request);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  const HttpRequest& request() const { return m_request; }
+
+  /// Sends the answer. Does nothing if the caller has gone or was answered before.
+  void Reply(const HttpResponse& response);
+
+  /// Sets what to do if the caller closes the connection before the answer.
+  void OnClosed(std::function<void()> closed) { m_closed = std::move(closed); }
+
+ private:
+  static void HandleClose(evhttp_connection* connection, void* self);
+
+  evhttp_request* m_raw;
+  HttpRequest m_request;
+  std::function<void()> m_closed;
+};
+
+/// Bounds on what a caller may send.
+struct HttpLimits {
+  std::size_t max_body_bytes = 0;
+  std::size_t max_header_bytes = 0;
+  Duration idle_timeout{0};
+};
+
+/// HTTP server on one event loop. A damaged or stalled request costs its connection only.
+class HttpServer {
+ public:
+  using Handler = std::function<void(TimePoint now, std::shared_ptr<HttpExchange> exchange)>;
+
+  HttpServer(event_base* base, const HttpLimits& limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Starts to listen. @return false, with `last_reason()` set, if the address cannot be bound.
+  bool Listen(const Endpoint& endpoint);
+
+  /// Stops accepting new connections; open ones go on.
+  void StopAccepting();
+
+  const std::string& last_reason() const { return m_last_reason; }
+
+ private:
+  static void HandleRequest(evhttp_request* raw, void* self);
+
+  evhttp* m_http;
+  evhttp_bound_socket* m_socket = nullptr;
+  Handler m_handler;
+  std::string m_last_reason;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/log.h
@@ -0,0 +1,49 @@
+#ifndef CRANBERRYPLANK_DAEMON_LOG_H_
+#define CRANBERRYPLANK_DAEMON_LOG_H_
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cranberryplank {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+std::string_view ToString(LogLevel level);
+
+/// Returns the level called `name`, or nothing.
+std::optional<LogLevel> ParseLogLevel(std::string_view name);
+
+/// Sets the lowest level that is written.
+void SetLogLevel(LogLevel level);
+
+/// One structured log line on standard error, written when the object goes out of scope:
+/// `LogLine(LogLevel::kInfo, "placement").Field("task", id).Field("vm", vm);`
+class LogLine {
+ public:
+  LogLine(LogLevel level, std::string_view event);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  /// Adds ` key=value`. Values with spaces or quotes are quoted.
+  template <typename T>
+  LogLine& Field(std::string_view key, const T& value) {
+    if (m_enabled) {
+      Append(key, fmt::format("{}", value));
+    }
+    return *this;
+  }
+
+ private:
+  void Append(std::string_view key, std::string_view value);
+
+  bool m_enabled;
+  std::string m_line;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_LOG_H_
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/metrics.h
@@ -0,0 +1,45 @@
+#ifndef CRANBERRYPLANK_DAEMON_METRICS_H_
+#define CRANBERRYPLANK_DAEMON_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// Counters, gauges and latency histograms of one daemon, rendered in the Prometheus text format.
+class Metrics {
+ public:
+  /// Microseconds, since the entry hop takes well under a millisecond.
+  using Latency = std::chrono::microseconds;
+
+  Metrics();
+  ~Metrics();
+
+  /// Adds `amount` to the counter `name`; `labels` is empty or like `verdict="not_run"`.
+  void Count(std::string_view name, std::string_view labels = {}, std::uint64_t amount = 1);
+
+  void SetGauge(std::string_view name, double value);
+
+  /// Records the time from accepting a request to its reply.
+  void RecordLatency(Latency latency);
+
+  /// Records the time a request waited before it was dispatched.
+  void RecordQueueWait(Latency wait);
+
+  /// Value of a counter, for tests and status pages.
+  std::uint64_t Value(std::string_view name, std::string_view labels = {}) const;
+
+  std::string Render() const;
+
+ private:
+  struct Data;
+  std::unique_ptr<Data> m_data;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_METRICS_H_
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/settings.h
@@ -0,0 +1,73 @@
+#ifndef CRANBERRYPLANK_DAEMON_SETTINGS_H_
+#define CRANBERRYPLANK_DAEMON_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// IP address and TCP port.
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+/// Settings of one daemon, read once at start.
+struct Settings {
+  std::string id;    ///< Name of the entry VM; unique in the fleet.
+  std::string zone;  ///< Availability zone of the entry VM.
+  LogLevel log_level = LogLevel::kInfo;
+  bool abort_on_invariant_violation = false;
+
+  Endpoint api_listen;
+  Endpoint peer_listen;
+  std::size_t max_body_bytes = 1 << 20;
+  std::size_t max_header_bytes = 16 << 10;
+  Duration caller_idle_timeout{60'000};  ///< A caller that stalls longer loses its connection.
+
+  Endpoint store;
+  Endpoint vm_list;
+  Duration vm_list_poll{1'000};
+
+  Duration default_deadline{30'000};  ///< For requests that name no deadline.
+  Duration max_deadline{600'000};
+  int max_ticket_batch = 1'000;
+  Duration ticket_lifetime{3'600'000};  ///< How long outcomes are kept for retries.
+
+  std::vector<std::string> operator_token_sha256;
+  std::vector<std::string> approvers;  ///< Ed25519 public keys in hexadecimal.
+  int approvals_required = 1;
+
+  Duration shutdown_grace{30'000};  ///< Bound on finishing running tasks at a planned stop.
+
+  bool operator==(const Settings&) const = default;
+};
+
+/// Reads settings from TOML. Every problem is reported with file, line, key and what was
+/// expected.
+class SettingsReader {
+ public:
+  /// Reads the file at `path`; returns nothing if it has any problem.
+  std::optional<Settings> ReadFile(const std::string& path);
+
+  /// Reads `text`, naming it `path` in messages.
+  std::optional<Settings> ReadText(std::string_view text, std::string_view path);
+
+  /// All problems of the last read, one a line.
+  const std::string& last_reason() const { return m_last_reason; }
+
+ private:
+  std::string m_last_reason;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/packages/daemon/src/http_server.cc
@@ -0,0 +1,152 @@
+#include "cranberryplank/daemon/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <utility>
+
+namespace cranberryplank {
+
+namespace {
+
+std::string_view MethodName(evhttp_cmd_type method) {
+  switch (method) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "OTHER";
+  }
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+std::string DecodePath(const char* path) {
+  std::size_t size = 0;
+  const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(path, 0, &size),
+                                                            &std::free);
+  return decoded == nullptr ? std::string() : std::string(decoded.get(), size);
+}
+
+HttpRequest ReadRequest(evhttp_request* raw) {
+  HttpRequest request;
+  request.method = MethodName(evhttp_request_get_command(raw));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
+  if (uri != nullptr && evhttp_uri_get_path(uri) != nullptr) {
+    request.path = DecodePath(evhttp_uri_get_path(uri));
+  }
+  if (uri != nullptr && evhttp_uri_get_query(uri) != nullptr) {
+    evkeyvalq query;
+    if (evhttp_parse_query_str(evhttp_uri_get_query(uri), &query) == 0) {
+      for (const evkeyval* item = query.tqh_first; item != nullptr; item = item->next.tqe_next) {
+        request.query[item->key] = item->value;
+      }
+      evhttp_clear_headers(&query);
+    }
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
+    request.headers[LowerCase(item->key)] = item->value;
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(raw);
+  request.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, request.body.data(), request.body.size());
+  return request;
+}
+
+}  // namespace
+
+std::string_view HttpRequest::Header(std::string_view name) const {
+  const auto header = headers.find(name);
+  return header == headers.end() ? std::string_view() : std::string_view(header->second);
+}
+
+HttpExchange::HttpExchange(evhttp_request* raw, HttpRequest request)
+    : m_raw(raw), m_request(std::move(request)) {
+  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &HttpExchange::HandleClose,
+                                this);
+}
+
+HttpExchange::~HttpExchange() {
+  // A dropped exchange must not leave its caller waiting for ever.
+  HttpResponse response;
+  response.status = 500;
+  response.body = R"({"verdict":"may_have_run","reason":"the daemon dropped the request"})";
+  Reply(response);
+}
+
+void HttpExchange::Reply(const HttpResponse& response) {
+  if (m_raw == nullptr) {
+    return;
+  }
+  evhttp_request* raw = std::exchange(m_raw, nullptr);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
+  evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+  evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
+  for (const auto& [name, value] : response.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, response.body.data(), response.body.size());
+  evhttp_send_reply(raw, response.status, nullptr, body);
+  evbuffer_free(body);
+}
+
+void HttpExchange::HandleClose(evhttp_connection* /*connection*/, void* self) {
+  auto* exchange = static_cast<HttpExchange*>(self);
+  // evhttp frees the request together with its connection.
+  exchange->m_raw = nullptr;
+  if (const auto closed = std::exchange(exchange->m_closed, nullptr)) {
+    closed();
+  }
+}
+
+HttpServer::HttpServer(event_base* base, const HttpLimits& limits, Handler handler)
+    : m_http(evhttp_new(base)), m_handler(std::move(handler)) {
+  evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.max_header_bytes));
+  evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.max_body_bytes));
+  evhttp_set_timeout(m_http, static_cast<int>(limits.idle_timeout.count() / 1000));
+  evhttp_set_allowed_methods(m_http,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+  evhttp_set_gencb(m_http, &HttpServer::HandleRequest, this);
+}
+
+HttpServer::~HttpServer() { evhttp_free(m_http); }
+
+bool HttpServer::Listen(const Endpoint& endpoint) {
+  m_socket = evhttp_bind_socket_with_handle(m_http, endpoint.host.c_str(), endpoint.port);
+  if (m_socket == nullptr) {
+    m_last_reason = fmt::format("cannot listen on {}:{}", endpoint.host, endpoint.port);
+    return false;
+  }
+  return true;
+}
+
+void HttpServer::StopAccepting() {
+  if (m_socket != nullptr) {
+    evhttp_del_accept_socket(m_http, std::exchange(m_socket, nullptr));
+  }
+}
+
+void HttpServer::HandleRequest(evhttp_request* raw, void* self) {
+  auto exchange = std::make_shared<HttpExchange>(raw, ReadRequest(raw));
+  static_cast<HttpServer*>(self)->m_handler(Clock::now(), std::move(exchange));
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/daemon/src/log.cc
@@ -0,0 +1,88 @@
+#include "cranberryplank/daemon/log.h"
+
+#include <fmt/chrono.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr std::array kLevels{LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning,
+                             LogLevel::kError};
+
+std::atomic<LogLevel> g_level{LogLevel::kInfo};
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+std::string Quote(std::string_view value) {
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+    }
+    // A line break in a value from outside must not start a new log line.
+    quoted += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+  }
+  return quoted + '"';
+}
+
+}  // namespace
+
+std::string_view ToString(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+std::optional<LogLevel> ParseLogLevel(std::string_view name) {
+  for (const LogLevel level : kLevels) {
+    if (name == ToString(level)) {
+      return level;
+    }
+  }
+  return std::nullopt;
+}
+
+void SetLogLevel(LogLevel level) { g_level.store(level); }
+
+LogLine::LogLine(LogLevel level, std::string_view event) : m_enabled(level >= g_level.load()) {
+  if (!m_enabled) {
+    return;
+  }
+  const auto now = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  const auto millis = now.time_since_epoch().count() % 1000;
+  m_line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
+                       ToString(level), event);
+}
+
+LogLine::~LogLine() {
+  if (!m_enabled) {
+    return;
+  }
+  m_line += '\n';
+  std::fwrite(m_line.data(), 1, m_line.size(), stderr);
+}
+
+void LogLine::Append(std::string_view key, std::string_view value) {
+  m_line += ' ';
+  m_line += key;
+  m_line += '=';
+  m_line += NeedsQuotes(value) ? Quote(value) : std::string(value);
+}
+
+}  // namespace cranberryplank
