Add the public headers of the policy package

The request router of the daemon is written against these interfaces, so they land before their implementations.

Checked: the headers compile on their own; nothing implements them yet.

--- /dev/null
+++ b/packages/policy/include/cranberryplank/policy/waiting_queue.h
@@ -0,0 +1,132 @@
+#ifndef CRANBERRYPLANK_POLICY_WAITING_QUEUE_H_
+#define CRANBERRYPLANK_POLICY_WAITING_QUEUE_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// Request that waits in a daemon. The daemon keeps its body under `task_id`.
+struct WaitingRequest {
+  std::string task_id;  ///< Unique among the waiting requests.
+  std::string queue;
+  std::string team;
+  std::string key_digest;  ///< Empty on queues open to all.
+  bool urgent = false;
+  TimePoint deadline;  ///< From this moment on the request is not started.
+  TimePoint enqueued;
+};
+
+/// Outcome of adding a request to a `WaitingQueue`.
+enum class PushResult {
+  kQueued,
+  kFull,       ///< The queue holds its maximum of requests that have not expired.
+  kDuplicate,  ///< A request with this task id waits already.
+  kExpired,    ///< The deadline has passed.
+};
+
+std::string_view ToString(PushResult result);
+
+/// Waiting requests of all queues of one daemon. Within a team urgent requests come first, then
+/// the earliest deadline. A request leaves the queue exactly once, by one of the Take functions.
+class WaitingQueue {
+ public:
+  /// Adds a request. `max_waiting` is the bound of its queue. Expired requests of any queue do not
+  /// count against the bound only after `TakeExpired`, so call that first.
+  PushResult Push(TimePoint now, WaitingRequest request, int max_waiting);
+
+  /// Takes the next request of `team` in any of `queues`. Never returns an expired request.
+  std::optional<WaitingRequest> TakeNext(TimePoint now, std::span<const std::string> queues,
+                                         std::string_view team);
+
+  /// Takes the request with this task id, for a cancellation. Takes amortised constant time.
+  std::optional<WaitingRequest> Take(std::string_view task_id);
+
+  /// Takes all requests whose deadline has passed, in deadline order.
+  std::vector<WaitingRequest> TakeExpired(TimePoint now);
+
+  /// Takes all requests that came with this key.
+  std::vector<WaitingRequest> TakeKey(std::string_view key_digest);
+
+  /// Takes all requests, for a shutdown.
+  std::vector<WaitingRequest> TakeAll();
+
+  /// Returns the next request that `TakeNext` would return, or nullptr.
+  const WaitingRequest* Peek(TimePoint now, std::span<const std::string> queues,
+                             std::string_view team) const;
+
+  /// Time at which the first request expires, for the timer that calls `TakeExpired`.
+  std::optional<TimePoint> NextExpiry() const;
+
+  /// Number of requests of `team` in `queues`.
+  int Waiting(std::span<const std::string> queues, std::string_view team) const;
+
+  /// Number of requests in `queue`.
+  int Waiting(std::string_view queue) const;
+
+  /// Enqueue time of the oldest request of `team` in `queues`, for first come first served.
+  std::optional<TimePoint> Oldest(std::span<const std::string> queues, std::string_view team) const;
+
+  /// Teams with requests in `queues`, in name order without repetition.
+  std::vector<std::string> Teams(std::span<const std::string> queues) const;
+
+  std::size_t size() const { return m_entries.size(); }
+
+ private:
+  struct LaneKey {
+    std::string queue;
+    std::string team;
+    auto operator<=>(const LaneKey&) const = default;
+  };
+  struct Rank {
+    bool ordinary = true;  // Sorts urgent requests first.
+    TimePoint deadline;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const Rank&) const = default;
+  };
+  struct Age {
+    TimePoint time;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const Age&) const = default;
+  };
+  struct Entry;
+  struct Lane {
+    std::map<Rank, Entry*> by_rank;
+    std::set<Age> by_age;
+  };
+  using Lanes = std::map<LaneKey, Lane>;
+  // Iterators into every index, so that a removal searches none of them.
+  struct Entry {
+    WaitingRequest request;
+    Lanes::iterator lane;
+    std::map<Rank, Entry*>::iterator rank;
+    std::set<Age>::iterator age;
+    std::map<Age, Entry*>::iterator expiry;
+    std::map<std::uint64_t, Entry*>::iterator key;
+  };
+
+  const Lane* FindLane(std::string_view queue, std::string_view team) const;
+  WaitingRequest Remove(Entry* entry);
+
+  std::uint64_t m_next_sequence = 0;
+  std::unordered_map<std::string, Entry> m_entries;  // By task id.
+  Lanes m_lanes;
+  std::map<Age, Entry*> m_by_deadline;
+  std::unordered_map<std::string, std::map<std::uint64_t, Entry*>> m_by_key;
+  std::unordered_map<std::string, int> m_queue_sizes;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_POLICY_WAITING_QUEUE_H_
--- /dev/null
+++ b/packages/policy/include/cranberryplank/policy/worker_health.h
@@ -0,0 +1,106 @@
+#ifndef CRANBERRYPLANK_POLICY_WORKER_HEALTH_H_
+#define CRANBERRYPLANK_POLICY_WORKER_HEALTH_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// Run of a job on a worker. Jobs of one kind (team and queue) are compared with each other.
+struct JobRun {
+  std::string vm;
+  std::string rack;
+  std::string job;   ///< The same for all attempts of a request.
+  std::string kind;  ///< For example "queue/team".
+};
+
+/// What a recorded failure led to.
+enum class FailureEffect {
+  kCounted,
+  kQuarantined,  ///< The worker fails what others complete and gets no more work but probes.
+  kFaultyJob,    ///< The job failed on three workers in different racks; do not retry it.
+};
+
+/// Tells workers that fail what others complete from jobs that fail everywhere.
+class WorkerHealth {
+ public:
+  /// Records a run that completed.
+  void RecordSuccess(TimePoint now, const JobRun& run);
+
+  /// Records a run that the worker failed.
+  /// @param expected estimated run time; the failed slot counts as busy for that long, so that a
+  ///   worker that fails at once does not look idle
+  FailureEffect RecordFailure(TimePoint now, const JobRun& run, Duration expected);
+
+  /// Tells whether a worker is quarantined.
+  bool Quarantined(std::string_view vm) const;
+
+  /// Tells whether a quarantined worker may be given one job as a probe. Choose an idempotent one.
+  bool ProbeDue(TimePoint now, std::string_view vm) const;
+
+  /// Notes that a probe was given to a quarantined worker.
+  void BeginProbe(TimePoint now, std::string_view vm);
+
+  /// Slots of a worker that count as busy because of recent failures.
+  int PenaltySlots(TimePoint now, std::string_view vm) const;
+
+  /// Tells whether a job failed on three workers in different racks.
+  bool FaultyJob(std::string_view job) const;
+
+  /// Forgets a worker that was rebooted or replaced.
+  void Forget(std::string_view vm);
+
+  /// Names of all quarantined workers.
+  std::vector<std::string> QuarantinedVms() const;
+
+ private:
+  // Counts that lose half their value per `kHalfLife`, so that old failures do not weigh forever.
+  struct Decayed {
+    double value = 0;
+    TimePoint time;
+    double At(TimePoint now) const;
+    void Add(TimePoint now, double amount);
+  };
+  struct KindCounts {
+    Decayed successes;
+    Decayed failures;
+  };
+  struct Worker {
+    Decayed successes;
+    Decayed charges;
+    std::map<std::string, KindCounts> kinds;
+    std::vector<TimePoint> penalties;  // Ends of the times during which a slot counts as busy.
+    bool quarantined = false;
+    TimePoint next_probe;
+    Duration probe_interval{0};
+    int good_probes = 0;
+  };
+  struct Charge {
+    std::string vm;
+    std::string rack;
+    double amount = 0;
+  };
+  struct Job {
+    std::vector<Charge> charges;
+    bool faulty = false;
+  };
+
+  double ChargeFor(TimePoint now, const JobRun& run) const;
+  Job& RememberJob(const std::string& job);
+  void Acquit(TimePoint now, Job* job);
+  void Quarantine(TimePoint now, Worker* worker);
+
+  std::map<std::string, Worker, std::less<>> m_workers;
+  std::map<std::string, KindCounts, std::less<>> m_kinds;
+  std::map<std::string, Job, std::less<>> m_jobs;
+  std::deque<std::string> m_job_order;  // Oldest first.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_POLICY_WORKER_HEALTH_H_
