--- a/packages/control/include/cranberryplank/control/head_control.h
+++ b/packages/control/include/cranberryplank/control/head_control.h
@@ -22,6 +22,7 @@
   kRejected,     ///< The edit refused to apply to the newest configuration.
   kConflict,     ///< Another change won; `revision` is the winning revision.
   kUnavailable,  ///< The store cannot be reached; the change had and will have no effect.
+  kUnknown,      ///< This daemon was removed while the outcome was open and cannot learn it.
 };
 
 struct ChangeResult {
--- a/packages/model/include/cranberryplank/model/head.h
+++ b/packages/model/include/cranberryplank/model/head.h
@@ -31,6 +31,15 @@
   bool operator==(const DaemonRecord&) const = default;
 };
 
+/// Newest change of the head made by one incarnation.
+struct WriteRecord {
+  std::string incarnation;
+  std::string nonce;
+  std::uint64_t revision = 0;  ///< Revision that the change made.
+
+  bool operator==(const WriteRecord&) const = default;
+};
+
 /// The one agreed document. It names all other configuration by digest.
 struct Head {
   std::uint64_t revision = 0;  ///< Rises by one with each change.
@@ -38,6 +47,12 @@
   std::map<std::string, Digest> parts;
   std::vector<DaemonRecord> daemons;
   std::uint64_t registration_revision = 0;  ///< Revision of the last change of `daemons`.
+  /// Registered before the last change of `daemons`. A daemon that missed that change needs it
+  /// to judge whether a revision is in effect under the old set, too.
+  std::vector<DaemonRecord> previous_daemons;
+  /// Newest change by each registered daemon and by some former ones. A writer that missed the
+  /// answer to its swap finds the outcome here even if others have changed the head since.
+  std::vector<WriteRecord> last_writes;
 
   bool operator==(const Head&) const = default;
 
--- a/packages/model/src/head.cc
+++ b/packages/model/src/head.cc
@@ -32,6 +32,22 @@
   return daemon;
 }
 
+json EncodeDaemons(const std::vector<DaemonRecord>& daemons) {
+  json list = json::array();
+  for (const DaemonRecord& daemon : daemons) {
+    list.push_back(EncodeDaemon(daemon));
+  }
+  return list;
+}
+
+std::vector<DaemonRecord> DecodeDaemons(const json& list) {
+  std::vector<DaemonRecord> daemons;
+  for (const json& daemon : list) {
+    daemons.push_back(DecodeDaemon(daemon));
+  }
+  return daemons;
+}
+
 }  // namespace
 
 std::string PartKey(const Digest& digest) {
@@ -52,14 +68,17 @@
   for (const auto& [name, digest] : head.parts) {
     parts[name] = digest.hex;
   }
-  json daemons = json::array();
-  for (const DaemonRecord& daemon : head.daemons) {
-    daemons.push_back(EncodeDaemon(daemon));
+  json writes = json::array();
+  for (const WriteRecord& write : head.last_writes) {
+    writes.push_back(json{
+        {"incarnation", write.incarnation}, {"nonce", write.nonce}, {"revision", write.revision}});
   }
   return json{{"revision", head.revision},
               {"writer", head.writer},
               {"parts", parts},
-              {"daemons", daemons},
+              {"daemons", EncodeDaemons(head.daemons)},
+              {"previous_daemons", EncodeDaemons(head.previous_daemons)},
+              {"last_writes", writes},
               {"registration_revision", head.registration_revision}}
       .dump();
 }
@@ -73,8 +92,12 @@
     for (const auto& [name, digest] : value.at("parts").items()) {
       head.parts[name] = Digest{digest.get<std::string>()};
     }
-    for (const json& daemon : value.at("daemons")) {
-      head.daemons.push_back(DecodeDaemon(daemon));
+    head.daemons = DecodeDaemons(value.at("daemons"));
+    head.previous_daemons = DecodeDaemons(value.at("previous_daemons"));
+    for (const json& write : value.at("last_writes")) {
+      head.last_writes.push_back(WriteRecord{write.at("incarnation").get<std::string>(),
+                                             write.at("nonce").get<std::string>(),
+                                             write.at("revision").get<std::uint64_t>()});
     }
     value.at("registration_revision").get_to(head.registration_revision);
     return head;
--- a/packages/model/tests/fleet_test.cc
+++ b/packages/model/tests/fleet_test.cc
@@ -62,6 +62,9 @@
   head.parts["teams"] = Sha256("text");
   head.daemons.push_back(DaemonRecord{"e1", "inc", "az-1", "127.0.0.1", 1, "127.0.0.1", 2});
   head.registration_revision = 5;
+  head.previous_daemons.push_back(
+      DaemonRecord{"e0", "old", "az-2", "127.0.0.1", 3, "127.0.0.1", 4});
+  head.last_writes.push_back(WriteRecord{"inc", "nonce", 7});
   std::string reason;
   CHECK(DecodeHead(EncodeHead(head), &reason) == head);
 }
