Add the headers of the slot ledger, VM mover and maintenance coordinator

A VM's record gains move_id, so that a late step of a cancelled move cannot apply to a later move of the same VM to the same pool, and boot_id, the boot in which the VM was found empty. Comparing head revisions instead was ruled out: any unrelated change would reject the step. Conclusion: headers only; nothing was run.

--- /dev/null
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -0,0 +1,183 @@
+#ifndef CRANBERRYPLANK_CONTROL_MAINTENANCE_COORDINATOR_H_
+#define CRANBERRYPLANK_CONTROL_MAINTENANCE_COORDINATOR_H_
+
+#include <sigc++/sigc++.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/control/head_control.h"
+#include "cranberryplank/control/maintenance_wave.h"
+#include "cranberryplank/control/store_document.h"
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/platform/vm_directory.h"
+#include "cranberryplank/platform/worker_client.h"
+
+namespace cranberryplank {
+
+/// What the choice of the next VMs of a wave may depend on.
+struct WaveView {
+  const Pool* pool = nullptr;
+  std::vector<const Vm*> waiting;      ///< VMs that may be permitted.
+  std::vector<const Vm*> unavailable;  ///< VMs of the pool that are down or hold a permit.
+};
+
+/// Returns waiting VMs in order of preference. The coordinator permits each that fits the budget
+/// at its turn.
+using WavePicker = std::function<std::vector<std::string>(TimePoint now, const WaveView& view)>;
+
+/// Picks the waiting VMs in order of their ids.
+std::vector<std::string> PickInOrder(TimePoint now, const WaveView& view);
+
+/// Settings of a MaintenanceCoordinator.
+struct MaintenanceOptions {
+  Duration store_retry{500};
+  Duration poll{500};            ///< Between attempts at a step of one VM.
+  Duration document_age{1'000};  ///< The acting daemon reads its wave again after this time.
+  Duration watch{30'000};
+  Duration list_age{2'000};    ///< Oldest VM list that a permit may rest on.
+  Duration answer_age{5'000};  ///< A worker that did not answer for this long is down.
+  int probes_per_tick = 20;
+  Duration checkpoint_after{60'000};  ///< Draining longer than this asks for checkpoints.
+  Duration checkpoint_repeat{5'000};
+  Duration drain_limit{1'800'000};  ///< A VM that drains longer has failed.
+  Duration reboot_limit{900'000};   ///< A VM that is away longer has failed.
+  Duration reboot_repeat{10'000};   ///< Between reboot requests while the boot id is the old one.
+  bool test_permit_before_drain = true;  ///< Tests switch this rule off to see the checks fail.
+};
+
+/// Result of an operator's request concerning a wave.
+struct WaveResult {
+  bool accepted = false;
+  std::string wave;    ///< Id of the wave started or stopped, or of the one in the way.
+  std::string reason;  ///< Set unless accepted.
+};
+
+/// Carries out maintenance waves, one at a time per pool. The state is in the pool's maintenance
+/// document; one daemon, chosen by a hash over the registered ones, carries a wave on.
+class MaintenanceCoordinator {
+ public:
+  using ResultCallback = std::function<void(TimePoint now, const WaveResult& result)>;
+  using CheckpointSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*vm*/>;
+  using DecisionSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*line*/>;
+
+  MaintenanceCoordinator(HeadControl* head, Store* store, VmDirectory* directory,
+                         WorkerClient* workers, RandomSource* random,
+                         WavePicker picker = PickInOrder, const MaintenanceOptions& options = {});
+
+  /// Starts a wave over `vms`, or over all VMs of `pool` if `vms` is empty. `done` runs once the
+  /// outcome is certain. Refused if the pool or a VM is unknown or a wave runs on the pool.
+  void Start(TimePoint now, std::string_view pool, std::span<const std::string> vms,
+             ResultCallback done);
+
+  /// Stops the wave of `pool`: what is drained is finished, nothing new is started.
+  void Stop(TimePoint now, std::string_view pool, ResultCallback done);
+
+  /// Wave of `pool` as last read, or nothing if it was not read yet.
+  std::optional<MaintenanceWave> Status(std::string_view pool) const;
+
+  /// Takes note of a worker's status, from any probe.
+  void ObserveWorker(TimePoint now, std::string_view vm, const WorkerStatus& status);
+
+  void Tick(TimePoint now);
+
+  /// Asks for the tasks that this daemon runs on a VM to be checkpointed.
+  CheckpointSignal& signal_checkpoint() { return m_checkpoint; }
+
+  /// Log line (key=value) for each decision.
+  DecisionSignal& signal_decision() { return m_decision; }
+
+ private:
+  struct Progress {
+    MaintenanceState state = MaintenanceState::kWaiting;
+    TimePoint since;  ///< When this daemon first saw the state.
+    TimePoint next;
+    bool busy = false;
+    std::optional<TimePoint> reboot_sent;
+    std::optional<TimePoint> checkpoint_signalled;
+  };
+  struct Request {
+    bool start = true;
+    std::string wave;  ///< Id to be started; empty until the first attempt of a stop.
+    std::vector<std::string> vms;
+    ResultCallback done;
+  };
+  struct PoolState {
+    std::unique_ptr<StoreDocument> document;
+    std::optional<MaintenanceWave> wave;
+    std::map<std::string, Progress, std::less<>> progress;
+    std::map<std::string, MaintenanceEntry, std::less<>> changes;  ///< To be written next.
+    std::vector<Request> requests;
+  };
+  struct Observation {
+    std::optional<TimePoint> answered;
+    bool probing = false;
+    TimePoint probed;
+  };
+  /// VMs of a pool that are unavailable, by pool, rack and zone.
+  struct Usage {
+    int total = 0;
+    std::map<std::string, int, std::less<>> racks;
+    std::map<std::string, int, std::less<>> zones;
+
+    void Add(const Vm& vm);
+    bool Fits(const Vm& vm, const AvailabilityBudget& budget) const;
+  };
+
+  PoolState& StateOf(std::string_view pool);
+  void OnSettled(TimePoint now, const std::string& pool);
+  void TickPool(TimePoint now, const std::string& pool, PoolState* state);
+  void AnswerRequests(TimePoint now, const std::string& pool, PoolState* state);
+  bool PlanRequest(TimePoint now, const std::string& pool, PoolState* state);
+  std::optional<std::string> RefuseStart(const std::string& pool, const Request& request) const;
+  void AdvanceVm(TimePoint now, const std::string& pool, const std::string& vm,
+                 const MaintenanceEntry& entry, PoolState* state);
+  void AdvancePermitted(TimePoint now, const Vm& vm, PoolState* state);
+  void AdvanceDraining(TimePoint now, const Vm& vm, const MaintenanceEntry& entry,
+                       PoolState* state);
+  void AdvanceRebooting(TimePoint now, const Vm& vm, const MaintenanceEntry& entry,
+                        PoolState* state);
+  void OnDrainStatus(TimePoint now, const Vm& vm, const WorkerStatus& status);
+  void OnRebootStatus(TimePoint now, const Vm& vm, const WorkerStatus& status);
+  void SendReboot(TimePoint now, const Vm& vm);
+  void Change(TimePoint now, const std::string& pool, const std::string& vm, MaintenanceEntry entry,
+              std::string_view reason);
+  void Write(TimePoint now, const std::string& pool, PoolState* state);
+  void Permit(TimePoint now, const std::string& pool, PoolState* state);
+  bool KnowsAvailability(TimePoint now);
+  bool Down(TimePoint now, const Vm& vm) const;
+  Usage UsageOf(TimePoint now, std::string_view pool, const MaintenanceWave& wave,
+                std::string_view without, std::vector<const Vm*>* unavailable) const;
+  void Probe(TimePoint now, std::string_view pool);
+  void SignalCheckpoints(TimePoint now, PoolState* state);
+  bool ActsOn(TimePoint now, std::string_view pool, const PoolState& state) const;
+  Progress* Finish(std::string_view pool, std::string_view vm, MaintenanceState state);
+
+  HeadControl* m_head;
+  Store* m_store;
+  VmDirectory* m_directory;
+  WorkerClient* m_workers;
+  RandomSource* m_random;
+  WavePicker m_picker;
+  MaintenanceOptions m_options;
+  std::map<std::string, PoolState, std::less<>> m_pools;
+  std::map<std::string, Observation, std::less<>> m_observed;
+  std::set<std::string, std::less<>> m_listed;  ///< VMs listed as live and not leaving.
+  std::optional<TimePoint> m_list_sent;         ///< Send time of the newest list received.
+  bool m_listing = false;
+  int m_probes_left = 0;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
+  CheckpointSignal m_checkpoint;
+  DecisionSignal m_decision;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_MAINTENANCE_COORDINATOR_H_
--- /dev/null
+++ b/packages/control/include/cranberryplank/control/slot_ledger.h
@@ -0,0 +1,162 @@
+#ifndef CRANBERRYPLANK_CONTROL_SLOT_LEDGER_H_
+#define CRANBERRYPLANK_CONTROL_SLOT_LEDGER_H_
+
+#include <sigc++/sigc++.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/control/head_control.h"
+#include "cranberryplank/control/ledger_shard.h"
+#include "cranberryplank/control/slot_control.h"
+#include "cranberryplank/control/store_document.h"
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/peers/messages.h"
+
+namespace cranberryplank {
+
+/// Settings of a SlotLedger.
+struct SlotLedgerOptions {
+  double writes_per_second = 4;
+  double reads_per_second = 8;
+  Duration store_retry{500};
+  Duration poll_wanted{500};         ///< Between reads of a shard whose slots are wanted here.
+  Duration poll_excess{1'000};       ///< Between reads of a shard above its limit.
+  Duration poll_idle{20'000};        ///< Between reads of any other shard.
+  Duration sustained{1'000};         ///< Shortage elsewhere must last this long to move slots.
+  Duration peer_demand_age{3'000};   ///< Demand of a peer not heard of for this long is ignored.
+  Duration checkpoint_grace{1'000};  ///< Free slots elsewhere are retired first in this time.
+  Duration checkpoint_repeat{5'000};
+  /// Added to the longest lease before a dead daemon's slots return; covers clock drift and the
+  /// time a worker takes to stop a task.
+  Duration reclaim_margin{2'000};
+  Duration reclaim_takeover{5'000};      ///< Extra wait of daemons that are not the acting one.
+  bool test_lower_before_swap = true;    ///< Tests switch this rule off to see the checks fail.
+  bool test_wait_before_reclaim = true;  ///< Likewise.
+};
+
+/// Team upper limits as slots in the store's ledger documents. A slot has one holder, the
+/// incarnation of a daemon, and never expires.
+class SlotLedger : public SlotControl {
+ public:
+  using ExcessSignal =
+      sigc::signal<void, TimePoint /*now*/, const std::string& /*team*/, int /*tasks*/>;
+  using DecisionSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*line*/>;
+
+  SlotLedger(HeadControl* head, Store* store, RandomSource* random,
+             const SlotLedgerOptions& options = {});
+
+  bool Acquire(TimePoint now, std::string_view team) override;
+  void Release(TimePoint now, std::string_view team) override;
+  void SetWaiting(TimePoint now, std::string_view team, int waiting) override;
+  std::vector<FreeSlots> Free() const override;
+
+  /// Takes over a peer's demand from its heartbeat, replacing what it reported before.
+  void SetPeerDemand(TimePoint now, std::string_view incarnation,
+                     std::span<const TeamDemand> demand);
+
+  /// Starts to give back all slots, for a planned stop. Nothing can be acquired afterwards.
+  void BeginHandOver(TimePoint now);
+
+  /// True if this incarnation holds no slot and no write of it is open.
+  bool HandedOver() const;
+
+  /// Slots of `team` that tasks may use here, running ones included.
+  int Usable(std::string_view team) const;
+  int Running(std::string_view team) const;
+
+  void Tick(TimePoint now);
+
+  /// Asks for `tasks` running tasks of a team to be checkpointed: its limit was lowered.
+  ExcessSignal& signal_excess() { return m_excess; }
+
+  /// Log line (key=value) for each decision.
+  DecisionSignal& signal_decision() { return m_decision; }
+
+ private:
+  struct TeamState {
+    int running = 0;
+    int waiting = 0;
+    int yield = 0;  ///< Slots promised to peers: given back as soon as they are free.
+    std::optional<TimePoint> surplus_since;
+    std::optional<TimePoint> unheld_since;
+    std::optional<TimePoint> excess_since;
+    std::optional<TimePoint> excess_signalled;
+    int excess_count = 0;
+  };
+  struct Shard {
+    std::unique_ptr<StoreDocument> document;
+    LedgerShard ledger;
+    std::optional<LedgerShard> pending;  ///< Content of the write whose outcome is open.
+    bool fenced = true;                  ///< False after this incarnation was unregistered.
+    bool fencing = false;
+    std::optional<TimePoint> read_at;
+  };
+  struct PeerDemand {
+    TimePoint heard;
+    std::map<std::string, TeamDemand, std::less<>> teams;
+  };
+  class RateLimit {
+   public:
+    explicit RateLimit(double per_second) : m_per_second(per_second), m_tokens(per_second) {}
+    bool Take(TimePoint now);
+
+   private:
+    double m_per_second;
+    double m_tokens;
+    std::optional<TimePoint> m_filled;
+  };
+  struct Demand {
+    int target = 0;  ///< Slots this daemon should hold.
+    int peers_waiting = 0;
+  };
+
+  Shard& ShardOf(std::string_view team) { return m_shards[LedgerShardOf(team)]; }
+  const Shard& ShardOf(std::string_view team) const { return m_shards[LedgerShardOf(team)]; }
+  TeamState& StateOf(std::string_view team);
+  const TeamState* FindState(std::string_view team) const;
+  void OnSettled(TimePoint now, int number);
+  void TrackMembership(TimePoint now);
+  void ApplyLimits(LedgerShard* ledger, int number) const;
+  bool MayReclaim(TimePoint now, std::string_view holder, int number,
+                  const LedgerShard& ledger) const;
+  void Reclaim(TimePoint now, int number, LedgerShard* ledger) const;
+  Demand DemandFor(TimePoint now, std::string_view team, int limit) const;
+  int Ceiling(std::string_view team, const LedgerTeam& entry) const;
+  void UpdateTeam(TimePoint now, const std::string& team, const LedgerTeam& entry);
+  void SignalExcess(TimePoint now, const std::string& team, const LedgerTeam& entry);
+  std::optional<LedgerShard> Plan(TimePoint now, int number);
+  void PlanTeam(TimePoint now, const std::string& team, LedgerTeam* entry);
+  bool Wanted(int number) const;
+  void Step(TimePoint now, int number);
+  Duration PollInterval(int number) const;
+  Duration LongestLease() const;
+  bool MayTake(TimePoint now) const;
+
+  HeadControl* m_head;
+  SlotLedgerOptions m_options;
+  std::string m_self;
+  std::array<Shard, kLedgerShards> m_shards;
+  std::map<std::string, TeamState, std::less<>> m_teams;
+  std::map<std::string, PeerDemand, std::less<>> m_peers;
+  /// Since when each holder is known, without a gap in freshness, to dispatch no more.
+  std::map<std::string, TimePoint, std::less<>> m_gone;
+  std::optional<TimePoint> m_fresh_until;  ///< As of the last tick.
+  bool m_registered = false;
+  bool m_handing_over = false;
+  RateLimit m_writes;
+  RateLimit m_reads;
+  int m_next_shard = 0;
+  ExcessSignal m_excess;
+  DecisionSignal m_decision;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_SLOT_LEDGER_H_
--- /dev/null
+++ b/packages/control/include/cranberryplank/control/store_document.h
@@ -0,0 +1,98 @@
+#ifndef CRANBERRYPLANK_CONTROL_STORE_DOCUMENT_H_
+#define CRANBERRYPLANK_CONTROL_STORE_DOCUMENT_H_
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/model/time.h"
+#include "cranberryplank/platform/store.h"
+
+namespace cranberryplank {
+
+/// One JSON document in the store that several daemons change by compare-and-swap. Each write
+/// carries a nonce. After a write with unknown outcome the document is read back; while it still
+/// has the old version, a no-op is swapped onto that version, so that the earlier write can no
+/// longer take effect once either is seen to have won. The store's versions must rise.
+class StoreDocument {
+ public:
+  using ChangedSignal = sigc::signal<void, TimePoint /*now*/>;
+
+  /// @param retry Time between attempts while the store does not answer.
+  StoreDocument(Store* store, RandomSource* random, std::string key, Duration retry);
+
+  const std::string& key() const { return m_key; }
+
+  /// Newest content read or written; empty if the key is absent or was never read.
+  const std::string& content() const { return m_content; }
+
+  /// True if the content was read and no newer one is known to exist.
+  bool Current() const { return m_current; }
+
+  /// True if no read or write is under way and no outcome is open.
+  bool Idle() const { return m_phase == Phase::kIdle; }
+
+  /// Time at which the read or write that last confirmed the content was sent.
+  std::optional<TimePoint> ConfirmedAt() const { return m_confirmed; }
+
+  /// True if the last settled write is known to have taken effect.
+  bool LastSwapRecorded() const { return m_last_recorded; }
+
+  /// Reads the document. Does nothing unless idle.
+  void Refresh(TimePoint now);
+
+  /// Replaces the content, a JSON object, if the document is unchanged. Must be idle and current.
+  /// `content()` shows the new text only once it is known to be recorded.
+  void Swap(TimePoint now, std::string_view content);
+
+  /// Keeps a watch pending, so that changes by others are seen soon. Idempotent.
+  void KeepWatching(TimePoint now, Duration wait);
+
+  /// Retries what the store did not answer.
+  void Tick(TimePoint now);
+
+  /// Emitted after a read or a settled write, also if the content is the same.
+  ChangedSignal& signal_settled() { return m_settled; }
+
+ private:
+  enum class Phase { kIdle, kReading, kWriting, kSettling, kFencing };
+
+  void SendRead(TimePoint now);
+  void SendWrite(TimePoint now, std::string_view content, Phase phase);
+  void OnRead(TimePoint now, TimePoint sent, const StoreReadReply& reply);
+  void OnWrite(TimePoint now, const StoreWriteReply& reply);
+  void OnWatch(TimePoint now, const StoreReadReply& reply);
+  void Settle(TimePoint now);
+  void Accept(TimePoint sent, const StoreReadReply& reply);
+
+  Store* m_store;
+  RandomSource* m_random;
+  std::string m_key;
+  Duration m_retry;
+  Phase m_phase = Phase::kIdle;
+  std::string m_content;
+  std::string m_nonce;  ///< Of the document's newest known write.
+  std::uint64_t m_index = 0;
+  bool m_current = false;
+  std::optional<TimePoint> m_confirmed;
+  std::string m_pending_content;
+  std::string m_pending_nonce;  ///< Of the write whose outcome is open.
+  std::string m_sent_nonce;     ///< Of the write under way: the pending one or a no-op.
+  TimePoint m_sent;
+  std::optional<TimePoint> m_retry_at;
+  bool m_last_recorded = false;
+  bool m_watching = false;
+  std::optional<TimePoint> m_watch_at;
+  std::uint64_t m_watch_index = 0;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
+  ChangedSignal m_settled;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_STORE_DOCUMENT_H_
--- /dev/null
+++ b/packages/control/include/cranberryplank/control/vm_mover.h
@@ -0,0 +1,110 @@
+#ifndef CRANBERRYPLANK_CONTROL_VM_MOVER_H_
+#define CRANBERRYPLANK_CONTROL_VM_MOVER_H_
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/control/head_control.h"
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/platform/store.h"
+#include "cranberryplank/platform/worker_client.h"
+
+namespace cranberryplank {
+
+/// Settings of a VmMover.
+struct VmMoverOptions {
+  Duration poll{500};                ///< Between attempts at a step of one move.
+  bool test_wait_for_effect = true;  ///< Tests switch this rule off to see the checks fail.
+};
+
+/// Moves VMs between pools: serving(A) -> draining(A), in effect -> empty -> serving(B), each a
+/// change of the head. The state is in the VM's record; one daemon, chosen by a hash over the
+/// registered ones, carries a move on.
+class VmMover {
+ public:
+  using DecisionSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*line*/>;
+
+  /// A move under way.
+  struct Move {
+    std::string vm;
+    std::string from;
+    std::string to;
+    VmState state = VmState::kDraining;
+    std::string step;  ///< What it waits for, as this daemon knows.
+  };
+
+  VmMover(HeadControl* head, Store* store, WorkerClient* workers, RandomSource* random,
+          const VmMoverOptions& options = {});
+
+  /// Starts the move of `vm` to `pool`. Refused if the VM is unknown, moves already, is under
+  /// maintenance or in `pool`, or if `pool` is unknown.
+  void Start(TimePoint now, std::string_view vm, std::string_view pool,
+             HeadControl::ChangeCallback done);
+
+  /// Cancels the move of `vm`, which serves its old pool again.
+  void Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done);
+
+  /// Takes note of a worker's status, from any probe. A serving worker that was left drained
+  /// takes work again.
+  void ObserveWorker(TimePoint now, std::string_view vm, const WorkerStatus& status);
+
+  /// Moves under way, from the head.
+  std::vector<Move> Moves() const;
+
+  void Tick(TimePoint now);
+
+  /// Log line (key=value) for each decision.
+  DecisionSignal& signal_decision() { return m_decision; }
+
+ private:
+  struct Progress {
+    std::string move_id;
+    VmState state = VmState::kDraining;
+    std::uint64_t revision = 0;  ///< Revision at which this daemon first saw the state.
+    bool busy = false;           ///< A call or a head change is under way.
+    std::uint64_t attempt = 0;   ///< Tells late replies of an earlier state apart.
+    TimePoint next;
+    std::string step = "not started";
+  };
+  struct Step {
+    std::string vm;
+    Vm from;  ///< Record the step was decided on.
+    Vm to;
+  };
+
+  void Advance(TimePoint now, const Vm& vm, Progress* progress);
+  void CheckMaintenance(TimePoint now, const Vm& vm);
+  void DrainWorker(TimePoint now, const Vm& vm);
+  void CheckEmpty(TimePoint now, const Vm& vm);
+  void CheckBoot(TimePoint now, const Vm& vm);
+  void Undrain(TimePoint now, const Vm& vm);
+  void Repair(TimePoint now, const Vm& vm);
+  void Ready(TimePoint now, const Vm& from, const Vm& to);
+  void SubmitSteps(TimePoint now);
+  void Wait(TimePoint now, std::string_view vm, std::string_view step);
+  bool Valid(TimePoint now, const Vm& vm) const;
+  bool Acts(std::string_view vm) const;
+
+  HeadControl* m_head;
+  Store* m_store;
+  WorkerClient* m_workers;
+  RandomSource* m_random;
+  VmMoverOptions m_options;
+  std::map<std::string, Progress, std::less<>> m_progress;
+  std::map<std::string, TimePoint, std::less<>> m_repairs;  ///< When a repair may start again.
+  std::vector<Step> m_ready;
+  bool m_submitting = false;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
+  DecisionSignal m_decision;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_VM_MOVER_H_
--- a/packages/model/src/fleet.cc
+++ b/packages/model/src/fleet.cc
@@ -39,6 +39,8 @@
               {"pool", vm.pool},
               {"state", ToString(vm.state)},
               {"target_pool", vm.target_pool},
+              {"move_id", vm.move_id},
+              {"boot_id", vm.boot_id},
               {"slots", vm.slots},
               {"cores", vm.cores},
               {"memory_gb", vm.memory_gb},
@@ -55,6 +57,8 @@
   value.at("pool").get_to(vm.pool);
   vm.state = DecodeVmState(value.at("state").get<std::string>());
   value.at("target_pool").get_to(vm.target_pool);
+  vm.move_id = value.value("move_id", "");
+  vm.boot_id = value.value("boot_id", "");
   value.at("slots").get_to(vm.slots);
   value.at("cores").get_to(vm.cores);
   value.at("memory_gb").get_to(vm.memory_gb);
