Add the request router of the daemon

Requests pass admission, waiting, share, placement and dispatch, or are forwarded. Every attempt keeps its team's slot until the task can no longer run; an unanswered start is looked up at the worker before the caller is told that it may have run. Not yet proved: the router has no tests of its own yet.

--- a/packages/daemon/include/cranberryplank/daemon/http_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
-#define CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
+#ifndef CRANBERRYPLANK_DAEMON_API_SERVER_H_
+#define CRANBERRYPLANK_DAEMON_API_SERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +22,7 @@
 namespace cranberryplank {
 
 /// Request line, headers and body of one HTTP request.
-struct HttpRequest {
+struct ApiRequest {
   std::string method;
   std::string path;  ///< Decoded, without the query.
   std::map<std::string, std::string, std::less<>> query;
@@ -34,7 +34,7 @@
 };
 
 /// Answer to an HTTP request.
-struct HttpResponse {
+struct ApiResponse {
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
@@ -42,17 +42,17 @@
 };
 
 /// One request on its way through the daemon. It may be answered at any later time, once.
-class HttpExchange {
+class ApiExchange {
  public:
-  HttpExchange(evhttp_request* raw, HttpRequest request);
-  ~HttpExchange();
-  HttpExchange(const HttpExchange&) = delete;
-  HttpExchange& operator=(const HttpExchange&) = delete;
+  ApiExchange(evhttp_request* raw, ApiRequest request);
+  ~ApiExchange();
+  ApiExchange(const ApiExchange&) = delete;
+  ApiExchange& operator=(const ApiExchange&) = delete;
 
-  const HttpRequest& request() const { return m_request; }
+  const ApiRequest& request() const { return m_request; }
 
   /// Sends the answer. Does nothing if the caller has gone or was answered before.
-  void Reply(const HttpResponse& response);
+  void Reply(const ApiResponse& response);
 
   /// Sets what to do if the caller closes the connection before the answer.
   void OnClosed(std::function<void()> closed) { m_closed = std::move(closed); }
@@ -61,26 +61,26 @@
   static void HandleClose(evhttp_connection* connection, void* self);
 
   evhttp_request* m_raw;
-  HttpRequest m_request;
+  ApiRequest m_request;
   std::function<void()> m_closed;
 };
 
 /// Bounds on what a caller may send.
-struct HttpLimits {
+struct ApiLimits {
   std::size_t max_body_bytes = 0;
   std::size_t max_header_bytes = 0;
   Duration idle_timeout{0};
 };
 
 /// HTTP server on one event loop. A damaged or stalled request costs its connection only.
-class HttpServer {
+class ApiServer {
  public:
-  using Handler = std::function<void(TimePoint now, std::shared_ptr<HttpExchange> exchange)>;
+  using Handler = std::function<void(TimePoint now, std::shared_ptr<ApiExchange> exchange)>;
 
-  HttpServer(event_base* base, const HttpLimits& limits, Handler handler);
-  ~HttpServer();
-  HttpServer(const HttpServer&) = delete;
-  HttpServer& operator=(const HttpServer&) = delete;
+  ApiServer(event_base* base, const ApiLimits& limits, Handler handler);
+  ~ApiServer();
+  ApiServer(const ApiServer&) = delete;
+  ApiServer& operator=(const ApiServer&) = delete;
 
   /// Starts to listen. @return false, with `last_reason()` set, if the address cannot be bound.
   bool Listen(const Endpoint& endpoint);
@@ -101,4 +101,4 @@
 
 }  // namespace cranberryplank
 
-#endif  // CRANBERRYPLANK_DAEMON_HTTP_SERVER_H_
+#endif  // CRANBERRYPLANK_DAEMON_API_SERVER_H_
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/demand_board.h
@@ -0,0 +1,62 @@
+#ifndef CRANBERRYPLANK_DAEMON_DEMAND_BOARD_H_
+#define CRANBERRYPLANK_DAEMON_DEMAND_BOARD_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/control/head_control.h"
+#include "cranberryplank/daemon/peer_table.h"
+#include "cranberryplank/daemon/task_runner.h"
+#include "cranberryplank/policy/share_allocator.h"
+#include "cranberryplank/policy/waiting_queue.h"
+
+namespace cranberryplank {
+
+/// Demand by pool and team, of this daemon and of its peers, in the forms that share decisions,
+/// slots and heartbeats need.
+class DemandBoard {
+ public:
+  /// All arguments must outlive the board.
+  DemandBoard(const HeadControl* head, const WaitingQueue* queue, TaskRunner* runner,
+              const PeerTable* peers);
+
+  /// Takes over the queues of a newer configuration.
+  void SetFleet(const Fleet& fleet);
+
+  /// Queues by pool; pools without queues are left out.
+  const std::map<std::string, std::vector<std::string>, std::less<>>& QueuesByPool() const {
+    return m_queues_by_pool;
+  }
+
+  const std::vector<std::string>& QueuesOf(std::string_view pool) const;
+
+  /// This daemon's demand, for its heartbeat.
+  std::vector<TeamDemand> Own() const;
+
+  /// Demand of all daemons on `pool`.
+  PoolDemand Of(TimePoint now, const std::string& pool);
+
+  /// Teams with waiting requests in `pool`; those in `blocked` may not start.
+  std::vector<LocalTeam> LocalTeams(TimePoint now, const std::string& pool,
+                                    const std::set<std::string, std::less<>>& blocked) const;
+
+  LocalTeam Local(TimePoint now, std::string_view pool, const std::string& team) const;
+
+  /// Free worker slots of `pool` as seen from here.
+  FreeCapacity Free(TimePoint now, const std::string& pool);
+
+ private:
+  const HeadControl* m_head;
+  const WaitingQueue* m_queue;
+  TaskRunner* m_runner;
+  const PeerTable* m_peers;
+  std::map<std::string, std::vector<std::string>, std::less<>> m_queues_by_pool;
+  std::map<std::string, TimePoint, std::less<>> m_free_since;  ///< By pool.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_DEMAND_BOARD_H_
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/task_runner.h
@@ -0,0 +1,128 @@
+#ifndef CRANBERRYPLANK_DAEMON_TASK_RUNNER_H_
+#define CRANBERRYPLANK_DAEMON_TASK_RUNNER_H_
+
+#include <sigc++/sigc++.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "cranberryplank/control/slot_control.h"
+#include "cranberryplank/daemon/uncertain_tasks.h"
+#include "cranberryplank/daemon/worker_table.h"
+#include "cranberryplank/model/queue.h"
+#include "cranberryplank/platform/worker_client.h"
+#include "cranberryplank/policy/run_time_estimator.h"
+#include "cranberryplank/policy/worker_health.h"
+
+namespace cranberryplank {
+
+/// One attempt to run a request on a worker.
+struct TaskAttempt {
+  std::string task_id;     ///< Of the request.
+  std::string attempt_id;  ///< Task id that the worker sees.
+  std::string team;
+  std::string vm;
+  std::string content_type;
+  std::string body;
+  TimePoint start_limit;  ///< The worker refuses to start it later.
+  TimePoint deadline;     ///< Of the caller.
+};
+
+/// How an attempt ended.
+struct TaskEnd {
+  TaskResult result;
+  bool failed = false;  ///< Completed, but the task itself reported a failure.
+  FailureEffect effect = FailureEffect::kCounted;
+};
+
+/// Runs tasks on workers and keeps each team's slot taken until its task can no longer run.
+class TaskRunner {
+ public:
+  using EndCallback = std::function<void(TimePoint now, const TaskEnd& end)>;
+  using FateCallback = std::function<void(TimePoint now, TaskFate fate)>;
+  using StatusSignal =
+      sigc::signal<void, TimePoint /*now*/, const std::string& /*vm*/, const WorkerStatus&>;
+
+  /// @param keep_uncertain_slots tests set it to false to see that their checks fail without
+  TaskRunner(WorkerClient* client, SlotControl* slots, bool keep_uncertain_slots = true);
+
+  /// Starts an attempt on a slot that was acquired before. `ended` runs once; if its verdict is
+  /// kMayHaveRun, `resolved` runs once more when it is certain that the task does not run.
+  void Start(TimePoint now, const TaskAttempt& attempt, const Queue& queue, EndCallback ended,
+             FateCallback resolved);
+
+  /// Probes workers and looks up uncertain tasks.
+  void Tick(TimePoint now);
+
+  /// Tasks of a team in a pool that hold a slot here.
+  int Running(std::string_view pool, std::string_view team) const;
+
+  /// All of them, by pool and team.
+  const std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>>& Counts()
+      const {
+    return m_counts;
+  }
+
+  /// Asks workers to checkpoint the newest `tasks` of `team` that run from here.
+  void CheckpointTeam(std::string_view team, int tasks);
+
+  /// Asks for all tasks that run from here on `vm`, or anywhere if `vm` is empty.
+  void CheckpointVm(std::string_view vm, std::string_view reason);
+
+  /// Expected run time of a team's request.
+  Duration ExpectedRunTime(std::string_view team, const Queue& queue) const;
+
+  bool Idle() const { return m_running.empty() && m_uncertain.size() == 0; }
+  std::size_t running() const { return m_running.size(); }
+  std::size_t uncertain() const { return m_uncertain.size(); }
+  WorkerTable& workers() { return m_workers; }
+  const WorkerTable& workers() const { return m_workers; }
+  WorkerHealth& health() { return m_health; }
+
+  /// Emitted when a worker reported its status.
+  StatusSignal& signal_status() { return m_status; }
+
+ private:
+  struct RunningTask {
+    std::string task_id;
+    std::string team;
+    std::string pool;
+    std::string queue;
+    Duration declared{0};
+    std::string vm;
+    TimePoint started;
+    TimePoint ends_by;
+    WorkerTable::StartBy start_by;
+  };
+
+  void OnResult(TimePoint now, const std::string& attempt_id, TaskResult result,
+                const EndCallback& ended, const FateCallback& resolved);
+  TaskEnd OnCompleted(TimePoint now, const RunningTask& task, TaskResult result);
+  void OnRefused(TimePoint now, const RunningTask& task, const TaskResult& result);
+  void OnNoAnswer(TimePoint now, const std::string& attempt_id, const RunningTask& task,
+                  FateCallback resolved);
+  void ReleaseSlot(TimePoint now, const RunningTask& task);
+  void Probe(TimePoint now);
+  void Checkpoint(const std::string& attempt_id, std::string_view reason);
+  JobRun RunOf(const RunningTask& task) const;
+
+  WorkerClient* m_client;
+  SlotControl* m_slots;
+  bool m_keep_uncertain_slots;
+  WorkerTable m_workers;
+  WorkerHealth m_health;
+  RunTimeEstimator m_estimates;
+  UncertainTasks m_uncertain;
+  std::unordered_map<std::string, RunningTask> m_running;  ///< By attempt id.
+  std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_counts;
+  StatusSignal m_status;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_TASK_RUNNER_H_
--- a/packages/daemon/include/cranberryplank/daemon/ticket_book.h
+++ b/packages/daemon/include/cranberryplank/daemon/ticket_book.h
@@ -52,6 +52,9 @@
   /// Records the outcome of an admitted request and answers those who wait for it.
   void Finish(TimePoint now, std::string_view ticket, const CallerReply& reply);
 
+  /// True if `ticket` was issued here and no request with it is under way or has ended.
+  bool IsUnused(std::string_view ticket) const;
+
   std::size_t size() const { return m_entries.size(); }
 
  private:
--- a/packages/daemon/src/http_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -1,4 +1,4 @@
-#include "cranberryplank/daemon/http_server.h"
+#include "cranberryplank/daemon/api_server.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -44,8 +44,8 @@
   return decoded == nullptr ? std::string() : std::string(decoded.get(), size);
 }
 
-HttpRequest ReadRequest(evhttp_request* raw) {
-  HttpRequest request;
+ApiRequest ReadRequest(evhttp_request* raw) {
+  ApiRequest request;
   request.method = MethodName(evhttp_request_get_command(raw));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
   if (uri != nullptr && evhttp_uri_get_path(uri) != nullptr) {
@@ -72,26 +72,26 @@
 
 }  // namespace
 
-std::string_view HttpRequest::Header(std::string_view name) const {
+std::string_view ApiRequest::Header(std::string_view name) const {
   const auto header = headers.find(name);
   return header == headers.end() ? std::string_view() : std::string_view(header->second);
 }
 
-HttpExchange::HttpExchange(evhttp_request* raw, HttpRequest request)
+ApiExchange::ApiExchange(evhttp_request* raw, ApiRequest request)
     : m_raw(raw), m_request(std::move(request)) {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &HttpExchange::HandleClose,
+  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &ApiExchange::HandleClose,
                                 this);
 }
 
-HttpExchange::~HttpExchange() {
+ApiExchange::~ApiExchange() {
   // A dropped exchange must not leave its caller waiting for ever.
-  HttpResponse response;
+  ApiResponse response;
   response.status = 500;
   response.body = R"({"verdict":"may_have_run","reason":"the daemon dropped the request"})";
   Reply(response);
 }
 
-void HttpExchange::Reply(const HttpResponse& response) {
+void ApiExchange::Reply(const ApiResponse& response) {
   if (m_raw == nullptr) {
     return;
   }
@@ -108,8 +108,8 @@
   evbuffer_free(body);
 }
 
-void HttpExchange::HandleClose(evhttp_connection* /*connection*/, void* self) {
-  auto* exchange = static_cast<HttpExchange*>(self);
+void ApiExchange::HandleClose(evhttp_connection* /*connection*/, void* self) {
+  auto* exchange = static_cast<ApiExchange*>(self);
   // evhttp frees the request together with its connection.
   exchange->m_raw = nullptr;
   if (const auto closed = std::exchange(exchange->m_closed, nullptr)) {
@@ -117,19 +117,19 @@
   }
 }
 
-HttpServer::HttpServer(event_base* base, const HttpLimits& limits, Handler handler)
+ApiServer::ApiServer(event_base* base, const ApiLimits& limits, Handler handler)
     : m_http(evhttp_new(base)), m_handler(std::move(handler)) {
   evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.max_header_bytes));
   evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.max_body_bytes));
   evhttp_set_timeout(m_http, static_cast<int>(limits.idle_timeout.count() / 1000));
   evhttp_set_allowed_methods(m_http,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
-  evhttp_set_gencb(m_http, &HttpServer::HandleRequest, this);
+  evhttp_set_gencb(m_http, &ApiServer::HandleRequest, this);
 }
 
-HttpServer::~HttpServer() { evhttp_free(m_http); }
+ApiServer::~ApiServer() { evhttp_free(m_http); }
 
-bool HttpServer::Listen(const Endpoint& endpoint) {
+bool ApiServer::Listen(const Endpoint& endpoint) {
   m_socket = evhttp_bind_socket_with_handle(m_http, endpoint.host.c_str(), endpoint.port);
   if (m_socket == nullptr) {
     m_last_reason = fmt::format("cannot listen on {}:{}", endpoint.host, endpoint.port);
@@ -138,15 +138,15 @@
   return true;
 }
 
-void HttpServer::StopAccepting() {
+void ApiServer::StopAccepting() {
   if (m_socket != nullptr) {
     evhttp_del_accept_socket(m_http, std::exchange(m_socket, nullptr));
   }
 }
 
-void HttpServer::HandleRequest(evhttp_request* raw, void* self) {
-  auto exchange = std::make_shared<HttpExchange>(raw, ReadRequest(raw));
-  static_cast<HttpServer*>(self)->m_handler(Clock::now(), std::move(exchange));
+void ApiServer::HandleRequest(evhttp_request* raw, void* self) {
+  auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
+  static_cast<ApiServer*>(self)->m_handler(Clock::now(), std::move(exchange));
 }
 
 }  // namespace cranberryplank
--- /dev/null
+++ b/packages/daemon/src/peer_table.cc
@@ -0,0 +1,90 @@
+#include "cranberryplank/daemon/peer_table.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// Several heartbeats; the reports of a peer that is silent for longer are not used.
+constexpr Duration kReportLifetime{2'000};
+
+}  // namespace
+
+void PeerTable::OnBeat(TimePoint now, const Beat& beat) {
+  Peer& peer = m_peers[beat.incarnation];
+  peer.heard = now;
+  peer.demand = beat.demand;
+  peer.free_slots.clear();
+  for (const FreeSlots& slots : beat.free_slots) {
+    peer.free_slots[slots.team] = slots.free;
+  }
+  peer.leaving = beat.leaving_vms;
+}
+
+void PeerTable::Tick(TimePoint now) {
+  std::erase_if(m_peers,
+                [&](const auto& entry) { return now - entry.second.heard > kReportLifetime; });
+}
+
+std::vector<DaemonDemand> PeerTable::Demand(std::string_view pool) const {
+  std::vector<DaemonDemand> demand;
+  for (const auto& [incarnation, peer] : m_peers) {
+    for (const TeamDemand& team : peer.demand) {
+      if (team.pool == pool) {
+        demand.push_back(DaemonDemand{incarnation, team.team, team.running, team.waiting});
+      }
+    }
+  }
+  return demand;
+}
+
+int PeerTable::RunningOutside(std::string_view pool, std::string_view team) const {
+  int running = 0;
+  for (const auto& [incarnation, peer] : m_peers) {
+    for (const TeamDemand& demand : peer.demand) {
+      if (demand.team == team && demand.pool != pool) {
+        running += demand.running;
+      }
+    }
+  }
+  return running;
+}
+
+std::vector<SlotHolder> PeerTable::Holders(std::string_view team) const {
+  std::vector<SlotHolder> holders;
+  for (const auto& [incarnation, peer] : m_peers) {
+    const auto slots = peer.free_slots.find(team);
+    if (slots != peer.free_slots.end() && slots->second > 0) {
+      holders.push_back(SlotHolder{incarnation, slots->second});
+    }
+  }
+  return holders;
+}
+
+void PeerTable::UseSlot(std::string_view daemon, std::string_view team) {
+  const auto peer = m_peers.find(daemon);
+  if (peer == m_peers.end()) {
+    return;
+  }
+  const auto slots = peer->second.free_slots.find(team);
+  if (slots != peer->second.free_slots.end() && slots->second > 0) {
+    --slots->second;
+  }
+}
+
+std::set<std::string, std::less<>> PeerTable::Leaving() const {
+  std::set<std::string, std::less<>> leaving;
+  for (const auto& [incarnation, peer] : m_peers) {
+    leaving.insert(peer.leaving.begin(), peer.leaving.end());
+  }
+  return leaving;
+}
+
+std::vector<std::string> PeerTable::Daemons() const {
+  std::vector<std::string> daemons;
+  for (const auto& [incarnation, peer] : m_peers) {
+    daemons.push_back(incarnation);
+  }
+  return daemons;
+}
+
+}  // namespace cranberryplank
--- a/packages/daemon/src/ticket_book.cc
+++ b/packages/daemon/src/ticket_book.cc
@@ -91,6 +91,11 @@
   }
 }
 
+bool TicketBook::IsUnused(std::string_view ticket) const {
+  const auto found = m_entries.find(std::string(ticket));
+  return found != m_entries.end() && found->second.state == State::kUnused;
+}
+
 void TicketBook::DropExpired(TimePoint now) {
   while (!m_expiries.empty() && m_expiries.front().at <= now) {
     DropOldest(now);
--- /dev/null
+++ b/packages/daemon/src/uncertain_tasks.cc
@@ -0,0 +1,77 @@
+#include "cranberryplank/daemon/uncertain_tasks.h"
+
+#include <utility>
+#include <vector>
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr Duration kQuestionInterval{500};
+
+}  // namespace
+
+void UncertainTasks::Add(TimePoint now, const UncertainTask& task, FateCallback done) {
+  Entry& entry = m_tasks[task.task_id];
+  entry.task = task;
+  entry.done = std::move(done);
+  Ask(now, &entry);
+}
+
+void UncertainTasks::Tick(TimePoint now) {
+  std::vector<std::string> ended;
+  for (auto& [task_id, entry] : m_tasks) {
+    if (now >= entry.task.ends_by) {
+      ended.push_back(task_id);
+    } else if (!entry.asking && now >= entry.next_question) {
+      Ask(now, &entry);
+    }
+  }
+  for (const std::string& task_id : ended) {
+    Resolve(now, task_id, TaskFate::kEnded);
+  }
+}
+
+void UncertainTasks::Ask(TimePoint now, Entry* entry) {
+  entry->asking = true;
+  entry->next_question = now + kQuestionInterval;
+  m_workers->GetTask(entry->task.worker, entry->task.task_id,
+                     [this, alive = std::weak_ptr<bool>(m_alive), task_id = entry->task.task_id](
+                         TimePoint answered, const std::optional<TaskReport>& report,
+                         std::string_view /*reason*/) {
+                       if (!alive.expired()) {
+                         OnReport(answered, task_id, report);
+                       }
+                     });
+}
+
+void UncertainTasks::OnReport(TimePoint now, const std::string& task_id,
+                              const std::optional<TaskReport>& report) {
+  const auto found = m_tasks.find(task_id);
+  if (found == m_tasks.end()) {
+    return;
+  }
+  const UncertainTask& task = found->second.task;
+  found->second.asking = false;
+  if (!report) {
+    return;
+  }
+  if (report->boot_id != task.boot_id) {
+    // A reboot ended whatever ran, and the new boot refuses the old start; whether the task ran
+    // before the reboot cannot be told any more.
+    Resolve(now, task_id, TaskFate::kEnded);
+  } else if (report->state == TaskState::kFinished) {
+    Resolve(now, task_id, TaskFate::kEnded);
+  } else if (report->state == TaskState::kUnknown && report->worker_clock > task.start_by) {
+    Resolve(now, task_id, TaskFate::kNeverRan);
+  }
+}
+
+void UncertainTasks::Resolve(TimePoint now, const std::string& task_id, TaskFate fate) {
+  const auto found = m_tasks.find(task_id);
+  const FateCallback done = std::move(found->second.done);
+  m_tasks.erase(found);
+  done(now, fate);
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/daemon/src/worker_table.cc
@@ -0,0 +1,201 @@
+#include "cranberryplank/daemon/worker_table.h"
+
+#include <algorithm>
+
+namespace cranberryplank {
+
+namespace {
+
+/// A worker that answers is asked again after this time, mostly to keep its clock reading young.
+constexpr Duration kProbeInterval{30'000};
+
+/// A worker that did not answer or drains is asked again after this time.
+constexpr Duration kUnavailableProbeInterval{1'000};
+
+/// Bound on how much two clocks drift apart, in parts per million.
+constexpr std::int64_t kClockDriftPpm = 500;
+
+}  // namespace
+
+WorkerTable::Worker* WorkerTable::FindWorker(std::string_view vm) {
+  const auto found = m_workers.find(vm);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const WorkerTable::Worker* WorkerTable::FindWorker(std::string_view vm) const {
+  const auto found = m_workers.find(vm);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+void WorkerTable::SetFleet(const Fleet& fleet) {
+  std::erase_if(m_workers, [&](const auto& entry) { return !fleet.vms.contains(entry.first); });
+  std::map<std::string, PoolWorkers, std::less<>> pools;
+  for (const auto& [id, vm] : fleet.vms) {
+    Worker& worker = m_workers[id];
+    if (worker.vm.host != vm.host || worker.vm.port != vm.port) {
+      worker = Worker{};
+    }
+    if (worker.vm.state != VmState::kServing && vm.state == VmState::kServing) {
+      // It was drained for a move and takes work again; ask it soon.
+      worker.next_probe.reset();
+    }
+    worker.vm = vm;
+    pools[vm.pool].vms.push_back(id);
+  }
+  for (auto& [name, pool] : pools) {
+    const auto old = m_pools.find(name);
+    pool.running_elsewhere = old == m_pools.end() ? 0 : old->second.running_elsewhere;
+  }
+  m_pools = std::move(pools);
+}
+
+void WorkerTable::SetLeaving(const std::set<std::string, std::less<>>& leaving) {
+  for (auto& [id, worker] : m_workers) {
+    worker.leaving = leaving.contains(id);
+  }
+}
+
+void WorkerTable::OnStatus(TimePoint now, std::string_view vm, const WorkerStatus& status) {
+  Worker* worker = FindWorker(vm);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->boot_id = status.boot_id;
+  worker->clock = ClockReading{status.clock, now};
+  worker->draining = status.draining;
+  worker->answering = true;
+  worker->next_probe = now + (status.draining ? kUnavailableProbeInterval : kProbeInterval);
+}
+
+void WorkerTable::OnClock(TimePoint now, std::string_view vm, Duration worker_clock) {
+  Worker* worker = FindWorker(vm);
+  if (worker != nullptr && worker_clock.count() > 0) {
+    worker->clock = ClockReading{worker_clock, now};
+  }
+}
+
+void WorkerTable::OnRefusal(TimePoint now, std::string_view vm, WorkerRefusal refusal,
+                            Duration busy_for) {
+  Worker* worker = FindWorker(vm);
+  if (worker == nullptr) {
+    return;
+  }
+  switch (refusal) {
+    case WorkerRefusal::kDraining:
+      worker->draining = true;
+      worker->next_probe = now + kUnavailableProbeInterval;
+      break;
+    case WorkerRefusal::kBusy:
+      worker->busy_slots = std::max(0, worker->vm.slots - worker->running_here);
+      worker->busy_until = now + busy_for;
+      break;
+    case WorkerRefusal::kExpired:
+      // Either the reading is too old or the worker has rebooted.
+      worker->clock.reset();
+      worker->next_probe.reset();
+      break;
+    case WorkerRefusal::kNone:
+      break;
+  }
+}
+
+void WorkerTable::OnNoAnswer(std::string_view vm) {
+  if (Worker* worker = FindWorker(vm)) {
+    worker->answering = false;
+    worker->next_probe.reset();
+  }
+}
+
+void WorkerTable::TaskStarted(std::string_view vm) {
+  if (Worker* worker = FindWorker(vm)) {
+    ++worker->running_here;
+  }
+}
+
+void WorkerTable::TaskEnded(std::string_view vm) {
+  Worker* worker = FindWorker(vm);
+  if (worker != nullptr && worker->running_here > 0) {
+    --worker->running_here;
+  }
+}
+
+void WorkerTable::SetRunningElsewhere(std::string_view pool, int tasks) {
+  const auto found = m_pools.find(pool);
+  if (found != m_pools.end()) {
+    found->second.running_elsewhere = tasks;
+  }
+}
+
+bool WorkerTable::MayTakeWork(const Worker& worker) {
+  return worker.answering && worker.clock && !worker.draining && !worker.leaving;
+}
+
+std::span<const WorkerView> WorkerTable::Views(TimePoint now, std::string_view name) {
+  const auto found = m_pools.find(name);
+  if (found == m_pools.end()) {
+    return {};
+  }
+  PoolWorkers& pool = found->second;
+  const int spread =
+      pool.vms.empty() ? 0 : pool.running_elsewhere / static_cast<int>(pool.vms.size());
+  pool.views.clear();
+  for (const std::string& id : pool.vms) {
+    const Worker& worker = m_workers.find(id)->second;
+    const int others = worker.busy_until > now ? std::max(worker.busy_slots, spread) : spread;
+    pool.views.push_back(
+        WorkerView{&worker.vm, worker.running_here + others, !MayTakeWork(worker)});
+  }
+  return pool.views;
+}
+
+std::optional<WorkerTable::StartBy> WorkerTable::StartByOf(std::string_view vm,
+                                                           TimePoint deadline) const {
+  const Worker* worker = FindWorker(vm);
+  if (worker == nullptr || !worker->clock) {
+    return std::nullopt;
+  }
+  // The worker read its clock before the answer arrived here, so counting from the arrival can
+  // only make the deadline earlier. The drift is taken off for a worker whose clock runs slower.
+  const auto ahead = std::chrono::duration_cast<Duration>(deadline - worker->clock->received);
+  const Duration drift(std::max<std::int64_t>(ahead.count(), 0) * kClockDriftPpm / 1'000'000);
+  return StartBy{worker->boot_id, worker->clock->worker_clock + ahead - drift};
+}
+
+std::optional<WorkerAddress> WorkerTable::AddressOf(std::string_view vm) const {
+  const Worker* worker = FindWorker(vm);
+  if (worker == nullptr) {
+    return std::nullopt;
+  }
+  return WorkerAddress{worker->vm.host, worker->vm.port};
+}
+
+const Vm* WorkerTable::Find(std::string_view vm) const {
+  const Worker* worker = FindWorker(vm);
+  return worker == nullptr ? nullptr : &worker->vm;
+}
+
+std::vector<std::string> WorkerTable::DueProbes(TimePoint now, int most) {
+  std::vector<std::string> due;
+  for (auto& [id, worker] : m_workers) {
+    if (static_cast<int>(due.size()) >= most) {
+      break;
+    }
+    if (!worker.next_probe || *worker.next_probe <= now) {
+      worker.next_probe = now + kUnavailableProbeInterval;
+      due.push_back(id);
+    }
+  }
+  return due;
+}
+
+std::vector<std::string> WorkerTable::Draining() const {
+  std::vector<std::string> draining;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.draining) {
+      draining.push_back(id);
+    }
+  }
+  return draining;
+}
+
+}  // namespace cranberryplank
--- a/packages/model/tests/fleet_test.cc
+++ b/packages/model/tests/fleet_test.cc
@@ -13,9 +13,21 @@
   fleet.keys["ab12"] = KeyGrant{Digest{"ab12"}, "smiths"};
   fleet.pools["tone-testing"] = Pool{"tone-testing", AvailabilityBudget{2, 1, 2}, false};
   fleet.queues["tone"] = Queue{"tone", "tone-testing", {"smiths"}, false, "", Duration(5'000), 20};
-  fleet.vms["vm-1"] =
-      Vm{"vm-1",  "127.0.0.1", 9001, "az-1", "rack-1", "tone-testing", VmState::kDraining,
-         "spare", 8,           64,   128,    2};
+  Vm vm;
+  vm.id = "vm-1";
+  vm.host = "127.0.0.1";
+  vm.port = 9001;
+  vm.zone = "az-1";
+  vm.rack = "rack-1";
+  vm.pool = "tone-testing";
+  vm.state = VmState::kDraining;
+  vm.target_pool = "spare";
+  vm.move_id = "move-1";
+  vm.slots = 8;
+  vm.cores = 64;
+  vm.memory_gb = 128;
+  vm.accelerators = 2;
+  fleet.vms[vm.id] = vm;
   fleet.bundle = "{}";
   return fleet;
 }
