--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/admin_parts.h
@@ -0,0 +1,25 @@
+#ifndef CRANBERRYPLANK_DAEMON_ADMIN_PARTS_H_
+#define CRANBERRYPLANK_DAEMON_ADMIN_PARTS_H_
+
+#include "cranberryplank/control/head_keeper.h"
+#include "cranberryplank/control/maintenance_coordinator.h"
+#include "cranberryplank/control/vm_mover.h"
+#include "cranberryplank/daemon/request_router.h"
+#include "cranberryplank/daemon/settings.h"
+#include "cranberryplank/daemon/vm_list_tracker.h"
+
+namespace cranberryplank {
+
+/// Objects that the admin API reports on and changes. All must outlive it.
+struct AdminParts {
+  const Settings* settings = nullptr;
+  HeadKeeper* head = nullptr;
+  VmMover* mover = nullptr;
+  MaintenanceCoordinator* maintenance = nullptr;
+  RequestRouter* router = nullptr;
+  const VmListTracker* vm_list = nullptr;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_ADMIN_PARTS_H_
--- a/packages/daemon/include/cranberryplank/daemon/peer_table.h
+++ b/packages/daemon/include/cranberryplank/daemon/peer_table.h
@@ -38,12 +38,24 @@
   /// VMs that a peer reported as leaving.
   std::set<std::string, std::less<>> Leaving() const;
 
+  /// Newest head revision that any peer has heard of; 0 if none was heard.
+  std::uint64_t NewestRevision() const;
+
+  /// Head revision applied by a peer and the time of its newest heartbeat.
+  struct LastBeat {
+    std::uint64_t revision = 0;
+    TimePoint heard;
+  };
+  std::optional<LastBeat> LastBeatOf(std::string_view incarnation) const;
+
   /// Incarnations heard of recently.
   std::vector<std::string> Daemons() const;
 
  private:
   struct Peer {
     TimePoint heard;
+    std::uint64_t revision = 0;
+    std::uint64_t newest_revision = 0;
     std::vector<TeamDemand> demand;
     std::map<std::string, int, std::less<>> free_slots;
     std::vector<std::string> leaving;
--- a/packages/daemon/include/cranberryplank/daemon/task_runner.h
+++ b/packages/daemon/include/cranberryplank/daemon/task_runner.h
@@ -76,6 +76,9 @@
   /// Expected run time of a team's request.
   Duration ExpectedRunTime(std::string_view team, const Queue& queue) const;
 
+  /// Expected time until the tasks that run from here on `vm` have ended.
+  Duration ExpectedDrain(std::string_view vm) const;
+
   bool Idle() const { return m_running.empty() && m_uncertain.size() == 0; }
   std::size_t running() const { return m_running.size(); }
   std::size_t uncertain() const { return m_uncertain.size(); }
--- a/packages/daemon/src/peer_table.cc
+++ b/packages/daemon/src/peer_table.cc
@@ -1,5 +1,7 @@
 #include "cranberryplank/daemon/peer_table.h"
 
+#include <algorithm>
+
 namespace cranberryplank {
 
 namespace {
@@ -12,6 +14,8 @@
 void PeerTable::OnBeat(TimePoint now, const Beat& beat) {
   Peer& peer = m_peers[beat.incarnation];
   peer.heard = now;
+  peer.revision = beat.revision;
+  peer.newest_revision = beat.newest_revision;
   peer.demand = beat.demand;
   peer.free_slots.clear();
   for (const FreeSlots& slots : beat.free_slots) {
@@ -79,6 +83,22 @@
   return leaving;
 }
 
+std::uint64_t PeerTable::NewestRevision() const {
+  std::uint64_t newest = 0;
+  for (const auto& [incarnation, peer] : m_peers) {
+    newest = std::max(newest, peer.newest_revision);
+  }
+  return newest;
+}
+
+std::optional<PeerTable::LastBeat> PeerTable::LastBeatOf(std::string_view incarnation) const {
+  const auto peer = m_peers.find(incarnation);
+  if (peer == m_peers.end()) {
+    return std::nullopt;
+  }
+  return LastBeat{peer->second.revision, peer->second.heard};
+}
+
 std::vector<std::string> PeerTable::Daemons() const {
   std::vector<std::string> daemons;
   for (const auto& [incarnation, peer] : m_peers) {
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -102,6 +102,27 @@
     *value = *endpoint;
   }
 
+  void AddressList(std::string_view key, std::vector<Endpoint>* values) {
+    const toml::node* node = Find(key, false, "a list of addresses");
+    if (node == nullptr) {
+      return;
+    }
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+      Problem(*node, key, "expected a list of \"IP-ADDRESS:PORT\"");
+      return;
+    }
+    for (const toml::node& item : *list) {
+      const auto* text = item.as_string();
+      const auto endpoint = text == nullptr ? std::nullopt : ParseEndpoint(text->get());
+      if (!endpoint) {
+        Problem(item, key, "expected \"IP-ADDRESS:PORT\" with a port from 1 to 65535");
+        continue;
+      }
+      values->push_back(*endpoint);
+    }
+  }
+
   void Flag(std::string_view key, bool* value) {
     const toml::node* node = Find(key, false, "true or false");
     if (node == nullptr) {
@@ -219,6 +240,7 @@
   TableReader table(root, "listen", problems);
   table.Address("api", &settings->api_listen);
   table.Address("peers", &settings->peer_listen);
+  table.AddressList("first_peers", &settings->first_peers);
   // A body travels to another daemon in one frame of at most 1 MiB.
   table.Number("max_body_bytes", 1, 1'000'000, &settings->max_body_bytes);
   table.Number("max_header_bytes", 1'024, 1 << 20, &settings->max_header_bytes);
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -210,6 +210,16 @@
   return m_estimates.Estimate(team, queue.name, queue.max_run).mean;
 }
 
+Duration TaskRunner::ExpectedDrain(std::string_view vm) const {
+  Duration longest{0};
+  for (const auto& [attempt_id, task] : m_running) {
+    if (task.vm == vm) {
+      longest = std::max(longest, m_estimates.Estimate(task.team, task.queue, task.declared).high);
+    }
+  }
+  return longest;
+}
+
 void TaskRunner::CheckpointTeam(std::string_view team, int tasks) {
   std::vector<std::pair<TimePoint, std::string>> newest;
   for (const auto& [attempt_id, task] : m_running) {
--- a/packages/model/include/cranberryplank/model/fleet.h
+++ b/packages/model/include/cranberryplank/model/fleet.h
@@ -20,6 +20,10 @@
 inline constexpr std::string_view kPoolsPart = "pools";
 inline constexpr std::string_view kQueuesPart = "queues";
 inline constexpr std::string_view kBundlePart = "bundle";
+inline constexpr std::string_view kChangesPart = "changes";
+
+/// Changes whose nonces are kept, so that a repeated change is recognised.
+inline constexpr std::size_t kRememberedChanges = 64;
 
 /// Parts that VM records are spread over, so that no value nears the store's limit of 1 MB.
 inline constexpr int kVmShards = 16;
@@ -27,6 +31,15 @@
 /// Returns the name of the part that holds the VMs of `rack`: `vms/00` to `vms/15`.
 std::string VmPartName(std::string_view rack);
 
+/// Operator's change that was recorded. A client that missed the answer repeats it with its nonce.
+struct ChangeRecord {
+  std::string nonce;
+  std::string fingerprint;  ///< Of what was asked for.
+  std::uint64_t revision = 0;
+
+  bool operator==(const ChangeRecord&) const = default;
+};
+
 /// Configuration of the whole fleet as named by one head revision.
 struct Fleet {
   std::uint64_t revision = 0;
@@ -35,7 +48,8 @@
   std::map<std::string, Pool, std::less<>> pools;
   std::map<std::string, Queue, std::less<>> queues;
   std::map<std::string, Vm, std::less<>> vms;
-  std::string bundle;  ///< Text of the bundle in force; read by package `bundle`.
+  std::vector<ChangeRecord> changes;  ///< Newest last, at most `kRememberedChanges`.
+  std::string bundle;                 ///< Text of the bundle in force; read by package `bundle`.
 
   bool operator==(const Fleet&) const = default;
 };
--- a/packages/model/src/fleet.cc
+++ b/packages/model/src/fleet.cc
@@ -127,6 +127,28 @@
   return queue;
 }
 
+json EncodeChanges(const std::vector<ChangeRecord>& changes) {
+  json list = json::array();
+  for (const ChangeRecord& change : changes) {
+    list.push_back(json{{"nonce", change.nonce},
+                        {"fingerprint", change.fingerprint},
+                        {"revision", change.revision}});
+  }
+  return list;
+}
+
+std::vector<ChangeRecord> DecodeChanges(const json& list) {
+  std::vector<ChangeRecord> changes;
+  for (const json& value : list) {
+    ChangeRecord change;
+    value.at("nonce").get_to(change.nonce);
+    value.at("fingerprint").get_to(change.fingerprint);
+    value.at("revision").get_to(change.revision);
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
 template <typename Map, typename Encode>
 std::string EncodeAll(const Map& items, Encode encode) {
   json list = json::array();
@@ -176,6 +198,8 @@
       Queue queue = DecodeQueue(value);
       fleet->queues[queue.name] = queue;
     }
+  } else if (part == kChangesPart) {
+    fleet->changes = DecodeChanges(list);
   } else if (part.starts_with(kVmPartPrefix)) {
     DecodeVms(part, list, fleet);
   } else {
@@ -195,6 +219,7 @@
   parts.emplace(kKeysPart, EncodeAll(fleet.keys, EncodeKey));
   parts.emplace(kPoolsPart, EncodeAll(fleet.pools, EncodePool));
   parts.emplace(kQueuesPart, EncodeAll(fleet.queues, EncodeQueue));
+  parts.emplace(kChangesPart, EncodeChanges(fleet.changes).dump());
   if (!fleet.bundle.empty()) {
     parts.emplace(kBundlePart, fleet.bundle);
   }
--- a/packages/model/tests/fleet_test.cc
+++ b/packages/model/tests/fleet_test.cc
@@ -28,6 +28,7 @@
   vm.memory_gb = 128;
   vm.accelerators = 2;
   fleet.vms[vm.id] = vm;
+  fleet.changes.push_back(ChangeRecord{"nonce", "fingerprint", 3});
   fleet.bundle = "{}";
   return fleet;
 }
