Implement the policy classes

Portions are rounded for teams first and for daemons second, so that the team totals and the capacity are both met exactly. A failure is charged to a worker by the part of the same kind of jobs that other workers complete.

--- a/packages/policy/include/cranberryplank/policy/max_min_share_allocator.h
+++ b/packages/policy/include/cranberryplank/policy/max_min_share_allocator.h
@@ -82,10 +82,18 @@
     int unmet_elsewhere = 0;  // Slots that other daemons may still start work on.
   };
 
+  // Sums over all daemons, in the order of the teams.
+  struct TeamSums {
+    std::vector<double> running;
+    std::vector<double> demand;
+  };
+
   const Cell* OwnCell(const PoolShare& share, std::string_view team) const;
-  void Correct(TimePoint now, std::span<const TeamShare> teams, std::span<const double> exact,
-               std::span<const double> running, PoolShare* share,
-               std::vector<double>* corrected) const;
+  void Divide(TimePoint now, std::uint64_t rotation, const PoolDemand& demand,
+              PoolShare* share) const;
+  std::vector<double> Corrected(TimePoint now, int capacity, std::span<const TeamShare> teams,
+                                const TeamSums& sums, std::span<const double> exact,
+                                PoolShare* share) const;
 
   MaxMinSettings m_settings;
   std::map<std::string, PoolShare, std::less<>> m_pools;
--- a/packages/policy/include/cranberryplank/policy/move_planner.h
+++ b/packages/policy/include/cranberryplank/policy/move_planner.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_POLICY_MOVE_PLANNER_H_
 #define CRANBERRYPLANK_POLICY_MOVE_PLANNER_H_
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +28,7 @@
   Pool pool;
   int running = 0;
   int waiting = 0;
+  std::uint64_t lost = 0;        ///< Requests refused or expired so far; only its rise is used.
   Duration run_time{1'000};      ///< Estimated mean of its requests.
   Duration allowed_wait{5'000};  ///< Longest wait after which its requests are still in time.
   std::vector<MovableVm> vms;
--- a/packages/policy/include/cranberryplank/policy/waiting_queue.h
+++ b/packages/policy/include/cranberryplank/policy/waiting_queue.h
@@ -1,7 +1,6 @@
 #ifndef CRANBERRYPLANK_POLICY_WAITING_QUEUE_H_
 #define CRANBERRYPLANK_POLICY_WAITING_QUEUE_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -10,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -31,7 +31,7 @@
 /// Outcome of adding a request to a `WaitingQueue`.
 enum class PushResult {
   kQueued,
-  kFull,       ///< The queue holds its maximum of requests that have not expired.
+  kFull,       ///< The queue holds its maximum of requests.
   kDuplicate,  ///< A request with this task id waits already.
   kExpired,    ///< The deadline has passed.
 };
@@ -42,8 +42,8 @@
 /// the earliest deadline. A request leaves the queue exactly once, by one of the Take functions.
 class WaitingQueue {
  public:
-  /// Adds a request. `max_waiting` is the bound of its queue. Expired requests of any queue do not
-  /// count against the bound only after `TakeExpired`, so call that first.
+  /// Adds a request. `max_waiting` is the bound of its queue. Expired requests count against it
+  /// until `TakeExpired` has taken them, so call that first.
   PushResult Push(TimePoint now, WaitingRequest request, int max_waiting);
 
   /// Takes the next request of `team` in any of `queues`. Never returns an expired request.
@@ -87,18 +87,25 @@
   struct LaneKey {
     std::string queue;
     std::string team;
-    auto operator<=>(const LaneKey&) const = default;
+    bool operator<(const LaneKey& other) const {
+      return std::tie(queue, team) < std::tie(other.queue, other.team);
+    }
   };
   struct Rank {
     bool ordinary = true;  // Sorts urgent requests first.
     TimePoint deadline;
     std::uint64_t sequence = 0;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(ordinary, deadline, sequence) <
+             std::tie(other.ordinary, other.deadline, other.sequence);
+    }
   };
   struct Age {
     TimePoint time;
     std::uint64_t sequence = 0;
-    auto operator<=>(const Age&) const = default;
+    bool operator<(const Age& other) const {
+      return std::tie(time, sequence) < std::tie(other.time, other.sequence);
+    }
   };
   struct Entry;
   struct Lane {
--- a/packages/policy/include/cranberryplank/policy/worker_health.h
+++ b/packages/policy/include/cranberryplank/policy/worker_health.h
@@ -59,7 +59,7 @@
   std::vector<std::string> QuarantinedVms() const;
 
  private:
-  // Counts that lose half their value per `kHalfLife`, so that old failures do not weigh forever.
+  // Counts that lose half their value every 30 s, so that old failures do not weigh forever.
   struct Decayed {
     double value = 0;
     TimePoint time;
@@ -71,8 +71,7 @@
     Decayed failures;
   };
   struct Worker {
-    Decayed successes;
-    Decayed charges;
+    double streak = 0;  // Charges since the last success.
     std::map<std::string, KindCounts> kinds;
     std::vector<TimePoint> penalties;  // Ends of the times during which a slot counts as busy.
     bool quarantined = false;
@@ -92,8 +91,7 @@
 
   double ChargeFor(TimePoint now, const JobRun& run) const;
   Job& RememberJob(const std::string& job);
-  void Acquit(TimePoint now, Job* job);
-  void Quarantine(TimePoint now, Worker* worker);
+  void Acquit(TimePoint now, const std::string& kind, Job* job);
 
   std::map<std::string, Worker, std::less<>> m_workers;
   std::map<std::string, KindCounts, std::less<>> m_kinds;
--- /dev/null
+++ b/packages/policy/src/max_min_share_allocator.cc
@@ -0,0 +1,308 @@
+#include "cranberryplank/policy/max_min_share_allocator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <utility>
+
+namespace cranberryplank {
+
+namespace {
+
+// Differences below this are rounding errors of floating-point sums.
+constexpr double kEpsilon = 1e-9;
+
+// Multiples of these, modulo 1, spread evenly over [0, 1). Two different ones keep the rounding of
+// teams and of daemons independent of each other.
+constexpr double kTeamStep = 0.6180339887498949;
+constexpr double kDaemonStep = 0.4142135623730951;
+
+// Shortfall older than the window over which shares are measured is not made up for.
+constexpr double kShortfallMemorySeconds = 10.0;
+
+double FractionOf(double value) { return value - std::floor(value); }
+
+// Rounds `quotas` to whole numbers that add up to `total`; each is rounded up or down only.
+std::vector<int> Apportion(std::span<const double> quotas, int total, double start,
+                           std::uint64_t rotation, Rounding rounding) {
+  const std::size_t count = quotas.size();
+  std::vector<int> result(count);
+  std::vector<double> remainders(count);
+  int missing = total;
+  for (std::size_t i = 0; i < count; ++i) {
+    result[i] = static_cast<int>(std::floor(quotas[i] + kEpsilon));
+    remainders[i] = std::max(0.0, quotas[i] - result[i]);
+    missing -= result[i];
+  }
+  std::vector<std::size_t> order(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    order[i] = (i + rotation) % count;
+  }
+  if (rounding == Rounding::kRotatingSum) {
+    // The cells where the running sum crosses a whole number come first.
+    std::vector<bool> crossed(count);
+    double sum = start;
+    for (std::size_t i = 0; i < count; ++i) {
+      const double before = std::floor(sum + kEpsilon);
+      sum += remainders[i];
+      crossed[i] = std::floor(sum + kEpsilon) > before;
+    }
+    std::stable_partition(order.begin(), order.end(), [&](std::size_t i) { return crossed[i]; });
+  } else {
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+      return remainders[a] > remainders[b] + kEpsilon;
+    });
+  }
+  for (std::size_t i = 0; i < count && missing > 0; ++i, --missing) {
+    ++result[order[i]];
+  }
+  return result;
+}
+
+double Sum(std::span<const double> values) {
+  return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+}  // namespace
+
+std::vector<double> WeightedMaxMin(double capacity, std::span<const TeamShare> teams,
+                                   std::span<const double> demand) {
+  std::vector<double> wanted(teams.size());
+  for (std::size_t i = 0; i < teams.size(); ++i) {
+    wanted[i] = std::min(demand[i], static_cast<double>(std::max(0, teams[i].limit)));
+  }
+  // Teams that want least per weight are satisfied first.
+  std::vector<std::size_t> order(teams.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return wanted[a] * teams[b].weight < wanted[b] * teams[a].weight;
+  });
+  double weights = 0;
+  for (const TeamShare& team : teams) {
+    weights += team.weight;
+  }
+  std::vector<double> result(teams.size());
+  for (const std::size_t i : order) {
+    const double share = weights > 0 ? capacity * teams[i].weight / weights : 0;
+    result[i] = std::max(0.0, std::min(wanted[i], share));
+    capacity -= result[i];
+    weights -= teams[i].weight;
+  }
+  return result;
+}
+
+MaxMinShareAllocator::MaxMinShareAllocator(MaxMinSettings settings)
+    : m_settings(std::move(settings)) {}
+
+std::vector<double> MaxMinShareAllocator::Corrected(TimePoint now, int capacity,
+                                                    std::span<const TeamShare> teams,
+                                                    const TeamSums& sums,
+                                                    std::span<const double> exact,
+                                                    PoolShare* share) const {
+  std::vector<double> corrected(exact.begin(), exact.end());
+  const double seconds = std::min(1.0, std::chrono::duration<double>(now - share->updated).count());
+  if (m_settings.correction <= 0 || !share->full) {
+    share->shortfall.clear();
+    return corrected;
+  }
+  std::vector<TeamShare> targets(teams.begin(), teams.end());
+  for (std::size_t i = 0; i < teams.size(); ++i) {
+    double& shortfall = share->shortfall[teams[i].team];
+    shortfall *= std::exp(-seconds / kShortfallMemorySeconds);
+    shortfall += (exact[i] - sums.running[i]) * seconds;
+    targets[i].weight =
+        std::clamp(exact[i] + m_settings.correction * shortfall, 0.5 * exact[i], 2.0 * exact[i]);
+  }
+  return WeightedMaxMin(capacity, targets, sums.demand);
+}
+
+void MaxMinShareAllocator::Update(TimePoint now, std::uint64_t rotation, std::string_view pool,
+                                  const PoolDemand& demand) {
+  PoolShare& share = m_pools[std::string(pool)];
+  share.cells.clear();
+  for (const TeamShare& team : demand.teams) {
+    for (const std::string& daemon : demand.daemons) {
+      share.cells[team.team][daemon] = Cell{};
+    }
+  }
+  for (const DaemonDemand& report : demand.demand) {
+    const auto team = share.cells.find(report.team);
+    if (team == share.cells.end()) {
+      continue;
+    }
+    const auto cell = team->second.find(report.daemon);
+    if (cell != team->second.end()) {
+      cell->second.running += report.running;
+      cell->second.waiting += report.waiting;
+    }
+  }
+  Divide(now, rotation, demand, &share);
+  share.updated = now;
+  share.unmet_elsewhere = 0;
+  for (const auto& [team, cells] : share.cells) {
+    for (const auto& [daemon, cell] : cells) {
+      if (daemon != m_settings.daemon) {
+        share.unmet_elsewhere += std::max(0, std::min(cell.waiting, cell.slots - cell.running));
+      }
+    }
+  }
+}
+
+void MaxMinShareAllocator::Divide(TimePoint now, std::uint64_t rotation, const PoolDemand& demand,
+                                  PoolShare* share) const {
+  const std::vector<TeamShare>& teams = demand.teams;
+  TeamSums sums;
+  double usable = 0;
+  double headroom_limit = 0;
+  std::vector<double> limits;
+  for (const TeamShare& team : teams) {
+    double running = 0;
+    double total = 0;
+    for (const auto& [daemon, cell] : share->cells[team.team]) {
+      running += cell.running;
+      total += cell.running + cell.waiting;
+    }
+    sums.running.push_back(running);
+    sums.demand.push_back(total);
+    limits.push_back(std::max(0, team.limit));
+    usable += std::min(total, limits.back());
+    headroom_limit += limits.back();
+  }
+  const std::vector<double> exact = WeightedMaxMin(demand.capacity, teams, sums.demand);
+  share->full = usable >= demand.capacity;
+  const std::vector<double> target = Corrected(now, demand.capacity, teams, sums, exact, share);
+
+  // Capacity that nobody asks for yet is divided too, so that new work can start at once.
+  std::vector<double> open(teams.size());
+  for (std::size_t i = 0; i < teams.size(); ++i) {
+    open[i] = limits[i] - target[i];
+  }
+  const double total = std::min<double>(demand.capacity, headroom_limit);
+  const std::vector<double> headroom = WeightedMaxMin(total - Sum(target), teams, open);
+  std::vector<double> quotas(teams.size());
+  for (std::size_t i = 0; i < teams.size(); ++i) {
+    quotas[i] = target[i] + headroom[i];
+  }
+  const auto turn = static_cast<double>(rotation % 1'000'000);
+  const std::vector<int> team_slots =
+      Apportion(quotas, static_cast<int>(std::lround(total)), FractionOf(turn * kTeamStep),
+                rotation, m_settings.rounding);
+  for (std::size_t i = 0; i < teams.size(); ++i) {
+    auto& cells = share->cells[teams[i].team];
+    std::vector<double> parts;
+    for (const auto& [daemon, cell] : cells) {
+      const double even = 1.0 / static_cast<double>(cells.size());
+      const double part =
+          sums.demand[i] > 0 ? (cell.running + cell.waiting) / sums.demand[i] : even;
+      const double asked = quotas[i] > 0 ? target[i] / quotas[i] : 0.0;
+      parts.push_back(team_slots[i] * (asked * part + (1 - asked) * even));
+    }
+    const double start = FractionOf(turn * kDaemonStep + static_cast<double>(i) * kTeamStep);
+    const std::vector<int> slots =
+        Apportion(parts, team_slots[i], start, rotation + i, m_settings.rounding);
+    std::size_t next = 0;
+    for (auto& [daemon, cell] : cells) {
+      cell.slots = slots[next++];
+    }
+  }
+}
+
+const MaxMinShareAllocator::Cell* MaxMinShareAllocator::OwnCell(const PoolShare& share,
+                                                                std::string_view team) const {
+  const auto cells = share.cells.find(team);
+  if (cells == share.cells.end()) {
+    return nullptr;
+  }
+  const auto cell = cells->second.find(m_settings.daemon);
+  return cell == cells->second.end() ? nullptr : &cell->second;
+}
+
+std::optional<TeamChoice> MaxMinShareAllocator::NextTeam(TimePoint /*now*/, std::string_view pool,
+                                                         const FreeCapacity& free,
+                                                         std::span<const LocalTeam> teams) const {
+  const auto share = m_pools.find(pool);
+  if (free.slots <= 0 || share == m_pools.end()) {
+    return std::nullopt;
+  }
+  const LocalTeam* best = nullptr;
+  int best_deficit = std::numeric_limits<int>::min();
+  for (const LocalTeam& team : teams) {
+    const Cell* cell = OwnCell(share->second, team.team);
+    if (cell == nullptr || team.waiting == 0 || !team.may_start) {
+      continue;
+    }
+    const int deficit = cell->slots - team.running;
+    if (deficit > best_deficit || (deficit == best_deficit && team.oldest < best->oldest)) {
+      best = &team;
+      best_deficit = deficit;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  if (best_deficit > 0) {
+    return TeamChoice{best->team, "below its portion"};
+  }
+  if (free.slots > share->second.unmet_elsewhere) {
+    return TeamChoice{best->team, "capacity that no portion claims"};
+  }
+  if (free.idle_for >= m_settings.borrow_after) {
+    return TeamChoice{best->team, "capacity left unused by its portion"};
+  }
+  return std::nullopt;
+}
+
+RouteChoice MaxMinShareAllocator::Route(TimePoint /*now*/, std::string_view pool,
+                                        const LocalTeam& local, const FreeCapacity& free,
+                                        std::span<const SlotHolder> holders) const {
+  if (!local.may_start) {
+    const auto most =
+        std::max_element(holders.begin(), holders.end(),
+                         [](const SlotHolder& a, const SlotHolder& b) { return a.free < b.free; });
+    if (most != holders.end() && most->free > 0) {
+      return RouteChoice{true, most->daemon, "slots of the team's limit are held there"};
+    }
+  }
+  const auto share = m_pools.find(pool);
+  if (share == m_pools.end() || !share->second.full) {
+    return RouteChoice{false, "", "pool is not full"};
+  }
+  const Cell* own = OwnCell(share->second, local.team);
+  if (own == nullptr || own->slots > 0 || local.running > 0) {
+    return RouteChoice{false, "", "team has a portion here"};
+  }
+  if (free.slots > share->second.unmet_elsewhere) {
+    return RouteChoice{false, "", "capacity that no portion claims"};
+  }
+  const auto& cells = share->second.cells.find(local.team)->second;
+  const auto largest = std::max_element(
+      cells.begin(), cells.end(),
+      [](const auto& a, const auto& b) { return a.second.slots < b.second.slots; });
+  if (largest->second.slots == 0) {
+    return RouteChoice{false, "", "no daemon has a portion"};
+  }
+  return RouteChoice{true, largest->first, "portion here is below one slot"};
+}
+
+std::vector<Portion> MaxMinShareAllocator::Portions(std::string_view pool) const {
+  std::vector<Portion> portions;
+  const auto share = m_pools.find(pool);
+  if (share == m_pools.end()) {
+    return portions;
+  }
+  for (const auto& [team, cells] : share->second.cells) {
+    for (const auto& [daemon, cell] : cells) {
+      portions.push_back(Portion{daemon, team, cell.slots});
+    }
+  }
+  return portions;
+}
+
+int MaxMinShareAllocator::OwnPortion(std::string_view pool, std::string_view team) const {
+  const auto share = m_pools.find(pool);
+  const Cell* cell = share == m_pools.end() ? nullptr : OwnCell(share->second, team);
+  return cell == nullptr ? 0 : cell->slots;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/policy/src/retry_budget.cc
@@ -0,0 +1,29 @@
+#include "cranberryplank/policy/retry_budget.h"
+
+#include <algorithm>
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr int kTenthsPerRetry = 10;
+// A team that was quiet for long may not save up more than this many retries.
+constexpr int kMaxSavedRetries = 20;
+
+}  // namespace
+
+void RetryBudget::RecordFirstAttempt(std::string_view team) {
+  int& tenths = m_tenths[std::string(team)];
+  tenths = std::min(tenths + 1, kMaxSavedRetries * kTenthsPerRetry);
+}
+
+bool RetryBudget::TryTake(std::string_view team) {
+  const auto found = m_tenths.find(team);
+  if (found == m_tenths.end() || found->second < kTenthsPerRetry) {
+    return false;
+  }
+  found->second -= kTenthsPerRetry;
+  return true;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/policy/src/run_time_estimator.cc
@@ -0,0 +1,51 @@
+#include "cranberryplank/policy/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberryplank {
+
+namespace {
+
+// Fewer runs than this say too little; the coarser series or the declared value is used.
+constexpr int kMinRuns = 5;
+// New runs count a sixteenth, so that the estimate follows a change within some dozen runs.
+constexpr double kGain = 1.0 / 16;
+// Mean plus four mean deviations, as for retransmission timers (RFC 6298).
+constexpr double kDeviations = 4;
+
+}  // namespace
+
+void RunTimeEstimator::Add(Duration run_time, Series* series) {
+  const auto sample = static_cast<double>(run_time.count());
+  ++series->runs;
+  const double gain = std::max(kGain, 1.0 / series->runs);
+  const double error = sample - series->mean_ms;
+  series->deviation_ms += gain * (std::abs(error) - series->deviation_ms);
+  series->mean_ms += gain * error;
+}
+
+void RunTimeEstimator::Record(std::string_view team, std::string_view queue, Duration run_time) {
+  Add(run_time, &m_by_team[{std::string(queue), std::string(team)}]);
+  Add(run_time, &m_by_queue[std::string(queue)]);
+}
+
+RunTimeEstimate RunTimeEstimator::Estimate(std::string_view team, std::string_view queue,
+                                           Duration declared) const {
+  const Series* series = nullptr;
+  const auto by_team = m_by_team.find({std::string(queue), std::string(team)});
+  if (by_team != m_by_team.end() && by_team->second.runs >= kMinRuns) {
+    series = &by_team->second;
+  } else if (const auto by_queue = m_by_queue.find(queue);
+             by_queue != m_by_queue.end() && by_queue->second.runs >= kMinRuns) {
+    series = &by_queue->second;
+  }
+  if (series == nullptr) {
+    return RunTimeEstimate{declared, declared, false};
+  }
+  return RunTimeEstimate{
+      Duration(std::llround(series->mean_ms)),
+      Duration(std::llround(series->mean_ms + kDeviations * series->deviation_ms)), true};
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/policy/src/worker_health.cc
@@ -0,0 +1,192 @@
+#include "cranberryplank/policy/worker_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr double kHalfLifeSeconds = 30;
+// Charged failures since the last success that lead to quarantine. Below the 8 slots of a worker,
+// whose penalties keep more from being placed on it before these have been counted.
+constexpr double kQuarantineStreak = 3;
+constexpr int kFaultyJobRacks = 3;
+constexpr int kGoodProbesToRelease = 3;
+constexpr Duration kFirstProbeInterval{5'000};
+constexpr Duration kLongestProbeInterval{300'000};
+// Between good probes of one quarantine.
+constexpr Duration kNextProbeInterval{500};
+// Jobs whose failures are remembered; bounds the memory.
+constexpr std::size_t kMaxJobs = 10'000;
+
+}  // namespace
+
+double WorkerHealth::Decayed::At(TimePoint now) const {
+  const double seconds = std::chrono::duration<double>(now - time).count();
+  return seconds <= 0 ? value : value * std::exp2(-seconds / kHalfLifeSeconds);
+}
+
+void WorkerHealth::Decayed::Add(TimePoint now, double amount) {
+  value = std::max(0.0, At(now) + amount);
+  time = now;
+}
+
+void WorkerHealth::RecordSuccess(TimePoint now, const JobRun& run) {
+  m_kinds[run.kind].successes.Add(now, 1);
+  Worker& worker = m_workers[run.vm];
+  worker.kinds[run.kind].successes.Add(now, 1);
+  worker.streak = 0;
+  if (!worker.quarantined) {
+    return;
+  }
+  worker.next_probe = now + kNextProbeInterval;
+  if (++worker.good_probes >= kGoodProbesToRelease) {
+    worker.quarantined = false;
+  }
+}
+
+double WorkerHealth::ChargeFor(TimePoint now, const JobRun& run) const {
+  // Part of the same kind of jobs that other workers complete, with one success and one failure
+  // assumed while little is known.
+  double successes = 1;
+  double failures = 1;
+  const auto kind = m_kinds.find(run.kind);
+  if (kind != m_kinds.end()) {
+    successes += kind->second.successes.At(now);
+    failures += kind->second.failures.At(now);
+  }
+  const auto worker = m_workers.find(run.vm);
+  if (worker != m_workers.end()) {
+    const auto own = worker->second.kinds.find(run.kind);
+    if (own != worker->second.kinds.end()) {
+      successes -= own->second.successes.At(now);
+      failures -= own->second.failures.At(now);
+    }
+  }
+  successes = std::max(1.0, successes);
+  failures = std::max(1.0, failures);
+  return successes / (successes + failures);
+}
+
+WorkerHealth::Job& WorkerHealth::RememberJob(const std::string& job) {
+  const auto [entry, added] = m_jobs.try_emplace(job);
+  if (added) {
+    m_job_order.push_back(job);
+  }
+  while (m_job_order.size() > kMaxJobs) {
+    m_jobs.erase(m_job_order.front());
+    m_job_order.pop_front();
+  }
+  return m_jobs[job];
+}
+
+FailureEffect WorkerHealth::RecordFailure(TimePoint now, const JobRun& run, Duration expected) {
+  Worker& worker = m_workers[run.vm];
+  std::erase_if(worker.penalties, [&](TimePoint end) { return end <= now; });
+  worker.penalties.push_back(now + expected);
+
+  Job& job = RememberJob(run.job);
+  if (job.faulty) {
+    return FailureEffect::kFaultyJob;
+  }
+  const double charge = ChargeFor(now, run);
+  m_kinds[run.kind].failures.Add(now, 1);
+  worker.kinds[run.kind].failures.Add(now, 1);
+  job.charges.push_back(Charge{run.vm, run.rack, charge});
+  std::set<std::string_view> racks;
+  std::set<std::string_view> vms;
+  for (const Charge& earlier : job.charges) {
+    racks.insert(earlier.rack);
+    vms.insert(earlier.vm);
+  }
+  if (racks.size() >= kFaultyJobRacks && vms.size() >= kFaultyJobRacks) {
+    job.faulty = true;
+    Acquit(now, run.kind, &job);
+    return FailureEffect::kFaultyJob;
+  }
+  if (worker.quarantined) {
+    worker.good_probes = 0;
+    worker.probe_interval = std::min(worker.probe_interval * 2, kLongestProbeInterval);
+    worker.next_probe = now + worker.probe_interval;
+    return FailureEffect::kCounted;
+  }
+  worker.streak += charge;
+  if (worker.streak < kQuarantineStreak) {
+    return FailureEffect::kCounted;
+  }
+  worker.quarantined = true;
+  worker.good_probes = 0;
+  worker.probe_interval = kFirstProbeInterval;
+  worker.next_probe = now + kFirstProbeInterval;
+  return FailureEffect::kQuarantined;
+}
+
+void WorkerHealth::Acquit(TimePoint now, const std::string& kind, Job* job) {
+  for (const Charge& charge : job->charges) {
+    m_kinds[kind].failures.Add(now, -1);
+    const auto found = m_workers.find(charge.vm);
+    if (found == m_workers.end()) {
+      continue;
+    }
+    Worker& worker = found->second;
+    worker.kinds[kind].failures.Add(now, -1);
+    worker.streak = std::max(0.0, worker.streak - charge.amount);
+    if (worker.quarantined && worker.streak < kQuarantineStreak) {
+      worker.quarantined = false;
+    }
+  }
+  job->charges.clear();
+}
+
+bool WorkerHealth::Quarantined(std::string_view vm) const {
+  const auto found = m_workers.find(vm);
+  return found != m_workers.end() && found->second.quarantined;
+}
+
+bool WorkerHealth::ProbeDue(TimePoint now, std::string_view vm) const {
+  const auto found = m_workers.find(vm);
+  return found != m_workers.end() && found->second.quarantined && found->second.next_probe <= now;
+}
+
+void WorkerHealth::BeginProbe(TimePoint now, std::string_view vm) {
+  const auto found = m_workers.find(vm);
+  if (found != m_workers.end()) {
+    found->second.next_probe = now + found->second.probe_interval;
+  }
+}
+
+int WorkerHealth::PenaltySlots(TimePoint now, std::string_view vm) const {
+  const auto found = m_workers.find(vm);
+  if (found == m_workers.end()) {
+    return 0;
+  }
+  const std::vector<TimePoint>& penalties = found->second.penalties;
+  return static_cast<int>(
+      std::count_if(penalties.begin(), penalties.end(), [&](TimePoint end) { return end > now; }));
+}
+
+bool WorkerHealth::FaultyJob(std::string_view job) const {
+  const auto found = m_jobs.find(job);
+  return found != m_jobs.end() && found->second.faulty;
+}
+
+void WorkerHealth::Forget(std::string_view vm) {
+  const auto found = m_workers.find(vm);
+  if (found != m_workers.end()) {
+    m_workers.erase(found);
+  }
+}
+
+std::vector<std::string> WorkerHealth::QuarantinedVms() const {
+  std::vector<std::string> vms;
+  for (const auto& [vm, worker] : m_workers) {
+    if (worker.quarantined) {
+      vms.push_back(vm);
+    }
+  }
+  return vms;
+}
+
+}  // namespace cranberryplank
