Add the slot ledger

Cause: a team's upper limit must hold fleet-wide while daemons race, pause and die and while the store loses answers. StoreDocument settles a write with unknown outcome by reading back its nonce and, while the old version is still there, by swapping a no-op onto it. Demand of other daemons comes from heartbeats. Ruled out: wishes written to the ledger (a write for each change of demand), watches on all ledger documents (every change would travel to every daemon), and trusting old slots after this incarnation was unregistered (a late reclaim may still arrive; a fencing write makes it fail). The new fields of Vm move to its end, because the model's test lists values by position.

--- a/packages/control/include/cranberryplank/control/slot_ledger.h
+++ b/packages/control/include/cranberryplank/control/slot_ledger.h
@@ -36,7 +36,8 @@
   /// Added to the longest lease before a dead daemon's slots return; covers clock drift and the
   /// time a worker takes to stop a task.
   Duration reclaim_margin{2'000};
-  Duration reclaim_takeover{5'000};      ///< Extra wait of daemons that are not the acting one.
+  /// Wait after which daemons other than a shard's acting one return slots or record limits.
+  Duration takeover{5'000};
   bool test_lower_before_swap = true;    ///< Tests switch this rule off to see the checks fail.
   bool test_wait_before_reclaim = true;  ///< Likewise.
 };
@@ -97,6 +98,7 @@
     bool fenced = true;                  ///< False after this incarnation was unregistered.
     bool fencing = false;
     std::optional<TimePoint> read_at;
+    std::optional<TimePoint> limits_differ_since;
   };
   struct PeerDemand {
     TimePoint heard;
@@ -117,27 +119,31 @@
     int peers_waiting = 0;
   };
 
-  Shard& ShardOf(std::string_view team) { return m_shards[LedgerShardOf(team)]; }
-  const Shard& ShardOf(std::string_view team) const { return m_shards[LedgerShardOf(team)]; }
+  const Shard& ShardOf(std::string_view team) const {
+    return m_shards[static_cast<std::size_t>(LedgerShardOf(team))];
+  }
   TeamState& StateOf(std::string_view team);
   const TeamState* FindState(std::string_view team) const;
   void OnSettled(TimePoint now, int number);
   void TrackMembership(TimePoint now);
-  void ApplyLimits(LedgerShard* ledger, int number) const;
+  bool ApplyLimits(TimePoint now, int number, LedgerShard* ledger) const;
   bool MayReclaim(TimePoint now, std::string_view holder, int number,
                   const LedgerShard& ledger) const;
-  void Reclaim(TimePoint now, int number, LedgerShard* ledger) const;
-  Demand DemandFor(TimePoint now, std::string_view team, int limit) const;
+  bool Reclaim(TimePoint now, int number, LedgerShard* ledger) const;
+  Demand DemandFor(std::string_view team, int limit) const;
   int Ceiling(std::string_view team, const LedgerTeam& entry) const;
   void UpdateTeam(TimePoint now, const std::string& team, const LedgerTeam& entry);
   void SignalExcess(TimePoint now, const std::string& team, const LedgerTeam& entry);
   std::optional<LedgerShard> Plan(TimePoint now, int number);
-  void PlanTeam(TimePoint now, const std::string& team, LedgerTeam* entry);
+  void PlanTeam(TimePoint now, const std::string& team, bool fenced, LedgerTeam* entry);
+  void LogPlan(TimePoint now, int number, const LedgerShard& before, const LedgerShard& after);
   bool Wanted(int number) const;
   void Step(TimePoint now, int number);
   Duration PollInterval(int number) const;
   Duration LongestLease() const;
   bool MayTake(TimePoint now) const;
+  bool Acts(int number) const;
+  int Held(std::string_view team) const;
 
   HeadControl* m_head;
   SlotLedgerOptions m_options;
@@ -149,6 +155,7 @@
   std::map<std::string, TimePoint, std::less<>> m_gone;
   std::optional<TimePoint> m_fresh_until;  ///< As of the last tick.
   bool m_registered = false;
+  Duration m_longest_lease{0};  ///< Longest task lease seen since the start.
   bool m_handing_over = false;
   RateLimit m_writes;
   RateLimit m_reads;
--- a/packages/control/include/cranberryplank/control/store_document.h
+++ b/packages/control/include/cranberryplank/control/store_document.h
@@ -60,15 +60,21 @@
   ChangedSignal& signal_settled() { return m_settled; }
 
  private:
-  enum class Phase { kIdle, kReading, kWriting, kSettling, kFencing };
+  enum class Phase {
+    kIdle,
+    kReading,
+    kWriting,
+    kSettling,  ///< Reading back after an unknown outcome.
+    kFencing,   ///< Swapping a no-op onto the old version.
+    kBackoff,   ///< The store did not answer; idle again after the retry time.
+  };
 
   void SendRead(TimePoint now);
   void SendWrite(TimePoint now, std::string_view content, Phase phase);
   void OnRead(TimePoint now, TimePoint sent, const StoreReadReply& reply);
   void OnWrite(TimePoint now, const StoreWriteReply& reply);
   void OnWatch(TimePoint now, const StoreReadReply& reply);
-  void Settle(TimePoint now);
-  void Accept(TimePoint sent, const StoreReadReply& reply);
+  bool Accept(std::optional<TimePoint> confirmed, const StoreReadReply& reply);
 
   Store* m_store;
   RandomSource* m_random;
--- /dev/null
+++ b/packages/control/tests/slot_ledger_test.cc
@@ -0,0 +1,165 @@
+#include "cranberryplank/control/slot_ledger.h"
+
+#include <catch2/catch.hpp>
+
+#include "simulated_run.h"
+
+namespace cranberryplank {
+
+namespace {
+
+const std::string smiths = "smiths";
+
+/// Runs until `condition` holds; returns false after `limit`.
+bool RunUntil(SimulatedRun* run, Duration limit, const std::function<bool()>& condition) {
+  for (Duration waited{0}; waited < limit; waited += Duration(100)) {
+    if (condition()) {
+      return true;
+    }
+    run->clock.RunFor(Duration(100));
+  }
+  return condition();
+}
+
+SimulatedRunOptions OneTeam(int limit) {
+  SimulatedRunOptions options;
+  options.limits = {{smiths, limit}};
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("At rest all slots are held and shared evenly, then nothing is written") {
+  SimulatedRun run(OneTeam(10));
+  run.clock.RunFor(Duration(20'000));
+  int usable = 0;
+  for (const auto& daemon : run.daemons) {
+    CHECK(daemon->ledger.Usable(smiths) >= 2);
+    usable += daemon->ledger.Usable(smiths);
+  }
+  CHECK(usable == 10);
+  // Guards against slots that travel, or documents that are rewritten, without a reason.
+  const std::uint64_t writes = run.store.writes;
+  run.clock.RunFor(Duration(60'000));
+  CHECK(run.store.writes == writes);
+}
+
+TEST_CASE("Slots travel to where requests wait") {
+  SimulatedRun run(OneTeam(10));
+  run.clock.RunFor(Duration(20'000));
+  run.At(0).waiting[smiths] = 1'000'000;
+  CHECK(RunUntil(&run, Duration(10'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
+  const std::uint64_t writes = run.store.writes;
+  run.At(1).waiting[smiths] = 1'000'000;
+  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.At(1).ledger.Usable(smiths) >= 4; }));
+  run.clock.RunFor(Duration(60'000));
+  // Guards against slots that swing back and forth between two daemons with equal demand.
+  CHECK(run.store.writes - writes < 20);
+}
+
+TEST_CASE("A lost answer to a write that took effect leaves the right count") {
+  SimulatedRun run(OneTeam(10));
+  run.store.lose_next = 1'000;
+  run.clock.RunFor(Duration(5'000));
+  run.store.lose_next = 0;
+  CHECK(RunUntil(&run, Duration(30'000), [&] {
+    int usable = 0;
+    for (const auto& daemon : run.daemons) {
+      usable += daemon->ledger.Usable(smiths);
+    }
+    return usable == 10 && run.Held(smiths) == 10;
+  }));
+}
+
+TEST_CASE("A dead daemon's slots return only after the longest lease") {
+  SimulatedRun run(OneTeam(10));
+  run.clock.RunFor(Duration(20'000));
+  run.At(0).process.alive = false;
+  const std::string incarnation = run.At(0).process.incarnation;
+  REQUIRE(RunUntil(&run, Duration(10'000),
+                   [&] { return !run.At(1).head.MayStillDispatch(incarnation, run.clock.now()); }));
+  const auto held = [&] {
+    return run.ledgers.at(LedgerKey(LedgerShardOf(smiths))).teams.at(smiths).HeldBy(incarnation);
+  };
+  run.clock.RunFor(SimulatedRun::kLease + Duration(1'500));
+  CHECK(held() > 0);
+  CHECK(RunUntil(&run, Duration(30'000), [&] { return held() == 0 && run.Held(smiths) == 10; }));
+}
+
+TEST_CASE("A lowered limit retires slots as tasks end and asks for checkpoints") {
+  SimulatedRunOptions options = OneTeam(10);
+  options.slots.checkpoint_grace = Duration(100);  // Tasks of the run last about a second.
+  SimulatedRun run(options);
+  for (const auto& daemon : run.daemons) {
+    daemon->waiting[smiths] = 1'000'000;
+  }
+  run.clock.RunFor(Duration(20'000));
+  int asked = 0;
+  for (const auto& daemon : run.daemons) {
+    daemon->ledger.signal_excess().connect(
+        [&](TimePoint, const std::string&, int tasks) { asked += tasks; });
+  }
+  run.SetLimit(smiths, 3);
+  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.Held(smiths) == 3; }));
+  CHECK(asked > 0);
+  run.SetLimit(smiths, 12);
+  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.Held(smiths) == 12; }));
+  run.head.Record([](SimulatedHead::Revision* next) { next->fleet.teams.clear(); });
+  CHECK(RunUntil(&run, Duration(20'000), [&] { return run.Held(smiths) == 0; }));
+}
+
+TEST_CASE("A planned stop hands over all slots; a new incarnation adopts none") {
+  SimulatedRun run(OneTeam(10));
+  run.clock.RunFor(Duration(20'000));
+  SlotLedger& ledger = run.At(0).ledger;
+  REQUIRE(ledger.Acquire(run.clock.now(), smiths));
+  ledger.BeginHandOver(run.clock.now());
+  run.clock.RunFor(Duration(5'000));
+  CHECK_FALSE(ledger.HandedOver());
+  CHECK_FALSE(ledger.Acquire(run.clock.now(), smiths));
+  ledger.Release(run.clock.now(), smiths);
+  CHECK(RunUntil(&run, Duration(5'000), [&] { return ledger.HandedOver(); }));
+  run.Kill(0);
+  run.clock.RunFor(Duration(3'500));
+  CHECK(run.At(0).ledger.Usable(smiths) == 0);
+}
+
+TEST_CASE("A daemon that was removed while paused uses its slots only after a fence") {
+  SimulatedRun run(OneTeam(10));
+  run.clock.RunFor(Duration(20'000));
+  run.At(0).process.paused = true;
+  run.clock.RunFor(Duration(60'000));
+  CHECK(run.At(0).ledger.Usable(smiths) > 0);
+  // Guards against use of slots that went to others during the pause.
+  CHECK_FALSE(run.At(0).ledger.Acquire(run.clock.now(), smiths));
+  run.At(0).process.Resume();
+  run.At(0).waiting[smiths] = 1'000'000;
+  CHECK(RunUntil(&run, Duration(30'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
+}
+
+TEST_CASE("Store writes of a daemon are bounded") {
+  SimulatedRunOptions options;
+  for (int i = 0; i < 200; ++i) {
+    options.limits[fmt::format("team{}", i)] = 8;
+  }
+  options.daemons = 1;
+  SimulatedRun run(options);
+  run.clock.RunFor(Duration(5'000));
+  CHECK(run.store.writes <= 4 + 5 * 4);
+  run.clock.RunFor(Duration(10'000));
+  CHECK(run.At(0).ledger.Usable("team7") == 8);
+}
+
+TEST_CASE("A ledger document survives encoding and malformed text is refused") {
+  LedgerShard shard;
+  shard.revision = 7;
+  shard.leases = {{"a", Duration(10)}, {"b", Duration(20)}};
+  shard.teams["x"].limit = 5;
+  shard.teams["x"].SetHeld("b", 3);
+  std::string reason;
+  CHECK(DecodeLedgerShard(EncodeLedgerShard(shard), &reason) == shard);
+  CHECK_FALSE(DecodeLedgerShard(R"({"revision":1,"holders":[],"teams":{"x":[1,[2]]}})", &reason));
+  CHECK_FALSE(reason.empty());
+}
+
+}  // namespace cranberryplank
--- a/packages/model/include/cranberryplank/model/vm.h
+++ b/packages/model/include/cranberryplank/model/vm.h
@@ -26,12 +26,12 @@
   std::string pool;
   VmState state = VmState::kServing;
   std::string target_pool;  ///< Pool it moves to; empty while it does not move.
-  std::string move_id;      ///< Random, new with each move; tells a repeated move apart.
-  std::string boot_id;      ///< Boot in which an empty VM was checked to run nothing.
   int slots = 0;            ///< Tasks it can run at a time.
   int cores = 0;
   int memory_gb = 0;
   int accelerators = 0;
+  std::string move_id{};  ///< Random, new with each move; tells a repeated move apart.
+  std::string boot_id{};  ///< Boot in which an empty VM was checked to run nothing.
 
   bool operator==(const Vm&) const = default;
 };
