Add in-memory stand-ins for the store, the VM list and the workers

Cause: the state machines of control and daemon need a store, a VM list and workers under a fake clock before the HTTP adapters exist.

EventQueue is the fake clock; SimulatedProcess is a scheduler that can be paused and killed. KeyTable, VmTable and SimulatedWorker hold the contents and rules, so that the HTTP fakes can share them. Each client (MemoryStore, MemoryVmDirectory, MemoryWorkers) has its own faults.

WorkerAddress gets an explicit operator<: the linter's modernize-use-nullptr reports a defaulted operator<=> that is used as a map key. Ruled out: a suppression, which would also hide true findings on that line.

--- a/packages/platform/include/cranberryplank/platform/worker_client.h
+++ b/packages/platform/include/cranberryplank/platform/worker_client.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "cranberryplank/model/time.h"
 #include "cranberryplank/model/verdict.h"
@@ -17,7 +18,10 @@
   std::string host;
   std::uint16_t port = 0;
 
-  auto operator<=>(const WorkerAddress&) const = default;
+  bool operator==(const WorkerAddress&) const = default;
+  bool operator<(const WorkerAddress& other) const {
+    return std::tie(host, port) < std::tie(other.host, other.port);
+  }
 };
 
 /// What a worker reports of itself.
--- /dev/null
+++ b/tests/support/include/cranberryplank/support/simulated_worker.h
@@ -0,0 +1,114 @@
+#ifndef CRANBERRYPLANK_SUPPORT_SIMULATED_WORKER_H_
+#define CRANBERRYPLANK_SUPPORT_SIMULATED_WORKER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cranberryplank/platform/worker_client.h"
+#include "cranberryplank/support/simulated_process.h"
+
+namespace cranberryplank {
+
+/// Settings of a simulated worker.
+struct WorkerSettings {
+  int slots = 8;
+  Duration reboot_time{2'000};    ///< The worker is unreachable for this long.
+  Duration clock_at_boot{1'000};  ///< Reading of the worker's clock when it boots.
+};
+
+/// A task's own answer.
+struct TaskAnswer {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+/// Statuses of tasks that the worker itself ended.
+inline constexpr int kTaskBadBody = 400;
+inline constexpr int kTaskFailed = 500;
+inline constexpr int kTaskCheckpointed = 503;
+inline constexpr int kTaskLeaseExpired = 504;
+
+/// Entry of a worker's log, which survives reboots. `starts` above 1 is a duplicate.
+struct LoggedTask {
+  std::string queue;
+  int starts = 0;
+  int completions = 0;  ///< Runs that ended with the reply that the body asked for.
+};
+
+/// Rules of a worker: slots, start-by deadline, boot id, lease, draining and reboot. A task's body
+/// is JSON `{"run_ms": N, "reply": "TEXT"}`.
+class SimulatedWorker {
+ public:
+  /// `answer` is empty if the worker crashed while the task ran.
+  using EndCallback = std::function<void(TimePoint now, const std::optional<TaskAnswer>& answer)>;
+
+  /// @param name prefix of the boot ids
+  SimulatedWorker(Scheduler* scheduler, std::string name, WorkerSettings settings);
+
+  /// Schedule the handling of each request here: nothing happens while the worker is paused.
+  SimulatedProcess& process() { return m_process; }
+
+  /// False while the worker reboots.
+  bool Reachable() const { return m_process.Now() >= m_reachable_at; }
+
+  WorkerStatus Status() const;
+  Duration WorkerClock() const;
+
+  /// Starts a task unless it is refused. `ended` is called once if the result is kNone, and never
+  /// from inside the call.
+  WorkerRefusal Start(const TaskStart& task, EndCallback ended);
+
+  /// A reboot makes the worker forget its tasks.
+  TaskState GetTask(std::string_view task_id) const;
+
+  /// Stops a task. @return false if it is not running.
+  bool Checkpoint(std::string_view task_id);
+
+  void SetDraining(bool draining) { m_draining = draining; }
+
+  /// Reboots, which also ends draining. @return false, without effect, if a task is running.
+  bool Reboot();
+
+  /// Ends all tasks without an answer and reboots.
+  void Crash();
+
+  /// Makes every task fail at once.
+  void SetFailAll(bool fail_all) { m_fail_all = fail_all; }
+
+  const std::map<std::string, LoggedTask, std::less<>>& log() const { return m_log; }
+
+  /// Most tasks that ran at a time.
+  int max_running() const { return m_max_running; }
+
+ private:
+  struct Run {
+    std::uint64_t number = 0;
+    EndCallback ended;
+  };
+
+  std::string BootId() const;
+  void End(const std::string& task_id, std::uint64_t number, const TaskAnswer& answer);
+  void StartNewBoot();
+
+  std::string m_name;
+  WorkerSettings m_settings;
+  SimulatedProcess m_process;
+  int m_boots = 1;
+  TimePoint m_booted_at;
+  TimePoint m_reachable_at;
+  bool m_draining = false;
+  bool m_fail_all = false;
+  std::uint64_t m_last_run = 0;
+  int m_max_running = 0;
+  std::multimap<std::string, Run, std::less<>> m_running;
+  std::map<std::string, LoggedTask, std::less<>> m_log;
+  std::map<std::string, int, std::less<>> m_finished;  ///< Task id to finished runs of this boot.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SUPPORT_SIMULATED_WORKER_H_
--- /dev/null
+++ b/tests/support/include/cranberryplank/support/vm_table.h
@@ -0,0 +1,45 @@
+#ifndef CRANBERRYPLANK_SUPPORT_VM_TABLE_H_
+#define CRANBERRYPLANK_SUPPORT_VM_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/platform/vm_directory.h"
+
+namespace cranberryplank {
+
+/// Contents of the fake VM list, with faults that apply to every reader.
+class VmTable {
+ public:
+  /// Adds a VM or puts a removed one back.
+  void Add(std::string_view service, std::string_view id);
+
+  /// @return false if the VM is not listed.
+  bool SetLeaving(std::string_view service, std::string_view id, bool leaving);
+  bool Remove(std::string_view service, std::string_view id);
+
+  /// Answers with the lists as they are now until set to false.
+  void SetStale(bool stale);
+
+  /// Lists only the first VM of each service until set to false.
+  void SetNearlyEmpty(bool nearly_empty) { m_nearly_empty = nearly_empty; }
+
+  /// Returns what a reader of `service` sees.
+  std::vector<VmListing> List(std::string_view service) const;
+
+ private:
+  using Service = std::map<std::string, bool, std::less<>>;  ///< VM id to whether it is leaving.
+  using Services = std::map<std::string, Service, std::less<>>;
+
+  Services m_services;
+  Services m_snapshot;
+  bool m_stale = false;
+  bool m_nearly_empty = false;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SUPPORT_VM_TABLE_H_
