Add the Thrift codec for messages between daemons

Daemons need one checked encoding for heartbeats, heads and forwarded requests. The IDL lists the fields of messages.h; the generated code is committed, so that the build does not need thrift-compiler.

Only fields that a receiver cannot act without are required in the IDL, so that daemons of neighbouring releases can talk during a rollout. Verdicts are numbered from 1, so a missing or zeroed field is never read as "not run". A Thrift enum field was ruled out: the generated reader casts any number to its enum, and UBSan reports the load of an unknown value. The field is an i32 that the codec checks.

--- /dev/null
+++ b/packages/peers/src/wire_conversion.h
@@ -0,0 +1,23 @@
+#ifndef CRANBERRYPLANK_PEERS_WIRE_CONVERSION_H_
+#define CRANBERRYPLANK_PEERS_WIRE_CONVERSION_H_
+
+#include "cranberryplank/peers/messages.h"
+#include "cranberryplank/peers/peer_codec.h"
+#include "peer_messages_types.h"
+
+namespace cranberryplank {
+
+/// Version of the frames' content that this release speaks.
+inline constexpr int kWireProtocol = 1;
+
+wire::Envelope ToWire(const PeerMessage& message);
+wire::Envelope ToWire(const Introduction& introduction);
+
+/// Reads the one content of an envelope.
+/// @throws std::invalid_argument if the envelope does not hold exactly one content, or if a value
+/// is outside its range.
+PeerCodec::Content FromWire(wire::Envelope&& envelope);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_PEERS_WIRE_CONVERSION_H_
