--- a/packages/daemon/include/cranberryplank/daemon/request_router.h
+++ b/packages/daemon/include/cranberryplank/daemon/request_router.h
@@ -139,10 +139,13 @@
   void Pump(TimePoint now, const std::string& pool);
   DispatchOutcome Dispatch(TimePoint now, const std::string& pool, std::string_view reason,
                            TimePoint fresh_until, const WaitingRequest& waiting);
+  std::optional<PlacementChoice> ChooseWorker(TimePoint now, const std::string& pool,
+                                              const Pending& pending);
   void Start(TimePoint now, const Queue& queue, const PlacementChoice& choice,
              TimePoint fresh_until, Pending* pending);
   void OnEnd(TimePoint now, const std::string& task_id, const std::string& vm, const TaskEnd& end);
   void OnCompleted(TimePoint now, Pending pending, const std::string& vm, const TaskEnd& end);
+  void OnCheckpointed(TimePoint now, Pending pending);
   void OnNoAnswer(TimePoint now, Pending pending, const std::string& vm);
   void OnResolved(TimePoint now, const std::string& task_id, TaskFate fate);
 
--- a/packages/daemon/include/cranberryplank/daemon/task_runner.h
+++ b/packages/daemon/include/cranberryplank/daemon/task_runner.h
@@ -35,7 +35,8 @@
 /// How an attempt ended.
 struct TaskEnd {
   TaskResult result;
-  bool failed = false;  ///< Completed, but the task itself reported a failure.
+  bool checkpointed = false;  ///< The worker stopped it because this daemon asked for it.
+  bool failed = false;        ///< Completed, but the task itself reported a failure.
   FailureEffect effect = FailureEffect::kCounted;
 };
 
@@ -100,6 +101,7 @@
     TimePoint started;
     TimePoint ends_by;
     WorkerTable::StartBy start_by;
+    bool checkpoint_asked = false;
   };
 
   void OnResult(TimePoint now, const std::string& attempt_id, TaskResult result,
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -326,9 +326,7 @@
     }
   }
   const Queue& queue = m_parts.head->fleet().queues.at(pending.request.queue);
-  const PlacementRequest wanted{pool, m_options.zone, pending.request.idempotent, pending.excluded};
-  const auto choice = m_parts.placement->Choose(now, wanted, m_runner.workers().Views(now, pool),
-                                                m_runner.health(), *m_parts.random);
+  const auto choice = ChooseWorker(now, pool, pending);
   if (!choice) {
     m_queue.Push(now, waiting, queue.max_waiting + 1);
     return DispatchOutcome::kNoWorker;
@@ -349,6 +347,19 @@
   return DispatchOutcome::kStarted;
 }
 
+std::optional<PlacementChoice> RequestRouter::ChooseWorker(TimePoint now, const std::string& pool,
+                                                           const Pending& pending) {
+  PlacementRequest wanted{pool, m_options.zone, pending.request.idempotent, pending.excluded};
+  const std::span<const WorkerView> views = m_runner.workers().Views(now, pool);
+  auto choice = m_parts.placement->Choose(now, wanted, views, m_runner.health(), *m_parts.random);
+  if (!choice && !pending.excluded.empty()) {
+    // Every worker with a free slot has failed it once; another try beats waiting for none.
+    wanted.excluded = {};
+    choice = m_parts.placement->Choose(now, wanted, views, m_runner.health(), *m_parts.random);
+  }
+  return choice;
+}
+
 void RequestRouter::Start(TimePoint now, const Queue& queue, const PlacementChoice& choice,
                           TimePoint fresh_until, Pending* pending) {
   const CallerRequest& request = pending->request;
@@ -415,6 +426,10 @@
 
 void RequestRouter::OnCompleted(TimePoint now, Pending pending, const std::string& vm,
                                 const TaskEnd& end) {
+  if (end.checkpointed) {
+    OnCheckpointed(now, std::move(pending));
+    return;
+  }
   const bool may_retry = end.failed && pending.request.idempotent &&
                          end.effect != FailureEffect::kFaultyJob &&
                          pending.attempts < kMaxAttempts && now < pending.request.deadline &&
@@ -434,6 +449,15 @@
   Reply(now, pending, std::move(reply));
 }
 
+void RequestRouter::OnCheckpointed(TimePoint now, Pending pending) {
+  pending.may_have_run = true;
+  if (pending.request.idempotent && now < pending.request.deadline && !m_shutting_down) {
+    Requeue(now, std::move(pending), "checkpointed");
+    return;
+  }
+  AnswerMayHaveRun(now, pending, "the task was checkpointed before it finished");
+}
+
 void RequestRouter::OnNoAnswer(TimePoint now, Pending pending, const std::string& vm) {
   const bool may_rerun =
       pending.request.idempotent || !m_options.rules.never_rerun_after_may_have_run;
@@ -774,11 +798,12 @@
   request.content_type = forwarded->content_type;
   request.body = forwarded->body;
   Accept(now, std::move(request),
-         [this, sender, request_id = forwarded->request_id](TimePoint /*at*/,
-                                                            const CallerReply& reply) {
+         [this, sender, request_id = forwarded->request_id, task_id = forwarded->task_id](
+             TimePoint /*at*/, const CallerReply& reply) {
            ForwardReply answer;
            answer.request_id = request_id;
-           answer.task_id = reply.task_id;
+           // The outcome of an earlier use of its ticket carries that use's task id.
+           answer.task_id = task_id;
            answer.verdict = reply.verdict;
            answer.status = reply.status;
            answer.reason = reply.reason;
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -24,6 +24,9 @@
 /// Lowest HTTP status by which a task reports its own failure.
 constexpr int kFirstFailureStatus = 500;
 
+/// HTTP status by which a worker answers a task that it has checkpointed and stopped.
+constexpr int kCheckpointedStatus = 503;
+
 std::string_view Describe(FailureEffect effect) {
   switch (effect) {
     case FailureEffect::kCounted:
@@ -120,6 +123,11 @@
 TaskEnd TaskRunner::OnCompleted(TimePoint now, const RunningTask& task, TaskResult result) {
   const auto run_time = std::chrono::duration_cast<Duration>(now - task.started);
   TaskEnd end;
+  if (task.checkpoint_asked && result.status == kCheckpointedStatus) {
+    end.checkpointed = true;
+    end.result = std::move(result);
+    return end;
+  }
   end.failed = result.status >= kFirstFailureStatus;
   if (!end.failed) {
     m_estimates.Record(task.team, task.queue, run_time);
@@ -242,7 +250,8 @@
 }
 
 void TaskRunner::Checkpoint(const std::string& attempt_id, std::string_view reason) {
-  const RunningTask& task = m_running.at(attempt_id);
+  RunningTask& task = m_running.at(attempt_id);
+  task.checkpoint_asked = true;
   const auto address = m_workers.AddressOf(task.vm);
   if (!address) {
     return;
