--- a/packages/peers/include/cranberryplank/peers/peer_links.h
+++ b/packages/peers/include/cranberryplank/peers/peer_links.h
@@ -26,6 +26,7 @@
       sigc::signal<void, TimePoint /*now*/, const std::string& /*sender incarnation*/,
                    const PeerMessage& /*message*/>;
   using LostSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*incarnation*/>;
+  using UpSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*incarnation*/>;
 
   virtual ~PeerLinks() = default;
 
@@ -39,9 +40,14 @@
   /// Emitted when a link breaks; replies still expected on it will not arrive.
   LostSignal& signal_lost() { return m_lost; }
 
+  /// Emitted when an incarnation can be sent to. It may be one that is not among the peers: a
+  /// daemon that is not registered yet and has connected to this one.
+  UpSignal& signal_up() { return m_up; }
+
  protected:
   MessageSignal m_message;
   LostSignal m_lost;
+  UpSignal m_up;
 };
 
 }  // namespace cranberryplank
