--- a/packages/daemon/include/cranberryplank/daemon/admin_reads.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_reads.h
@@ -10,6 +10,9 @@
 
 namespace cranberryplank {
 
+/// Returns the version of the bundle in effect, 0 before the first.
+std::uint64_t BundleVersionOf(const Fleet& fleet);
+
 /// Builds the answers to the admin API's reads.
 class AdminReads {
  public:
--- a/packages/daemon/include/cranberryplank/daemon/settings.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings.h
@@ -2,6 +2,7 @@
 #define CRANBERRYPLANK_DAEMON_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,7 +45,7 @@
   Duration ticket_lifetime{3'600'000};  ///< How long outcomes are kept for retries.
 
   std::vector<std::string> operator_token_sha256;
-  std::vector<std::string> approvers;  ///< Ed25519 public keys in hexadecimal.
+  std::map<std::string, std::string> approvers;  ///< Ed25519 public keys in hexadecimal by name.
   int approvals_required = 1;
 
   Duration shutdown_grace{30'000};  ///< Bound on finishing running tasks at a planned stop.
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -59,6 +59,15 @@
   return Endpoint{host, static_cast<std::uint16_t>(number)};
 }
 
+std::optional<std::string> HexDigits(const toml::node& node) {
+  const auto* text = node.as_string();
+  if (text == nullptr || text->get().size() != kDigestHexLength ||
+      text->get().find_first_not_of("0123456789abcdef") != std::string::npos) {
+    return std::nullopt;
+  }
+  return text->get();
+}
+
 /// Reads the keys of one table and remembers which were asked for.
 class TableReader {
  public:
@@ -156,25 +165,43 @@
     *value = Duration(count);
   }
 
-  /// Reads a list of SHA-256 digests or Ed25519 public keys.
-  void HexList(std::string_view key, bool required, std::vector<std::string>* values) {
-    const toml::node* node = Find(key, required, "a list of strings");
+  /// Reads a list of SHA-256 digests.
+  void DigestList(std::string_view key, std::vector<std::string>* values) {
+    const toml::node* node = Find(key, true, "a list of strings");
     if (node == nullptr) {
       return;
     }
     const toml::array* list = node->as_array();
-    if (list == nullptr || (required && list->empty())) {
+    if (list == nullptr || list->empty()) {
       Problem(*node, key, "expected a list of strings that is not empty");
       return;
     }
     for (const toml::node& item : *list) {
-      const auto* text = item.as_string();
-      if (text == nullptr || text->get().size() != kDigestHexLength ||
-          text->get().find_first_not_of("0123456789abcdef") != std::string::npos) {
+      if (const auto digits = HexDigits(item)) {
+        values->push_back(*digits);
+      } else {
+        Problem(item, key, "expected 64 lower-case hexadecimal digits");
+      }
+    }
+  }
+
+  /// Reads a table of Ed25519 public keys by name.
+  void PublicKeys(std::string_view key, std::map<std::string, std::string>* values) {
+    const toml::node* node = Find(key, false, "a table of public keys");
+    if (node == nullptr) {
+      return;
+    }
+    const toml::table* table = node->as_table();
+    if (table == nullptr) {
+      Problem(*node, key, "expected a table of names and public keys");
+      return;
+    }
+    for (const auto& [name, item] : *table) {
+      if (const auto digits = HexDigits(item)) {
+        values->emplace(name.str(), *digits);
+      } else {
         Problem(item, key, "expected 64 lower-case hexadecimal digits");
-        continue;
       }
-      values->push_back(text->get());
     }
   }
 
@@ -267,8 +294,8 @@
 
 void ReadOperators(const toml::table& root, ProblemList* problems, Settings* settings) {
   TableReader table(root, "operators", problems);
-  table.HexList("token_sha256", true, &settings->operator_token_sha256);
-  table.HexList("approvers", false, &settings->approvers);
+  table.DigestList("token_sha256", &settings->operator_token_sha256);
+  table.PublicKeys("approvers", &settings->approvers);
   table.Number("approvals_required", 1, 16, &settings->approvals_required);
   table.RefuseUnknownKeys();
   const bool too_few =
