--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -54,6 +54,12 @@
   /// Sends the answer. Does nothing if the caller has gone or was answered before.
   void Reply(const ApiResponse& response);
 
+  /// Tells whether the caller has closed its end of the connection.
+  bool CallerHasGone() const;
+
+  /// Reports a closed connection to the handler set by OnClosed, once.
+  void ReportClosed();
+
   /// Sets what to do if the caller closes the connection before the answer.
   void OnClosed(std::function<void()> closed) { m_closed = std::move(closed); }
 
@@ -88,6 +94,10 @@
   /// Stops accepting new connections; open ones go on.
   void StopAccepting();
 
+  /// Looks for callers that have closed their connection. evhttp does not read while a request is
+  /// being answered, so it does not notice.
+  void CheckCallers();
+
   const std::string& last_reason() const { return m_last_reason; }
 
  private:
@@ -96,6 +106,7 @@
   evhttp* m_http;
   evhttp_bound_socket* m_socket = nullptr;
   Handler m_handler;
+  std::vector<std::weak_ptr<ApiExchange>> m_open;
   std::string m_last_reason;
 };
 
--- /dev/null
+++ b/packages/daemon/src/admin_api.cc
@@ -0,0 +1,532 @@
+#include "cranberryplank/daemon/admin_api.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cranberryplank/bundle/bundle_application.h"
+#include "cranberryplank/bundle/bundle_parser.h"
+#include "cranberryplank/bundle/bundle_verifier.h"
+#include "cranberryplank/daemon/admin_reads.h"
+#include "cranberryplank/daemon/caller_api.h"
+#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/digest.h"
+
+namespace cranberryplank {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/v1/admin/";
+constexpr std::string_view kNonceHeader = "change-nonce";
+constexpr std::size_t kNonceLength = 32;
+constexpr std::size_t kDigestLength = 64;
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::int64_t kMaxWaitMs = 10'000;
+
+/// Time for which a withdrawal waits to be recorded before it is answered as not yet recorded.
+constexpr Duration kDenialPatience{1'500};
+
+ApiResponse Json(int status, const json& body) {
+  ApiResponse response;
+  response.status = status;
+  response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return response;
+}
+
+ApiResponse Error(int status, std::string_view reason) {
+  return Json(status, json{{"reason", reason}, {"processed", status == 502 || status == 504}});
+}
+
+bool IsHex(std::string_view text, std::size_t length) {
+  return text.size() == length &&
+         text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") ==
+             std::string_view::npos;
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// Reads a JSON object; on failure answers 400 and returns nothing.
+std::optional<json> ParseBody(const std::shared_ptr<ApiExchange>& exchange) {
+  json body = json::parse(exchange->request().body, nullptr, false);
+  if (!body.is_object()) {
+    exchange->Reply(Error(400, "the body is not a JSON object"));
+    return std::nullopt;
+  }
+  return body;
+}
+
+template <typename T>
+bool GetField(const json& body, const char* key, T* value) {
+  try {
+    body.at(key).get_to(*value);
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+std::optional<Vm> ParseVm(const json& body, std::string* last_reason) {
+  Vm vm;
+  int port = 0;
+  const bool complete = GetField(body, "id", &vm.id) && GetField(body, "host", &vm.host) &&
+                        GetField(body, "port", &port) && GetField(body, "zone", &vm.zone) &&
+                        GetField(body, "rack", &vm.rack) && GetField(body, "pool", &vm.pool) &&
+                        GetField(body, "slots", &vm.slots) && GetField(body, "cores", &vm.cores) &&
+                        GetField(body, "memory_gb", &vm.memory_gb) &&
+                        GetField(body, "accelerators", &vm.accelerators);
+  if (!complete || !IsName(vm.id) || !IsName(vm.zone) || !IsName(vm.rack) || !IsName(vm.pool) ||
+      port < 1 || port > UINT16_MAX || vm.host.empty()) {
+    *last_reason = "a field of the VM is missing or not valid";
+    return std::nullopt;
+  }
+  vm.port = static_cast<std::uint16_t>(port);
+  return vm;
+}
+
+}  // namespace
+
+bool AdminApi::Handle(TimePoint now, const Exchange& exchange) {
+  const ApiRequest& request = exchange->request();
+  if (!request.path.starts_with(kPrefix)) {
+    return false;
+  }
+  if (!Authorized(request)) {
+    LogLine(LogLevel::kWarning, "admin_refused").Field("path", request.path);
+    exchange->Reply(Error(401, "operator token missing or wrong"));
+    return true;
+  }
+  const std::string_view path = std::string_view(request.path).substr(kPrefix.size());
+  if (request.method == "GET") {
+    Read(now, exchange, path);
+  } else if (!IsHex(request.Header(kNonceHeader), kNonceLength)) {
+    exchange->Reply(Error(400, "Change-Nonce must be 32 hexadecimal digits"));
+  } else {
+    Change(now, exchange, path);
+  }
+  return true;
+}
+
+bool AdminApi::Authorized(const ApiRequest& request) const {
+  const Digest digest{KeyDigestOf(request)};
+  const auto& tokens = m_parts.settings->operator_token_sha256;
+  return std::any_of(tokens.begin(), tokens.end(), [&](const std::string& token) {
+    return EqualConstantTime(digest, Digest{token});
+  });
+}
+
+void AdminApi::Read(TimePoint now, const Exchange& exchange, std::string_view path) {
+  constexpr std::string_view kRevisions = "revisions/";
+  if (path.starts_with(kRevisions)) {
+    ReadRevision(now, exchange, path.substr(kRevisions.size()));
+    return;
+  }
+  const AdminReads reads(m_parts, now);
+  const auto pool = exchange->request().query.find("pool");
+  const bool filtered = pool != exchange->request().query.end();
+  if (path == "status") {
+    exchange->Reply(Json(200, reads.Status()));
+  } else if (path == "teams") {
+    exchange->Reply(Json(200, reads.Teams()));
+  } else if (path == "pools") {
+    exchange->Reply(Json(200, reads.Pools()));
+  } else if (path == "vms") {
+    exchange->Reply(Json(200, reads.Vms(filtered ? pool->second : "")));
+  } else if (path == "bundle") {
+    exchange->Reply(Json(200, reads.Bundle()));
+  } else if (path == "maintenance") {
+    exchange->Reply(Json(200, reads.Maintenance()));
+  } else {
+    exchange->Reply(Error(404, "no such path"));
+  }
+}
+
+void AdminApi::ReadRevision(TimePoint now, const Exchange& exchange, std::string_view number) {
+  const auto revision = ParseNumber(number);
+  if (!revision || *revision > m_parts.head->head().revision) {
+    exchange->Reply(Error(404, "no such revision"));
+    return;
+  }
+  const auto parameter = exchange->request().query.find("wait_ms");
+  std::uint64_t wait = 0;
+  if (parameter != exchange->request().query.end()) {
+    const auto parsed = ParseNumber(parameter->second);
+    if (!parsed || *parsed > kMaxWaitMs) {
+      exchange->Reply(Error(400, "wait_ms must be from 0 to 10000"));
+      return;
+    }
+    wait = *parsed;
+  }
+  m_waiters.push_back(Waiter{exchange, *revision, now + Duration(wait), ""});
+  Tick(now);
+}
+
+void AdminApi::Change(TimePoint now, const Exchange& exchange, std::string_view path) {
+  const std::string& method = exchange->request().method;
+  const std::size_t slash = path.find('/');
+  const std::string_view kind = path.substr(0, slash);
+  const std::string rest(slash == std::string_view::npos ? "" : path.substr(slash + 1));
+  const std::size_t verb = rest.find('/');
+  const std::string name = rest.substr(0, verb);
+  const std::string action = verb == std::string::npos ? "" : rest.substr(verb + 1);
+  if (method == "POST" && path == "bundle") {
+    SubmitBundle(now, exchange);
+  } else if (method == "POST" && path == "keys") {
+    GrantKey(now, exchange);
+  } else if (method == "POST" && path == "vms") {
+    AddVm(now, exchange);
+  } else if (name.empty()) {
+    exchange->Reply(Error(404, "no such path"));
+  } else if (method == "DELETE" && kind == "keys") {
+    WithdrawKey(now, exchange, name);
+  } else if (method == "PUT" && kind == "teams") {
+    SetTeam(now, exchange, name);
+  } else if (method == "DELETE" && kind == "vms") {
+    RemoveVm(now, exchange, name);
+  } else if (method == "POST" && kind == "vms" && action == "drain") {
+    DrainVm(now, exchange, name);
+  } else if (method == "POST" && kind == "vms" && action == "move") {
+    MoveVm(now, exchange, name);
+  } else if (method == "POST" && kind == "maintenance") {
+    StartWave(now, exchange, name);
+  } else if (method == "DELETE" && kind == "maintenance") {
+    StopWave(now, exchange, name);
+  } else {
+    exchange->Reply(Error(404, "no such path"));
+  }
+}
+
+void AdminApi::Submit(TimePoint now, const Exchange& exchange, std::string_view description,
+                      HeadControl::FleetEdit edit) {
+  const ApiRequest& request = exchange->request();
+  std::string nonce(request.Header(kNonceHeader));
+  std::transform(nonce.begin(), nonce.end(), nonce.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  const std::string fingerprint =
+      Sha256(fmt::format("{} {}\n{}", request.method, request.path, request.body)).hex;
+  const auto repeated = std::make_shared<std::optional<std::uint64_t>>();
+  const auto guarded = [nonce, fingerprint, repeated, edit = std::move(edit)](
+                           const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+    for (const ChangeRecord& change : current.changes) {
+      if (change.nonce != nonce) {
+        continue;
+      }
+      if (change.fingerprint != fingerprint) {
+        *last_reason = "the nonce was used for another change";
+      } else {
+        *last_reason = "recorded before";
+        *repeated = change.revision;
+      }
+      return std::nullopt;
+    }
+    auto next = edit(current, last_reason);
+    if (!next) {
+      return std::nullopt;
+    }
+    next->changes.push_back(ChangeRecord{nonce, fingerprint, current.revision + 1});
+    if (next->changes.size() > kRememberedChanges) {
+      next->changes.erase(next->changes.begin());
+    }
+    return next;
+  };
+  LogLine(LogLevel::kInfo, "change_submitted").Field("change", description).Field("nonce", nonce);
+  m_parts.head->Submit(now, description, guarded,
+                       [this, exchange, repeated, what = std::string(description)](
+                           TimePoint at, const ChangeResult& result) {
+                         LogLine(LogLevel::kInfo, "change_answered")
+                             .Field("change", what)
+                             .Field("recorded", result.outcome == ChangeOutcome::kRecorded)
+                             .Field("revision", result.revision)
+                             .Field("reason", result.reason);
+                         if (*repeated) {
+                           ReplyRecorded(at, exchange, **repeated);
+                         } else {
+                           ReplyChange(at, exchange, result);
+                         }
+                       });
+}
+
+void AdminApi::ReplyRecorded(TimePoint now, const Exchange& exchange,
+                             std::uint64_t revision) const {
+  const EffectStatus status = m_parts.head->StatusOf(revision, now);
+  exchange->Reply(Json(
+      202,
+      json{{"revision", revision}, {"in_effect", status.in_effect}, {"pending", status.pending}}));
+}
+
+void AdminApi::ReplyChange(TimePoint now, const Exchange& exchange,
+                           const ChangeResult& result) const {
+  switch (result.outcome) {
+    case ChangeOutcome::kRecorded:
+      ReplyRecorded(now, exchange, result.revision);
+      break;
+    case ChangeOutcome::kRejected:
+      exchange->Reply(Error(422, result.reason));
+      break;
+    case ChangeOutcome::kConflict:
+      exchange->Reply(Json(
+          409,
+          json{{"reason", result.reason}, {"processed", false}, {"revision", result.revision}}));
+      break;
+    case ChangeOutcome::kUnavailable:
+      exchange->Reply(Error(503, result.reason));
+      break;
+    case ChangeOutcome::kUnknown:
+      exchange->Reply(Error(502, result.reason));
+      break;
+  }
+}
+
+void AdminApi::SubmitBundle(TimePoint now, const Exchange& exchange) {
+  BundleParser parser;
+  const auto bundle = parser.Parse(exchange->request().body);
+  if (!bundle) {
+    exchange->Reply(Error(422, parser.last_reason()));
+    return;
+  }
+  ApproverKeys approvers;
+  for (const auto& [name, hex] : m_parts.settings->approvers) {
+    if (const auto key = PublicKey::FromHex(hex)) {
+      approvers.emplace(name, *key);
+    }
+  }
+  const int required = m_parts.settings->approvals_required;
+  Submit(now, exchange, fmt::format("bundle version {}", bundle->version),
+         [bundle = *bundle, approvers, required](const Fleet& current,
+                                                 std::string* last_reason) -> std::optional<Fleet> {
+           BundleVerifier verifier(approvers, required);
+           if (!verifier.Verify(bundle, BundleVersionOf(current))) {
+             *last_reason = verifier.last_reason();
+             return std::nullopt;
+           }
+           BundleApplication application;
+           auto next = application.Apply(bundle, current);
+           if (!next) {
+             *last_reason = application.last_reason();
+           }
+           return next;
+         });
+}
+
+void AdminApi::GrantKey(TimePoint now, const Exchange& exchange) {
+  const auto body = ParseBody(exchange);
+  if (!body) {
+    return;
+  }
+  KeyGrant grant;
+  if (!GetField(*body, "digest", &grant.digest.hex) || !GetField(*body, "team", &grant.team) ||
+      !IsHex(grant.digest.hex, kDigestLength)) {
+    exchange->Reply(Error(400, "expected digest (64 hexadecimal digits) and team"));
+    return;
+  }
+  Submit(now, exchange, fmt::format("grant a key to team {}", grant.team),
+         [grant](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+           const auto known = current.keys.find(grant.digest.hex);
+           if (!current.teams.contains(grant.team)) {
+             *last_reason = fmt::format("team {} is unknown", grant.team);
+             return std::nullopt;
+           }
+           if (known != current.keys.end() && known->second.team != grant.team) {
+             *last_reason = "the key is granted to another team";
+             return std::nullopt;
+           }
+           Fleet next = current;
+           next.keys[grant.digest.hex] = grant;
+           return next;
+         });
+}
+
+void AdminApi::WithdrawKey(TimePoint now, const Exchange& exchange, const std::string& digest) {
+  if (!IsHex(digest, kDigestLength)) {
+    exchange->Reply(Error(400, "the digest must be 64 hexadecimal digits"));
+    return;
+  }
+  const bool known = m_parts.head->fleet().keys.contains(digest) ||
+                     m_parts.head->DenialOf(Digest{digest}).has_value();
+  if (!known) {
+    exchange->Reply(Error(404, "no such key"));
+    return;
+  }
+  LogLine(LogLevel::kInfo, "key_withdrawn").Field("digest", digest);
+  m_parts.head->DenyKey(now, Digest{digest});
+  m_waiters.push_back(Waiter{exchange, 0, now + kDenialPatience, digest});
+  Tick(now);
+}
+
+void AdminApi::SetTeam(TimePoint now, const Exchange& exchange, const std::string& name) {
+  const auto body = ParseBody(exchange);
+  if (!body) {
+    return;
+  }
+  Team team;
+  team.name = name;
+  if (!IsName(name) || !GetField(*body, "share_weight", &team.contract.share_weight) ||
+      !GetField(*body, "upper_limit", &team.contract.upper_limit)) {
+    exchange->Reply(Error(400, "expected a valid name, share_weight and upper_limit"));
+    return;
+  }
+  if (!std::isfinite(team.contract.share_weight) || team.contract.share_weight <= 0 ||
+      team.contract.upper_limit < 1) {
+    exchange->Reply(Error(422, "share_weight must be above 0 and upper_limit at least 1"));
+    return;
+  }
+  Submit(now, exchange, fmt::format("set team {}", name),
+         [team](const Fleet& current, std::string* /*last_reason*/) -> std::optional<Fleet> {
+           Fleet next = current;
+           next.teams[team.name] = team;
+           return next;
+         });
+}
+
+void AdminApi::AddVm(TimePoint now, const Exchange& exchange) {
+  const auto body = ParseBody(exchange);
+  if (!body) {
+    return;
+  }
+  std::string reason;
+  const auto vm = ParseVm(*body, &reason);
+  if (!vm) {
+    exchange->Reply(Error(400, reason));
+    return;
+  }
+  Submit(now, exchange, fmt::format("add VM {}", vm->id),
+         [vm = *vm](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+           if (!current.pools.contains(vm.pool)) {
+             *last_reason = fmt::format("pool {} is unknown", vm.pool);
+             return std::nullopt;
+           }
+           if (current.vms.contains(vm.id) || vm.slots < 1) {
+             *last_reason = current.vms.contains(vm.id) ? "the id is in use" : "slots below 1";
+             return std::nullopt;
+           }
+           Fleet next = current;
+           next.vms[vm.id] = vm;
+           return next;
+         });
+}
+
+void AdminApi::RemoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
+  Submit(now, exchange, fmt::format("remove VM {}", id),
+         [id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+           const auto vm = current.vms.find(id);
+           if (vm == current.vms.end()) {
+             *last_reason = fmt::format("VM {} is unknown", id);
+             return std::nullopt;
+           }
+           if (vm->second.state != VmState::kEmpty || !vm->second.target_pool.empty()) {
+             *last_reason = "the VM is not drained and empty";
+             return std::nullopt;
+           }
+           Fleet next = current;
+           next.vms.erase(id);
+           return next;
+         });
+}
+
+void AdminApi::DrainVm(TimePoint /*now*/, const Exchange& exchange, const std::string& /*id*/) {
+  exchange->Reply(Error(422, "draining without a target pool is not supported yet"));
+}
+
+void AdminApi::MoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
+  const auto body = ParseBody(exchange);
+  if (!body) {
+    return;
+  }
+  std::string pool;
+  if (!GetField(*body, "pool", &pool)) {
+    exchange->Reply(Error(400, "expected pool"));
+    return;
+  }
+  m_parts.mover->Start(now, id, pool, [this, exchange](TimePoint at, const ChangeResult& result) {
+    ReplyChange(at, exchange, result);
+  });
+}
+
+void AdminApi::StartWave(TimePoint now, const Exchange& exchange, const std::string& pool) {
+  std::vector<std::string> vms;
+  if (!exchange->request().body.empty()) {
+    const auto body = ParseBody(exchange);
+    if (!body) {
+      return;
+    }
+    if (body->contains("vms") && !GetField(*body, "vms", &vms)) {
+      exchange->Reply(Error(400, "vms must be a list of VM ids"));
+      return;
+    }
+  }
+  m_parts.maintenance->Start(now, pool, vms, WaveReply(exchange));
+}
+
+void AdminApi::StopWave(TimePoint now, const Exchange& exchange, const std::string& pool) {
+  m_parts.maintenance->Stop(now, pool, WaveReply(exchange));
+}
+
+MaintenanceCoordinator::ResultCallback AdminApi::WaveReply(const Exchange& exchange) const {
+  return [this, exchange](TimePoint /*now*/, const WaveResult& result) {
+    if (!result.accepted) {
+      exchange->Reply(Error(422, result.reason));
+      return;
+    }
+    exchange->Reply(Json(202, json{{"revision", m_parts.head->head().revision},
+                                   {"in_effect", true},
+                                   {"pending", json::array()},
+                                   {"wave", result.wave}}));
+  };
+}
+
+void AdminApi::Tick(TimePoint now) {
+  std::vector<Waiter> waiting;
+  waiting.swap(m_waiters);
+  for (Waiter& waiter : waiting) {
+    if (!Answer(now, waiter)) {
+      m_waiters.push_back(std::move(waiter));
+    }
+  }
+}
+
+bool AdminApi::Answer(TimePoint now, const Waiter& waiter) {
+  if (waiter.denied_key.empty()) {
+    const EffectStatus status = m_parts.head->StatusOf(waiter.revision, now);
+    if (!status.in_effect && now < waiter.until) {
+      return false;
+    }
+    waiter.exchange->Reply(Json(200, json{{"revision", waiter.revision},
+                                          {"in_effect", status.in_effect},
+                                          {"pending", status.pending}}));
+    return true;
+  }
+  const auto denial = m_parts.head->DenialOf(Digest{waiter.denied_key});
+  if (!denial || denial->revision) {
+    ReplyRecorded(now, waiter.exchange, denial ? *denial->revision : m_parts.head->head().revision);
+    return true;
+  }
+  if (now < waiter.until) {
+    return false;
+  }
+  waiter.exchange->Reply(Json(202, json{{"revision", 0},
+                                        {"in_effect", false},
+                                        {"pending", json::array()},
+                                        {"refused_on", denial->refused_on},
+                                        {"daemons", denial->registered},
+                                        {"recorded", false}}));
+  return true;
+}
+
+}  // namespace cranberryplank
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -1,10 +1,12 @@
 #include "cranberryplank/daemon/api_server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -112,7 +114,20 @@
   auto* exchange = static_cast<ApiExchange*>(self);
   // evhttp frees the request together with its connection.
   exchange->m_raw = nullptr;
-  if (const auto closed = std::exchange(exchange->m_closed, nullptr)) {
+  exchange->ReportClosed();
+}
+
+bool ApiExchange::CallerHasGone() const {
+  if (m_raw == nullptr) {
+    return false;
+  }
+  bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_raw));
+  char byte = 0;
+  return recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+void ApiExchange::ReportClosed() {
+  if (const auto closed = std::exchange(m_closed, nullptr)) {
     closed();
   }
 }
@@ -144,9 +159,22 @@
   }
 }
 
+void ApiServer::CheckCallers() {
+  std::erase_if(m_open, [](const auto& exchange) { return exchange.expired(); });
+  const auto open = m_open;
+  for (const auto& weak : open) {
+    const auto exchange = weak.lock();
+    if (exchange && exchange->CallerHasGone()) {
+      exchange->ReportClosed();
+    }
+  }
+}
+
 void ApiServer::HandleRequest(evhttp_request* raw, void* self) {
   auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
-  static_cast<ApiServer*>(self)->m_handler(Clock::now(), std::move(exchange));
+  auto* server = static_cast<ApiServer*>(self);
+  server->m_open.push_back(exchange);
+  server->m_handler(Clock::now(), std::move(exchange));
 }
 
 }  // namespace cranberryplank
--- /dev/null
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -0,0 +1,198 @@
+#include "cranberryplank/daemon/caller_api.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "router_fixture.h"
+
+namespace cranberryplank {
+namespace {
+
+/// Free loopback port at the time of the call.
+std::uint16_t FreePort() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  close(socket);
+  return ntohs(address.sin_port);
+}
+
+/// Caller's end of a connection, driven together with the server's loop.
+class RawConnection {
+ public:
+  RawConnection(event_base* base, std::uint16_t port)
+      : m_base(base), m_socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    fcntl(m_socket, F_SETFL, O_NONBLOCK);
+  }
+  ~RawConnection() { Close(); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Write(const std::string& text) {
+    REQUIRE(send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  /// Runs the loop until the answer contains `wanted`, the connection ends or a second is over.
+  std::string ReadUntil(const std::string& wanted) {
+    std::string text;
+    for (int i = 0; i < 200 && text.find(wanted) == std::string::npos; ++i) {
+      RunLoop();
+      char buffer[4096];
+      const ssize_t size = recv(m_socket, buffer, sizeof buffer, 0);
+      if (size == 0) {
+        return text + "<closed>";
+      }
+      text.append(buffer, size > 0 ? static_cast<std::size_t>(size) : 0);
+    }
+    return text;
+  }
+
+  void RunLoop() {
+    event_base_loop(m_base, EVLOOP_NONBLOCK);
+    usleep(5'000);
+  }
+
+  void Close() {
+    if (m_socket >= 0) {
+      close(m_socket);
+      m_socket = -1;
+    }
+  }
+
+ private:
+  event_base* m_base;
+  int m_socket;
+};
+
+class CallerApiFixture {
+ public:
+  CallerApiFixture()
+      : m_base(event_base_new(), &event_base_free),
+        m_api(&m_settings, m_router.node(0).router.get()),
+        m_server(m_base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
+                 [this](TimePoint, std::shared_ptr<ApiExchange> exchange) {
+                   // The router lives on the fake clock of its fixture.
+                   if (!m_api.Handle(m_router.queue().Now(), exchange)) {
+                     exchange->Reply(ApiResponse{404, "text/plain", "", {}});
+                   }
+                 }),
+        m_port(FreePort()) {
+    REQUIRE(m_server.Listen(Endpoint{"127.0.0.1", m_port}));
+  }
+
+  std::unique_ptr<RawConnection> Connect() {
+    return std::make_unique<RawConnection>(m_base.get(), m_port);
+  }
+
+  static std::string Post(const std::string& path, const std::string& body,
+                          const std::string& headers = "Authorization: Bearer smiths-key\r\n") {
+    return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  RouterFixture& router() { return m_router; }
+  ApiServer& server() { return m_server; }
+
+ private:
+  Settings m_settings;
+  RouterFixture m_router;
+  std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
+  CallerApi m_api;
+  ApiServer m_server;
+  std::uint16_t m_port;
+};
+
+constexpr const char* kBody = R"({"run_ms":50,"reply":"A flat"})";
+
+TEST_CASE("a request over HTTP is answered with the worker's whole answer and its task id") {
+  CallerApiFixture fixture;
+  const auto caller = fixture.Connect();
+  caller->Write(CallerApiFixture::Post("/v1/queues/tone/requests", kBody));
+  caller->RunLoop();
+  fixture.router().queue().RunFor(Duration(500));
+  const std::string answer = caller->ReadUntil("A flat");
+  CHECK(answer.find("HTTP/1.1 200") == 0);
+  CHECK(answer.find("Verdict: completed") != std::string::npos);
+  CHECK(answer.find("Task-Id: ") != std::string::npos);
+}
+
+TEST_CASE("refusals over HTTP carry status, verdict and reason") {
+  CallerApiFixture fixture;
+  const auto caller = fixture.Connect();
+  caller->Write(CallerApiFixture::Post("/v1/queues/tone/requests", kBody, ""));
+  CHECK(caller->ReadUntil("}").find(R"("verdict":"not_run")") != std::string::npos);
+  caller->Write(CallerApiFixture::Post("/v1/queues/none/requests", kBody));
+  CHECK(caller->ReadUntil("}").find("HTTP/1.1 404") == 0);
+  caller->Write(
+      CallerApiFixture::Post("/v1/queues/tone/requests", kBody,
+                             "Authorization: Bearer smiths-key\r\nDeadline-Ms: soon\r\n"));
+  CHECK(caller->ReadUntil("}").find("HTTP/1.1 400") == 0);
+  caller->Write(CallerApiFixture::Post("/v1/tickets?count=0", ""));
+  CHECK(caller->ReadUntil("}").find("HTTP/1.1 400") == 0);
+  caller->Write(CallerApiFixture::Post("/v1/tickets?count=2", ""));
+  CHECK(caller->ReadUntil("}").find("\"tickets\":[") != std::string::npos);
+}
+
+TEST_CASE("a body over the limit is refused") {
+  CallerApiFixture fixture;
+  const auto caller = fixture.Connect();
+  caller->Write(CallerApiFixture::Post("/v1/queues/tone/requests", std::string(2'000, 'x')));
+  CHECK(caller->ReadUntil("\r\n\r\n").find("HTTP/1.1 413") == 0);
+}
+
+// Guards against one bad caller stopping the daemon for all others.
+TEST_CASE("garbage, half a header and a caller that leaves cost one connection") {
+  CallerApiFixture fixture;
+  const auto garbage = fixture.Connect();
+  garbage->Write("\x16\x03\x01 this is not HTTP\r\n\r\n");
+  garbage->ReadUntil("\r\n\r\n");
+  const auto half = fixture.Connect();
+  half->Write("POST /v1/queues/tone/requests HTTP/1.1\r\nAuthor");
+  half->RunLoop();
+  const auto short_body = fixture.Connect();
+  short_body->Write("POST /v1/queues/tone/requests HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc");
+  short_body->RunLoop();
+  short_body->Close();
+  const auto good = fixture.Connect();
+  good->Write(CallerApiFixture::Post("/v1/queues/tone/requests", kBody));
+  good->RunLoop();
+  fixture.router().queue().RunFor(Duration(500));
+  CHECK(good->ReadUntil("A flat").find("HTTP/1.1 200") == 0);
+}
+
+// Guards against work done for nobody: a waiting request leaves the queue with its caller.
+TEST_CASE("a caller that closes its connection cancels its waiting request") {
+  CallerApiFixture fixture;
+  fixture.router().node(0).slots.Set("smiths", 0);
+  const auto caller = fixture.Connect();
+  caller->Write(CallerApiFixture::Post("/v1/queues/tone/requests", kBody));
+  caller->RunLoop();
+  caller->RunLoop();
+  REQUIRE(fixture.router().node(0).router->waiting() == 1);
+  caller->Close();
+  const auto other = fixture.Connect();
+  other->RunLoop();
+  fixture.server().CheckCallers();
+  CHECK(fixture.router().node(0).router->waiting() == 0);
+}
+
+}  // namespace
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/daemon/tests/parts_test.cc
@@ -0,0 +1,164 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "cranberryplank/daemon/metrics.h"
+#include "cranberryplank/daemon/ticket_book.h"
+#include "cranberryplank/daemon/vm_list_tracker.h"
+#include "cranberryplank/daemon/worker_table.h"
+#include "cranberryplank/support/event_queue.h"
+
+namespace cranberryplank {
+namespace {
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+Fleet FleetOf(int vms) {
+  Fleet fleet;
+  for (int i = 0; i < vms; ++i) {
+    Vm vm;
+    vm.id = "vm-" + std::to_string(i);
+    vm.pool = "tone";
+    vm.slots = 8;
+    fleet.vms[vm.id] = vm;
+  }
+  return fleet;
+}
+
+// Guards against a start-by deadline that the worker reads as later than this process meant.
+TEST_CASE("a deadline on the worker's clock is never later than the original") {
+  WorkerTable table;
+  table.SetFleet(FleetOf(1));
+  CHECK_FALSE(table.StartByOf("vm-0", kStart).has_value());
+  WorkerStatus status;
+  status.boot_id = "boot-1";
+  status.clock = Duration(5'000);
+  table.OnStatus(kStart, "vm-0", status);
+  const auto soon = table.StartByOf("vm-0", kStart + Duration(1'000));
+  REQUIRE(soon.has_value());
+  CHECK(soon->worker_clock <= Duration(6'000));
+  CHECK(soon->worker_clock >= Duration(5'990));
+  // After a minute the drift of two clocks has to be allowed for.
+  const auto later = table.StartByOf("vm-0", kStart + Duration(60'000));
+  CHECK(later->worker_clock < Duration(65'000));
+}
+
+TEST_CASE("a worker that has not answered a probe takes no work") {
+  WorkerTable table;
+  table.SetFleet(FleetOf(1));
+  CHECK(table.Views(kStart, "tone")[0].leaving);
+  WorkerStatus status;
+  status.clock = Duration(1);
+  table.OnStatus(kStart, "vm-0", status);
+  CHECK_FALSE(table.Views(kStart, "tone")[0].leaving);
+  table.OnNoAnswer("vm-0");
+  CHECK(table.Views(kStart, "tone")[0].leaving);
+}
+
+class ScriptedDirectory : public VmDirectory {
+ public:
+  explicit ScriptedDirectory(EventQueue* queue) : m_queue(queue) {}
+
+  void List(std::string_view, ListCallback done) override {
+    m_queue->Schedule(m_queue->Now(), [this, done](TimePoint now) {
+      listings ? done(now, listings, "") : done(now, std::nullopt, "no answer");
+    });
+  }
+
+  std::optional<std::vector<VmListing>> listings;
+
+ private:
+  EventQueue* m_queue;
+};
+
+std::vector<VmListing> Listing(int vms, int leaving = 0) {
+  std::vector<VmListing> listings;
+  for (int i = 0; i < vms; ++i) {
+    listings.push_back(VmListing{"vm-" + std::to_string(i), i < leaving});
+  }
+  return listings;
+}
+
+// Guards against a nearly empty list that would take the whole fleet out of service.
+TEST_CASE("a list that loses more than a third of its VMs at once is not trusted") {
+  EventQueue queue;
+  ScriptedDirectory directory(&queue);
+  VmListTracker tracker(&directory, Duration(100));
+  const Fleet fleet = FleetOf(9);
+  const auto read = [&](std::optional<std::vector<VmListing>> listings) {
+    directory.listings = std::move(listings);
+    queue.RunFor(Duration(150));
+    tracker.Tick(queue.Now(), fleet);
+    queue.RunFor(Duration(1));
+  };
+  read(Listing(2));
+  CHECK(tracker.leaving().empty());
+  CHECK(tracker.distrusted() == 1);
+  read(Listing(9, 2));
+  CHECK(tracker.leaving().size() == 2);
+  read(std::nullopt);
+  CHECK(tracker.leaving().size() == 2);
+  read(Listing(6));
+  CHECK(tracker.leaving().size() == 3);
+  read(Listing(1));
+  CHECK(tracker.leaving().size() == 3);
+}
+
+CallerRequest Request(const std::string& ticket) {
+  CallerRequest request;
+  request.ticket = ticket;
+  request.team = "smiths";
+  request.body = "body";
+  return request;
+}
+
+// Guards against memory that grows without bound while callers take tickets.
+TEST_CASE("a ticket book keeps no more tickets and replies than its limits") {
+  SeededRandom random(1);
+  TicketBook book("inc", TicketLimits{Duration(1'000), 10, 100}, &random);
+  const auto tickets = book.Issue(kStart, "smiths", 30);
+  CHECK(book.size() <= 10);
+  CallerReply reply;
+  REQUIRE(book.Admit(kStart, Request(tickets.front()), &reply, nullptr) ==
+          TicketBook::Admission::kUnknown);
+  for (std::size_t i = 20; i < 30; ++i) {
+    REQUIRE(book.Admit(kStart, Request(tickets[i]), &reply, nullptr) ==
+            TicketBook::Admission::kRun);
+    CallerReply ended;
+    ended.verdict = Verdict::kCompleted;
+    ended.body = std::string(60, 'x');
+    book.Finish(kStart, tickets[i], ended);
+  }
+  CHECK(book.Admit(kStart, Request(tickets[20]), &reply, nullptr) ==
+        TicketBook::Admission::kUnknown);
+  CHECK(book.Admit(kStart, Request(tickets[29]), &reply, nullptr) ==
+        TicketBook::Admission::kReplay);
+}
+
+TEST_CASE("a ticket under way outlives its lifetime") {
+  SeededRandom random(1);
+  TicketBook book("inc", TicketLimits{Duration(1'000), 10, 100}, &random);
+  const auto tickets = book.Issue(kStart, "smiths", 1);
+  CallerReply reply;
+  REQUIRE(book.Admit(kStart, Request(tickets[0]), &reply, nullptr) == TicketBook::Admission::kRun);
+  const TimePoint later = kStart + Duration(1'500);
+  CHECK(book.Admit(later, Request(tickets[0]), &reply, [](TimePoint, const CallerReply&) {}) ==
+        TicketBook::Admission::kWait);
+}
+
+TEST_CASE("metrics are rendered in the Prometheus text format") {
+  Metrics metrics;
+  metrics.Count("requests_total", "status=\"200\"");
+  metrics.Count("requests_total", "status=\"200\"", 2);
+  metrics.SetGauge("fresh", 1);
+  metrics.RecordLatency(Metrics::Latency(1'500));
+  const std::string text = metrics.Render();
+  CHECK(text.find("# TYPE requests_total counter\nrequests_total{status=\"200\"} 3\n") !=
+        std::string::npos);
+  CHECK(text.find("fresh 1\n") != std::string::npos);
+  CHECK(text.find("cranberryplank_request_seconds_count 1\n") != std::string::npos);
+  CHECK(text.find("cranberryplank_request_seconds_bucket{le=\"+Inf\"} 1\n") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace cranberryplank
