--- a/packages/control/include/cranberryplank/control/maintenance_coordinator.h
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -104,16 +104,21 @@
     std::optional<TimePoint> checkpoint_signalled;
   };
   struct Request {
+    TimePoint at;
     bool start = true;
-    std::string wave;  ///< Id to be started; empty until the first attempt of a stop.
+    std::string wave;  ///< Id of the wave to be started.
     std::vector<std::string> vms;
     ResultCallback done;
   };
+  struct EntryChange {
+    MaintenanceEntry from;
+    MaintenanceEntry to;
+  };
   struct PoolState {
     std::unique_ptr<StoreDocument> document;
     std::optional<MaintenanceWave> wave;
     std::map<std::string, Progress, std::less<>> progress;
-    std::map<std::string, MaintenanceEntry, std::less<>> changes;  ///< To be written next.
+    std::map<std::string, EntryChange, std::less<>> changes;  ///< To be written next.
     std::vector<Request> requests;
   };
   struct Observation {
@@ -131,25 +136,28 @@
     bool Fits(const Vm& vm, const AvailabilityBudget& budget) const;
   };
 
-  PoolState& StateOf(std::string_view pool);
+  void Submit(TimePoint now, const std::string& pool, Request request);
+  PoolState& StateOf(const std::string& pool);
   void OnSettled(TimePoint now, const std::string& pool);
   void TickPool(TimePoint now, const std::string& pool, PoolState* state);
   void AnswerRequests(TimePoint now, const std::string& pool, PoolState* state);
-  bool PlanRequest(TimePoint now, const std::string& pool, PoolState* state);
+  std::optional<WaveResult> AnswerTo(const Request& request, const std::string& pool,
+                                     const MaintenanceWave& wave) const;
   std::optional<std::string> RefuseStart(const std::string& pool, const Request& request) const;
-  void AdvanceVm(TimePoint now, const std::string& pool, const std::string& vm,
+  bool PlanRequest(TimePoint now, const std::string& pool, PoolState* state);
+  void AdvanceVm(TimePoint now, const std::string& pool, const std::string& id,
                  const MaintenanceEntry& entry, PoolState* state);
-  void AdvancePermitted(TimePoint now, const Vm& vm, PoolState* state);
+  void AdvancePermitted(TimePoint now, const Vm& vm, const MaintenanceEntry& entry,
+                        PoolState* state);
   void AdvanceDraining(TimePoint now, const Vm& vm, const MaintenanceEntry& entry,
                        PoolState* state);
   void AdvanceRebooting(TimePoint now, const Vm& vm, const MaintenanceEntry& entry,
                         PoolState* state);
-  void OnDrainStatus(TimePoint now, const Vm& vm, const WorkerStatus& status);
-  void OnRebootStatus(TimePoint now, const Vm& vm, const WorkerStatus& status);
-  void SendReboot(TimePoint now, const Vm& vm);
-  void Change(TimePoint now, const std::string& pool, const std::string& vm, MaintenanceEntry entry,
-              std::string_view reason);
-  void Write(TimePoint now, const std::string& pool, PoolState* state);
+  void OnDrainStatus(TimePoint now, const Vm& vm, const std::optional<WorkerStatus>& status);
+  void OnRebootStatus(TimePoint now, const Vm& vm, const std::optional<WorkerStatus>& status);
+  void Change(TimePoint now, PoolState* state, const std::string& vm, const MaintenanceEntry& entry,
+              MaintenanceState to, std::string_view reason);
+  void Write(TimePoint now, PoolState* state);
   void Permit(TimePoint now, const std::string& pool, PoolState* state);
   bool KnowsAvailability(TimePoint now);
   bool Down(TimePoint now, const Vm& vm) const;
@@ -158,7 +166,7 @@
   void Probe(TimePoint now, std::string_view pool);
   void SignalCheckpoints(TimePoint now, PoolState* state);
   bool ActsOn(TimePoint now, std::string_view pool, const PoolState& state) const;
-  Progress* Finish(std::string_view pool, std::string_view vm, MaintenanceState state);
+  PoolState* Finish(TimePoint now, const Vm& vm, MaintenanceState expected);
 
   HeadControl* m_head;
   Store* m_store;
--- a/packages/control/include/cranberryplank/control/store_document.h
+++ b/packages/control/include/cranberryplank/control/store_document.h
@@ -26,6 +26,9 @@
   /// @param retry Time between attempts while the store does not answer.
   StoreDocument(Store* store, RandomSource* random, std::string key, Duration retry);
 
+  /// Returns the content of a document's text as read from the store, if it is valid.
+  static std::optional<std::string> ContentOf(std::string_view text);
+
   const std::string& key() const { return m_key; }
 
   /// Newest content read or written; empty if the key is absent or was never read.
--- a/packages/control/include/cranberryplank/control/vm_mover.h
+++ b/packages/control/include/cranberryplank/control/vm_mover.h
@@ -44,7 +44,7 @@
           const VmMoverOptions& options = {});
 
   /// Starts the move of `vm` to `pool`. Refused if the VM is unknown, moves already, is under
-  /// maintenance or in `pool`, or if `pool` is unknown.
+  /// maintenance or in `pool`, or if `pool` is unknown. `done` may run before the return.
   void Start(TimePoint now, std::string_view vm, std::string_view pool,
              HeadControl::ChangeCallback done);
 
@@ -66,30 +66,38 @@
  private:
   struct Progress {
     std::string move_id;
-    VmState state = VmState::kDraining;
+    VmState state = VmState::kServing;
+    std::string boot_id;
     std::uint64_t revision = 0;  ///< Revision at which this daemon first saw the state.
+    std::uint64_t recorded = 0;  ///< Nothing is done before this revision is applied here.
     bool busy = false;           ///< A call or a head change is under way.
-    std::uint64_t attempt = 0;   ///< Tells late replies of an earlier state apart.
     TimePoint next;
-    std::string step = "not started";
+    std::string step;
   };
   struct Step {
-    std::string vm;
     Vm from;  ///< Record the step was decided on.
     Vm to;
   };
 
-  void Advance(TimePoint now, const Vm& vm, Progress* progress);
-  void CheckMaintenance(TimePoint now, const Vm& vm);
-  void DrainWorker(TimePoint now, const Vm& vm);
-  void CheckEmpty(TimePoint now, const Vm& vm);
-  void CheckBoot(TimePoint now, const Vm& vm);
-  void Undrain(TimePoint now, const Vm& vm);
+  void StartChecked(TimePoint now, const std::string& id, const std::string& from,
+                    const std::string& to, std::optional<bool> under_maintenance,
+                    const HeadControl::ChangeCallback& done);
+  void Refuse(TimePoint now, std::string_view vm, std::string_view reason, ChangeOutcome outcome,
+              const HeadControl::ChangeCallback& done);
+  HeadControl::ChangeCallback Reporting(std::string_view event, const std::string& vm,
+                                        HeadControl::ChangeCallback done);
+  void Advance(TimePoint now, const Vm& vm);
+  void CheckMaintenance(const Vm& vm);
+  void DrainWorker(const Vm& vm);
+  void CheckEmpty(const Vm& vm);
+  void CheckBoot(const Vm& vm);
+  void Undrain(const Vm& vm);
   void Repair(TimePoint now, const Vm& vm);
-  void Ready(TimePoint now, const Vm& from, const Vm& to);
+  void Ready(const Vm& from, const Vm& to);
   void SubmitSteps(TimePoint now);
-  void Wait(TimePoint now, std::string_view vm, std::string_view step);
-  bool Valid(TimePoint now, const Vm& vm) const;
+  void Wait(TimePoint now, const Vm& vm, std::string_view step);
+  bool Valid(TimePoint now, const Vm& vm);
+  bool Unchanged(const Vm& vm) const;
   bool Acts(std::string_view vm) const;
 
   HeadControl* m_head;
@@ -99,6 +107,8 @@
   VmMoverOptions m_options;
   std::map<std::string, Progress, std::less<>> m_progress;
   std::map<std::string, TimePoint, std::less<>> m_repairs;  ///< When a repair may start again.
+  std::vector<std::string> m_moving;  ///< In order; as of revision `m_scanned`.
+  std::uint64_t m_scanned = 0;
   std::vector<Step> m_ready;
   bool m_submitting = false;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
--- a/packages/control/src/slot_ledger.cc
+++ b/packages/control/src/slot_ledger.cc
@@ -489,15 +489,14 @@
     return entry.second.limit == 0 && entry.second.held.empty();
   });
   if (!shard.fenced) {
+    const bool held_before = shard.ledger.leases.contains(m_self);
     const bool may_fence =
         MayTake(now) && m_head->StatusOf(m_head->head().registration_revision, now).in_effect;
-    if (may_fence || !holds) {
-      // A write in flight from when this incarnation was unregistered may return its slots. Any
-      // write from here on makes such a write fail.
-      shard.fencing = holds;
-      shard.fenced = !holds;
-      changed = changed || holds;
-    }
+    // A write in flight from when this incarnation was unregistered may return its slots. Any
+    // write from here on makes such a write fail.
+    shard.fenced = !held_before;
+    shard.fencing = held_before && may_fence;
+    changed = changed || shard.fencing;
   }
   return changed ? std::optional(std::move(next)) : std::nullopt;
 }
--- a/packages/control/src/store_document.cc
+++ b/packages/control/src/store_document.cc
@@ -38,6 +38,12 @@
 StoreDocument::StoreDocument(Store* store, RandomSource* random, std::string key, Duration retry)
     : m_store(store), m_random(random), m_key(std::move(key)), m_retry(retry) {}
 
+std::optional<std::string> StoreDocument::ContentOf(std::string_view text) {
+  std::string nonce;
+  std::string content;
+  return Unwrap(text, &nonce, &content) ? std::optional(content) : std::nullopt;
+}
+
 void StoreDocument::Refresh(TimePoint now) {
   if (m_phase != Phase::kIdle) {
     return;
--- /dev/null
+++ b/packages/control/src/vm_mover.cc
@@ -0,0 +1,418 @@
+#include "cranberryplank/control/vm_mover.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/control/acting_daemon.h"
+#include "cranberryplank/control/maintenance_wave.h"
+#include "cranberryplank/control/store_document.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// Shortest time between two repairs of one worker, so that a slow one is not asked twice.
+constexpr Duration kRepairInterval{2'000};
+
+WorkerAddress AddressOf(const Vm& vm) { return WorkerAddress{vm.host, vm.port}; }
+
+bool IsMoving(const Vm& vm) { return vm.state != VmState::kServing; }
+
+std::optional<std::string> RefuseMove(const Fleet& fleet, std::string_view id,
+                                      std::string_view from, std::string_view to) {
+  const auto vm = fleet.vms.find(id);
+  if (vm == fleet.vms.end()) {
+    return fmt::format("VM {} is unknown", id);
+  }
+  if (!fleet.pools.contains(to)) {
+    return fmt::format("pool {} is unknown", to);
+  }
+  if (IsMoving(vm->second)) {
+    return fmt::format("VM {} already moves to pool {}", id, vm->second.target_pool);
+  }
+  if (vm->second.pool == to) {
+    return fmt::format("VM {} is in pool {} already", id, to);
+  }
+  if (vm->second.pool != from) {
+    return fmt::format("VM {} was moved to pool {} meanwhile", id, vm->second.pool);
+  }
+  return std::nullopt;
+}
+
+/// Tells whether `vm` holds a maintenance permit, or nothing if that is not known.
+std::optional<bool> UnderMaintenance(const StoreReadReply& reply, std::string_view vm) {
+  if (reply.status != StoreStatus::kOk) {
+    return std::nullopt;
+  }
+  std::string reason;
+  const std::optional<std::string> content =
+      reply.found ? StoreDocument::ContentOf(reply.value) : std::optional<std::string>("");
+  const std::optional<MaintenanceWave> wave =
+      content ? DecodeMaintenanceWave(*content, &reason) : std::nullopt;
+  return wave ? std::optional(wave->HasPermit(vm)) : std::nullopt;
+}
+
+}  // namespace
+
+VmMover::VmMover(HeadControl* head, Store* store, WorkerClient* workers, RandomSource* random,
+                 const VmMoverOptions& options)
+    : m_head(head), m_store(store), m_workers(workers), m_random(random), m_options(options) {}
+
+void VmMover::Start(TimePoint now, std::string_view vm, std::string_view pool,
+                    HeadControl::ChangeCallback done) {
+  const auto record = m_head->fleet().vms.find(vm);
+  const std::string from = record == m_head->fleet().vms.end() ? "" : record->second.pool;
+  if (const auto refusal = RefuseMove(m_head->fleet(), vm, from, pool)) {
+    Refuse(now, vm, *refusal, ChangeOutcome::kRejected, done);
+    return;
+  }
+  m_store->Read(MaintenanceKey(from),
+                [this, alive = std::weak_ptr<bool>(m_alive), id = std::string(vm), from,
+                 to = std::string(pool),
+                 done = std::move(done)](TimePoint answered, const StoreReadReply& reply) {
+                  if (!alive.expired()) {
+                    StartChecked(answered, id, from, to, UnderMaintenance(reply, id), done);
+                  }
+                });
+}
+
+void VmMover::StartChecked(TimePoint now, const std::string& id, const std::string& from,
+                           const std::string& to, std::optional<bool> under_maintenance,
+                           const HeadControl::ChangeCallback& done) {
+  if (!under_maintenance) {
+    Refuse(now, id, "the maintenance document cannot be read", ChangeOutcome::kUnavailable, done);
+    return;
+  }
+  if (*under_maintenance) {
+    Refuse(now, id, fmt::format("VM {} is under maintenance", id), ChangeOutcome::kRejected, done);
+    return;
+  }
+  const std::string move_id = m_random->Nonce();
+  const auto edit = [id, from, to, move_id](const Fleet& current,
+                                            std::string* last_reason) -> std::optional<Fleet> {
+    if (const auto refusal = RefuseMove(current, id, from, to)) {
+      *last_reason = *refusal;
+      return std::nullopt;
+    }
+    Fleet next = current;
+    Vm& vm = next.vms.at(id);
+    vm.state = VmState::kDraining;
+    vm.target_pool = to;
+    vm.move_id = move_id;
+    return next;
+  };
+  m_head->Submit(now, fmt::format("move VM {} from pool {} to {}", id, from, to), edit,
+                 Reporting("start", id, done));
+}
+
+void VmMover::Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done) {
+  const std::string id(vm);
+  const auto edit = [id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+    const auto found = current.vms.find(id);
+    if (found == current.vms.end() || !IsMoving(found->second)) {
+      *last_reason = fmt::format("VM {} does not move", id);
+      return std::nullopt;
+    }
+    Fleet next = current;
+    Vm& record = next.vms.at(id);
+    record.state = VmState::kServing;
+    record.target_pool.clear();
+    record.move_id.clear();
+    record.boot_id.clear();
+    return next;
+  };
+  m_head->Submit(now, fmt::format("cancel the move of VM {}", id), edit,
+                 Reporting("cancel", id, std::move(done)));
+}
+
+HeadControl::ChangeCallback VmMover::Reporting(std::string_view event, const std::string& vm,
+                                               HeadControl::ChangeCallback done) {
+  return [this, alive = std::weak_ptr<bool>(m_alive), event = std::string(event), vm,
+          done = std::move(done)](TimePoint now, const ChangeResult& result) {
+    if (alive.expired()) {
+      return;
+    }
+    m_decision.emit(now, fmt::format("move event={} vm={} recorded={} reason=\"{}\"", event, vm,
+                                     result.outcome == ChangeOutcome::kRecorded, result.reason));
+    done(now, result);
+  };
+}
+
+void VmMover::Refuse(TimePoint now, std::string_view vm, std::string_view reason,
+                     ChangeOutcome outcome, const HeadControl::ChangeCallback& done) {
+  m_decision.emit(now, fmt::format("move event=refused vm={} reason=\"{}\"", vm, reason));
+  done(now, ChangeResult{outcome, 0, std::string(reason)});
+}
+
+void VmMover::ObserveWorker(TimePoint now, std::string_view vm, const WorkerStatus& status) {
+  const auto record = m_head->fleet().vms.find(vm);
+  if (!status.draining || record == m_head->fleet().vms.end() || IsMoving(record->second) ||
+      !Acts(vm)) {
+    return;
+  }
+  Repair(now, record->second);
+}
+
+std::vector<VmMover::Move> VmMover::Moves() const {
+  std::vector<Move> moves;
+  for (const auto& [id, vm] : m_head->fleet().vms) {
+    if (vm.state == VmState::kServing) {
+      continue;
+    }
+    const auto progress = m_progress.find(id);
+    moves.push_back(Move{id, vm.pool, vm.target_pool, vm.state,
+                         progress == m_progress.end() ? "not started" : progress->second.step});
+  }
+  return moves;
+}
+
+void VmMover::Tick(TimePoint now) {
+  const Fleet& fleet = m_head->fleet();
+  if (m_scanned != fleet.revision) {
+    m_scanned = fleet.revision;
+    m_moving.clear();
+    for (const auto& [id, vm] : fleet.vms) {
+      if (IsMoving(vm)) {
+        m_moving.push_back(id);
+      }
+    }
+    std::erase_if(m_progress, [&](const auto& item) {
+      return !std::binary_search(m_moving.begin(), m_moving.end(), item.first);
+    });
+  }
+  for (const std::string& id : m_moving) {
+    Advance(now, fleet.vms.find(id)->second);
+  }
+  SubmitSteps(now);
+}
+
+void VmMover::Advance(TimePoint now, const Vm& vm) {
+  Progress& progress = m_progress[vm.id];
+  if (progress.move_id != vm.move_id || progress.state != vm.state ||
+      progress.boot_id != vm.boot_id) {
+    progress = Progress{};
+    progress.move_id = vm.move_id;
+    progress.state = vm.state;
+    progress.boot_id = vm.boot_id;
+    progress.revision = m_head->head().revision;
+    progress.next = now;
+  }
+  std::string reason;
+  if (progress.busy || now < progress.next || !Acts(vm.id) ||
+      m_head->head().revision < progress.recorded) {
+    return;
+  }
+  if (!m_head->FreshUntil(now, &reason)) {
+    Wait(now, vm, reason);
+    return;
+  }
+  // The state was seen at this revision or earlier. Once this revision is in effect, no daemon
+  // starts work on the VM any more, and start requests under way are too late for the worker.
+  if (m_options.test_wait_for_effect && vm.state == VmState::kDraining &&
+      !m_head->StatusOf(progress.revision, now).in_effect) {
+    Wait(now, vm, "draining is not in effect yet");
+    return;
+  }
+  progress.busy = true;
+  progress.step = "checking maintenance";
+  if (vm.state == VmState::kDraining) {
+    CheckMaintenance(vm);
+  } else {
+    CheckBoot(vm);
+  }
+}
+
+void VmMover::CheckMaintenance(const Vm& vm) {
+  m_store->Read(MaintenanceKey(vm.pool), [this, alive = std::weak_ptr<bool>(m_alive), vm](
+                                             TimePoint now, const StoreReadReply& reply) {
+    if (alive.expired() || !Valid(now, vm)) {
+      return;
+    }
+    const std::optional<bool> under_maintenance = UnderMaintenance(reply, vm.id);
+    if (!under_maintenance || *under_maintenance) {
+      Wait(now, vm, under_maintenance ? "the VM is under maintenance" : reply.reason);
+      return;
+    }
+    DrainWorker(vm);
+  });
+}
+
+void VmMover::DrainWorker(const Vm& vm) {
+  m_workers->SetDraining(AddressOf(vm), true,
+                         [this, alive = std::weak_ptr<bool>(m_alive), vm](TimePoint now, bool ok,
+                                                                          std::string_view reason) {
+                           if (alive.expired() || !Valid(now, vm)) {
+                             return;
+                           }
+                           if (!ok) {
+                             Wait(now, vm, fmt::format("the worker was not drained: {}", reason));
+                             return;
+                           }
+                           CheckEmpty(vm);
+                         });
+}
+
+void VmMover::CheckEmpty(const Vm& vm) {
+  m_workers->GetStatus(AddressOf(vm), [this, alive = std::weak_ptr<bool>(m_alive), vm](
+                                          TimePoint now, const std::optional<WorkerStatus>& status,
+                                          std::string_view reason) {
+    if (alive.expired() || !Valid(now, vm)) {
+      return;
+    }
+    if (!status || !status->draining || status->running > 0) {
+      Wait(now, vm,
+           status ? fmt::format("{} tasks still run", status->running) : std::string(reason));
+      return;
+    }
+    Vm empty = vm;
+    empty.state = VmState::kEmpty;
+    empty.boot_id = status->boot_id;
+    Ready(vm, empty);
+  });
+}
+
+void VmMover::CheckBoot(const Vm& vm) {
+  m_workers->GetStatus(AddressOf(vm), [this, alive = std::weak_ptr<bool>(m_alive), vm](
+                                          TimePoint now, const std::optional<WorkerStatus>& status,
+                                          std::string_view reason) {
+    if (alive.expired() || !Valid(now, vm)) {
+      return;
+    }
+    if (!status || (status->boot_id == vm.boot_id && status->running > 0)) {
+      Wait(now, vm, status ? "an empty VM runs tasks" : reason);
+    } else if (status->boot_id != vm.boot_id) {
+      DrainWorker(vm);  // Rebooted since the check, which is repeated.
+    } else if (!m_head->fleet().pools.contains(vm.target_pool)) {
+      Wait(now, vm, "the target pool no longer exists; cancel the move");
+    } else {
+      Undrain(vm);
+    }
+  });
+}
+
+void VmMover::Undrain(const Vm& vm) {
+  // Before the change of the pool: no daemon sends work to an empty VM, and a coordinator that
+  // dies here leaves a state that the next one completes.
+  m_workers->SetDraining(AddressOf(vm), false,
+                         [this, alive = std::weak_ptr<bool>(m_alive), vm](TimePoint now, bool ok,
+                                                                          std::string_view reason) {
+                           if (alive.expired() || !Valid(now, vm)) {
+                             return;
+                           }
+                           if (!ok) {
+                             Wait(now, vm,
+                                  fmt::format("the worker was not put back to work: {}", reason));
+                             return;
+                           }
+                           Vm serving = vm;
+                           serving.state = VmState::kServing;
+                           serving.pool = vm.target_pool;
+                           serving.target_pool.clear();
+                           serving.move_id.clear();
+                           serving.boot_id.clear();
+                           Ready(vm, serving);
+                         });
+}
+
+void VmMover::Repair(TimePoint now, const Vm& vm) {
+  std::string reason;
+  TimePoint& next = m_repairs[vm.id];
+  if (now < next || !m_head->FreshUntil(now, &reason)) {
+    return;
+  }
+  next = now + kRepairInterval;
+  m_store->Read(MaintenanceKey(vm.pool), [this, alive = std::weak_ptr<bool>(m_alive), vm](
+                                             TimePoint answered, const StoreReadReply& reply) {
+    std::string why;
+    if (alive.expired() || UnderMaintenance(reply, vm.id).value_or(true) ||
+        !m_head->FreshUntil(answered, &why) || !Unchanged(vm)) {
+      return;
+    }
+    m_decision.emit(answered, fmt::format("move event=undrain vm={} reason=\"serving VM whose "
+                                          "worker takes no work\"",
+                                          vm.id));
+    m_workers->SetDraining(AddressOf(vm), false, [](TimePoint, bool, std::string_view) {});
+  });
+}
+
+void VmMover::Ready(const Vm& from, const Vm& to) {
+  m_progress[from.id].step = "changing the head";
+  m_ready.push_back(Step{from, to});
+}
+
+void VmMover::SubmitSteps(TimePoint now) {
+  if (m_submitting || m_ready.empty()) {
+    return;
+  }
+  // One change for all steps that are ready, since changes of the head are made one at a time.
+  m_submitting = true;
+  const std::vector<Step> steps = std::exchange(m_ready, {});
+  const auto edit = [steps](const Fleet& current,
+                            std::string* last_reason) -> std::optional<Fleet> {
+    Fleet next = current;
+    bool applied = false;
+    for (const Step& step : steps) {
+      const auto vm = next.vms.find(step.from.id);
+      const bool pool_exists = next.pools.contains(step.to.pool);
+      if (vm != next.vms.end() && vm->second == step.from && pool_exists) {
+        vm->second = step.to;
+        applied = true;
+      }
+    }
+    *last_reason = "the VMs' records have changed";
+    return applied ? std::optional(std::move(next)) : std::nullopt;
+  };
+  const auto done = [this, alive = std::weak_ptr<bool>(m_alive), steps](
+                        TimePoint answered, const ChangeResult& result) {
+    if (alive.expired()) {
+      return;
+    }
+    m_submitting = false;
+    for (const Step& step : steps) {
+      m_decision.emit(
+          answered, fmt::format("move event=step vm={} state={} pool={} recorded={} reason=\"{}\"",
+                                step.to.id, ToString(step.to.state), step.to.pool,
+                                result.outcome == ChangeOutcome::kRecorded, result.reason));
+      const auto progress = m_progress.find(step.from.id);
+      if (progress != m_progress.end() && result.outcome == ChangeOutcome::kRecorded) {
+        progress->second.recorded = result.revision;
+      }
+      Wait(answered, step.from, result.reason);
+    }
+  };
+  m_head->Submit(now, "carry on moves of VMs", edit, done);
+}
+
+void VmMover::Wait(TimePoint now, const Vm& vm, std::string_view step) {
+  const auto progress = m_progress.find(vm.id);
+  if (progress == m_progress.end() || progress->second.move_id != vm.move_id ||
+      progress->second.state != vm.state || progress->second.boot_id != vm.boot_id) {
+    return;
+  }
+  progress->second.busy = false;
+  progress->second.next = now + m_options.poll;
+  progress->second.step = step;
+}
+
+bool VmMover::Valid(TimePoint now, const Vm& vm) {
+  std::string reason = "the VM's record has changed";
+  if (Unchanged(vm) && m_head->FreshUntil(now, &reason)) {
+    return true;
+  }
+  Wait(now, vm, reason);
+  return false;
+}
+
+bool VmMover::Unchanged(const Vm& vm) const {
+  const auto record = m_head->fleet().vms.find(vm.id);
+  return record != m_head->fleet().vms.end() && record->second == vm;
+}
+
+bool VmMover::Acts(std::string_view vm) const {
+  const DaemonRecord* acting = ActingDaemon(m_head->head(), vm);
+  return acting != nullptr && acting->incarnation == m_head->incarnation();
+}
+
+}  // namespace cranberryplank
--- a/packages/control/tests/simulated_fleet.h
+++ b/packages/control/tests/simulated_fleet.h
@@ -69,6 +69,7 @@
   bool alive = true;
   bool paused = false;
   bool store_cut = false;  ///< Partitioned from the store.
+  bool peers_cut = false;  ///< Partitioned from the other daemons.
   std::vector<std::function<void()>> held{};
 
   void Deliver(std::function<void()> action) {
@@ -223,7 +224,10 @@
   std::vector<Revision> revisions{Revision{}};  ///< Index is the revision.
   std::function<void(const Fleet& before, const Fleet& after)> on_change{};
 
+  std::set<std::string> gone{};  ///< Incarnations that the VM list reports as gone.
+
   Revision& newest() { return revisions.back(); }
+  const Revision& newest() const { return revisions.back(); }
 
   /// Records a change; the edit may change the fleet and the registered daemons.
   std::uint64_t Record(const std::function<void(Revision*)>& edit) {
@@ -245,30 +249,44 @@
       if (!revisions[i].acknowledged.insert(incarnation).second) {
         break;
       }
-      if (!revisions[i].majority_at && MajorityOf(i, i) && MajorityOf(i, i - 1)) {
-        revisions[i].majority_at = clock->now();
-      }
+      CheckMajority(i);
+    }
+  }
+
+  void ReportGone(const std::string& incarnation) {
+    gone.insert(incarnation);
+    for (std::uint64_t i = 1; i < revisions.size(); ++i) {
+      CheckMajority(i);
     }
   }
 
+  void CheckMajority(std::uint64_t revision) {
+    const auto enough = [&](std::uint64_t set) {
+      const int size = static_cast<int>(revisions[set].head.daemons.size());
+      return CountAcknowledged(revision, set) * 2 >= size;
+    };
+    if (!revisions[revision].majority_at && enough(revision) && enough(revision - 1)) {
+      revisions[revision].majority_at = clock->now();
+    }
+  }
+
+  /// Counts the daemons registered at revision `set` that acknowledged `revision` or are gone.
   int CountAcknowledged(std::uint64_t revision, std::uint64_t set) const {
     const auto& daemons = revisions[set].head.daemons;
     return static_cast<int>(std::count_if(daemons.begin(), daemons.end(), [&](const auto& item) {
-      return revisions[revision].acknowledged.contains(item.incarnation);
+      return revisions[revision].acknowledged.contains(item.incarnation) ||
+             gone.contains(item.incarnation);
     }));
   }
 
-  bool MajorityOf(std::uint64_t revision, std::uint64_t set) const {
-    const int size = static_cast<int>(revisions[set].head.daemons.size());
-    return size == 0 || CountAcknowledged(revision, set) * 2 > size;
-  }
-
   bool InEffect(std::uint64_t revision, TimePoint now) const {
     if (revision == 0) {
       return true;
     }
     const Revision& entry = revisions[revision];
-    if (!entry.majority_at) {
+    // A daemon that has not heard of the last registration still counts by the set before it.
+    const std::uint64_t registration = entry.head.registration_revision;
+    if (!entry.majority_at || (registration < revision && !InEffect(registration, now))) {
       return false;
     }
     const auto all = [&](std::uint64_t set) {
--- a/packages/control/tests/simulated_run.h
+++ b/packages/control/tests/simulated_run.h
@@ -5,11 +5,27 @@
 #include <string>
 #include <vector>
 
+#include "cranberryplank/control/acting_daemon.h"
+#include "cranberryplank/control/maintenance_coordinator.h"
 #include "cranberryplank/control/slot_ledger.h"
+#include "cranberryplank/control/vm_mover.h"
+#include "cranberryplank/model/invariant.h"
 #include "simulated_fleet.h"
 
 namespace cranberryplank {
 
+/// Settings of a run.
+struct SimulatedRunOptions {
+  std::uint64_t seed = 1;
+  int daemons = 4;
+  std::map<std::string, int> limits{{"smiths", 10}, {"clerks", 7}, {"agents", 3}};
+  SlotLedgerOptions slots;
+  VmMoverOptions moves;
+  MaintenanceOptions maintenance;
+  Duration max_run{2'000};       ///< Longest task.
+  Duration remove_after{1'500};  ///< Silence after which a daemon is removed from the head.
+};
+
 /// One daemon: the real state machines over simulated interfaces.
 struct SimulatedDaemon {
   SimulatedProcess process;
@@ -18,26 +34,23 @@
   SimulatedStoreClient store;
   SimulatedWorkerClient workers;
   SlotLedger ledger;
+  VmMover mover;
+  MaintenanceCoordinator maintenance;
   std::map<std::string, int, std::less<>> waiting;  ///< Requests by team.
   std::optional<TimePoint> silent_since;
+  TimePoint probed;
 
   SimulatedDaemon(SimulatedHead* shared_head, SimulatedStore* shared_store,
                   SimulatedWorkers* shared_workers, std::string id, std::string incarnation,
-                  std::uint64_t seed, const SlotLedgerOptions& slots)
+                  std::uint64_t seed, const SimulatedRunOptions& options)
       : process{std::move(id), std::move(incarnation)},
         random(seed),
         head(shared_head, &process),
         store(shared_store, &process),
         workers(shared_workers, &process),
-        ledger(&head, &store, &random, slots) {}
-};
-
-/// Settings of a run.
-struct SimulatedRunOptions {
-  std::uint64_t seed = 1;
-  int daemons = 4;
-  std::map<std::string, int> limits{{"smiths", 10}, {"clerks", 7}, {"agents", 3}};
-  SlotLedgerOptions slots;
+        ledger(&head, &store, &random, options.slots),
+        mover(&head, &store, &workers, &random, options.moves),
+        maintenance(&head, &store, &workers, &workers, &random, PickInOrder, options.maintenance) {}
 };
 
 /// A fleet of daemons, workers and the store, whose invariants are checked after every event.
@@ -48,10 +61,13 @@
 
   explicit SimulatedRun(SimulatedRunOptions run_options)
       : options(std::move(run_options)), random(options.seed) {
+    SetAbortOnInvariantViolation(true);
     head.on_change = [this](const Fleet& before, const Fleet& after) { CheckHead(before, after); };
     store.on_write = [this](std::string_view key, const std::string& before,
                             const std::string& after,
                             TimePoint sent) { CheckWrite(key, before, after, sent); };
+    workers.on_drain = [this](const auto& worker) { CheckDrain(worker); };
+    workers.on_reboot = [this](const auto& worker) { CheckReboot(worker); };
     workers.on_start = [this](const auto& worker, const auto& task) { CheckStart(worker, task); };
     clock.after_event = [this] { CheckRunning(); };
     for (int i = 0; i < options.daemons; ++i) {
@@ -77,6 +93,9 @@
   /// Ends a process; another one with a new incarnation starts on its VM after 3 s.
   void Kill(int number) {
     At(number).process.alive = false;
+    clock.After(Duration(2'000), [this, incarnation = At(number).process.incarnation] {
+      head.ReportGone(incarnation);
+    });
     clock.After(Duration(3'000), [this, number] {
       if (!At(number).process.alive) {
         Boot(number);
@@ -92,6 +111,57 @@
     return shard->second.teams.at(team).TotalHeld();
   }
 
+  /// Returns what is not finished yet, or an empty text once all is at rest.
+  std::string Unfinished() const {
+    std::string text;
+    for (const auto& [team, record] : head.newest().fleet.teams) {
+      if (Held(team) != record.contract.upper_limit) {
+        text +=
+            fmt::format(" team {} holds {} of {};", team, Held(team), record.contract.upper_limit);
+      }
+    }
+    for (const auto& [id, vm] : head.newest().fleet.vms) {
+      if (vm.state != VmState::kServing || workers.workers.at(id).draining) {
+        text += fmt::format(" VM {} {} worker draining {}", id, ToString(vm.state),
+                            workers.workers.at(id).draining);
+        for (const auto& daemon : daemons) {
+          for (const VmMover::Move& move : daemon->mover.Moves()) {
+            text += move.vm == id ? fmt::format(" ({})", move.step) : "";
+          }
+        }
+        text += ';';
+      }
+    }
+    for (const auto& [pool, wave] : waves) {
+      text += wave.Active() ? fmt::format(" wave on {};", pool) : "";
+    }
+    return text;
+  }
+
+  bool RunUntil(Duration limit, const std::function<bool()>& condition) {
+    for (Duration waited{0}; waited < limit && !condition(); waited += kTick) {
+      clock.RunFor(kTick);
+    }
+    return condition();
+  }
+
+  /// Returns the daemon that carries out work on `subject`.
+  SimulatedDaemon& Acting(std::string_view subject) {
+    const DaemonRecord* record = ActingDaemon(head.newest().head, subject);
+    for (const auto& daemon : daemons) {
+      if (record != nullptr && daemon->process.incarnation == record->incarnation) {
+        return *daemon;
+      }
+    }
+    return At(0);
+  }
+
+  int NumberOf(const SimulatedDaemon& daemon) const {
+    const auto found = std::find_if(daemons.begin(), daemons.end(),
+                                    [&](const auto& item) { return item.get() == &daemon; });
+    return static_cast<int>(found - daemons.begin());
+  }
+
   int RunningOf(const std::string& team) const {
     int running = 0;
     for (const auto& [host, worker] : workers.workers) {
@@ -109,9 +179,13 @@
   SimulatedHead head{&clock, &store};
   SimulatedWorkers workers{&clock, &random};
   std::vector<std::unique_ptr<SimulatedDaemon>> daemons;
-  std::vector<std::unique_ptr<SimulatedDaemon>> ended;      ///< Late callbacks refer to them.
-  std::map<std::string, LedgerShard, std::less<>> ledgers;  ///< Decoded content of the store.
-  std::uint64_t started = 0;
+  std::vector<std::unique_ptr<SimulatedDaemon>> ended;        ///< Late callbacks refer to them.
+  std::map<std::string, LedgerShard, std::less<>> ledgers;    ///< Decoded content of the store.
+  std::map<std::string, MaintenanceWave, std::less<>> waves;  ///< Likewise.
+  std::map<std::string, TimePoint, std::less<>> last_moving;
+  std::uint64_t started = 0;   ///< Tasks.
+  std::uint64_t moves = 0;     ///< VMs that reached another pool.
+  std::uint64_t finished = 0;  ///< VMs maintained.
 
  private:
   static DaemonRecord RecordOf(const SimulatedDaemon& daemon) {
@@ -148,7 +222,7 @@
     const auto index = static_cast<std::size_t>(number);
     auto daemon = std::make_unique<SimulatedDaemon>(
         &head, &store, &workers, fmt::format("d{}", number),
-        fmt::format("d{}-{}", number, ++m_incarnations), random.Next(), options.slots);
+        fmt::format("d{}-{}", number, ++m_incarnations), random.Next(), options);
     if (index < daemons.size()) {
       ended.push_back(std::move(daemons[index]));
       daemons[index] = std::move(daemon);
@@ -167,11 +241,19 @@
       ConfirmHead(daemon);
       SendDemand(daemon);
       daemon->ledger.Tick(clock.now());
+      daemon->mover.Tick(clock.now());
+      daemon->maintenance.Tick(clock.now());
+      ProbeWorkers(daemon);
       Dispatch(daemon);
     }
     clock.After(kTick, [this, daemon] { Run(daemon); });
   }
 
+  static bool Linked(const SimulatedDaemon& one, const SimulatedDaemon& other) {
+    return !one.process.peers_cut && !other.process.peers_cut && other.process.alive &&
+           !other.process.paused;
+  }
+
   /// Confirms the newest head by the store or by more than half of the registered daemons.
   void ConfirmHead(SimulatedDaemon* daemon) {
     std::uint64_t newest = head.newest().head.revision;
@@ -180,7 +262,7 @@
       std::size_t heard = 0;
       const Head& own = daemon->head.head();
       for (const auto& peer : daemons) {
-        const bool answers = peer->process.alive && !peer->process.paused;
+        const bool answers = peer.get() == daemon || Linked(*daemon, *peer);
         if (answers && own.FindIncarnation(peer->process.incarnation) != nullptr) {
           ++heard;
           newest = std::max(newest, peer->head.applied());
@@ -193,13 +275,29 @@
     daemon->head.Confirm(clock.now(), newest);
   }
 
+  /// Stands in for the probes of the request path.
+  void ProbeWorkers(SimulatedDaemon* daemon) {
+    if (clock.now() - daemon->probed < Duration(1'000)) {
+      return;
+    }
+    daemon->probed = clock.now();
+    for (const auto& [id, worker] : workers.workers) {
+      daemon->workers.GetStatus(WorkerAddress{id, 0},
+                                [daemon, id = id](TimePoint now, const auto& status, auto) {
+                                  if (status) {
+                                    daemon->mover.ObserveWorker(now, id, *status);
+                                  }
+                                });
+    }
+  }
+
   void SendDemand(SimulatedDaemon* daemon) {
     std::vector<TeamDemand> demand;
     for (const auto& [team, waiting] : daemon->waiting) {
       demand.push_back(TeamDemand{"tone", team, daemon->ledger.Running(team), waiting});
     }
     for (const auto& peer : daemons) {
-      if (peer.get() != daemon && peer->process.alive && !peer->process.paused) {
+      if (peer.get() != daemon && Linked(*daemon, *peer)) {
         peer->ledger.SetPeerDemand(clock.now(), daemon->process.incarnation, demand);
       }
     }
@@ -227,7 +325,8 @@
       return false;
     }
     const Vm& vm = *serving[random.Below(serving.size())];
-    const Duration run(100 + static_cast<Duration::rep>(random.Below(2'000)));
+    const Duration run(100 + static_cast<Duration::rep>(random.Below(
+                                 static_cast<std::uint64_t>(options.max_run.count()))));
     workers.Start(vm.host, {team, vm.pool}, workers.workers[vm.host].BootId(), *fresh, run,
                   [this, daemon, team](bool certain) {
                     clock.After(certain ? Duration(1) : kLease + Duration(500),
@@ -245,7 +344,9 @@
   void Membership() {
     clock.After(Duration(500), [this] { Membership(); });
     for (const auto& daemon : daemons) {
-      const bool silent = !daemon->process.alive || daemon->process.paused;
+      const SimulatedProcess& process = daemon->process;
+      const bool silent =
+          !process.alive || process.paused || (process.store_cut && process.peers_cut);
       daemon->silent_since =
           silent ? std::optional(daemon->silent_since.value_or(clock.now())) : std::nullopt;
     }
@@ -256,11 +357,14 @@
     const auto removed = std::find_if(records.begin(), records.end(), [&](const auto& record) {
       return std::none_of(daemons.begin(), daemons.end(), [&](const auto& daemon) {
         return daemon->process.incarnation == record.incarnation &&
-               (!daemon->silent_since || clock.now() - *daemon->silent_since < Duration(5'000));
+               (!daemon->silent_since ||
+                clock.now() - *daemon->silent_since < options.remove_after);
       });
     });
     const auto added = std::find_if(daemons.begin(), daemons.end(), [&](const auto& daemon) {
+      // A daemon registers itself, once it has seen that it is not registered.
       return !daemon->silent_since && !daemon->process.store_cut &&
+             daemon->head.head().FindIncarnation(daemon->process.incarnation) == nullptr &&
              head.newest().head.FindIncarnation(daemon->process.incarnation) == nullptr;
     });
     if (removed != records.end()) {
@@ -273,16 +377,111 @@
     head.Record([&](SimulatedHead::Revision* next) { next->head.daemons = records; });
   }
 
+  /// A VM changes its pool only when it was found empty, and then runs no task of the old pool.
   void CheckHead(const Fleet& before, const Fleet& after) {
-    static_cast<void>(before);
-    static_cast<void>(after);
+    for (const auto& [id, vm] : after.vms) {
+      const auto old = before.vms.find(id);
+      if (old == before.vms.end()) {
+        continue;
+      }
+      if (old->second.state != VmState::kServing) {
+        last_moving[id] = clock.now();
+      }
+      if (old->second.pool == vm.pool) {
+        continue;
+      }
+      ++moves;
+      const bool runs =
+          std::any_of(workers.workers[id].tasks.begin(), workers.workers[id].tasks.end(),
+                      [&pool = vm.pool](const auto& task) { return task.second.pool != pool; });
+      if (old->second.state != VmState::kEmpty || runs) {
+        throw Violation(fmt::format("VM {} goes to pool {} from state {}, old tasks {}", id,
+                                    vm.pool, ToString(old->second.state), runs));
+      }
+    }
   }
 
   void CheckWrite(std::string_view key, const std::string& before, const std::string& after,
                   TimePoint sent) {
-    static_cast<void>(sent);
     if (key.starts_with("cranberryplank/slots/")) {
       CheckLedger(key, Content(before), Content(after));
+      return;
+    }
+    const std::string pool(key.substr(key.rfind('/') + 1));
+    std::string reason;
+    const MaintenanceWave old = DecodeMaintenanceWave(Content(before), &reason).value();
+    MaintenanceWave next = DecodeMaintenanceWave(Content(after), &reason).value();
+    CheckWave(pool, old, next, sent);
+    waves[pool] = std::move(next);
+  }
+
+  void CheckWave(const std::string& pool, const MaintenanceWave& old, const MaintenanceWave& next,
+                 TimePoint sent) {
+    if (old.Active() && old.id != next.id) {
+      throw Violation(fmt::format("wave {} replaces wave {} on pool {}", next.id, old.id, pool));
+    }
+    const Fleet& fleet = head.newest().fleet;
+    const AvailabilityBudget budget = fleet.pools.at(pool).budget;
+    for (const auto& [id, entry] : next.vms) {
+      finished += entry.state == MaintenanceState::kDone && old.vms.contains(id) &&
+                  old.vms.at(id).state != MaintenanceState::kDone;
+      if (!HoldsPermit(entry.state) || old.HasPermit(id)) {
+        continue;
+      }
+      if (old.stopping) {
+        throw Violation(fmt::format("stopped wave permits VM {}", id));
+      }
+      CheckBudget(fleet.vms.at(id), budget, next, sent);
+    }
+  }
+
+  /// Counts permits and VMs that have been down for longer than a worker may go unanswered.
+  void CheckBudget(const Vm& permitted, const AvailabilityBudget& budget,
+                   const MaintenanceWave& wave, TimePoint sent) {
+    int total = 0;
+    int in_rack = 0;
+    int in_zone = 0;
+    for (const auto& [id, vm] : head.newest().fleet.vms) {
+      const std::optional<TimePoint> down = workers.workers[id].down_since;
+      const bool known_down = down && *down + options.maintenance.answer_age + Duration(100) < sent;
+      if (vm.pool != permitted.pool || !(wave.HasPermit(id) || known_down)) {
+        continue;
+      }
+      ++total;
+      in_rack += vm.rack == permitted.rack ? 1 : 0;
+      in_zone += vm.zone == permitted.zone ? 1 : 0;
+    }
+    if (total > budget.per_pool || in_rack > budget.per_rack || in_zone > budget.per_zone) {
+      throw Violation(fmt::format("permit of VM {}: unavailable {}, in rack {}, in zone {}",
+                                  permitted.id, total, in_rack, in_zone));
+    }
+  }
+
+  MaintenanceState WaveStateOf(const Vm& vm) const {
+    const auto wave = waves.find(vm.pool);
+    if (wave == waves.end() || !wave->second.vms.contains(vm.id)) {
+      return MaintenanceState::kDone;
+    }
+    return wave->second.vms.at(vm.id).state;
+  }
+
+  /// A worker is drained only for a recorded move or with a recorded permit.
+  void CheckDrain(const SimulatedWorkers::Worker& worker) {
+    const Vm& vm = head.newest().fleet.vms.at(worker.vm);
+    const bool moved =
+        vm.state != VmState::kServing ||
+        (last_moving.contains(vm.id) && clock.now() - last_moving[vm.id] < SimulatedHead::kFresh);
+    const MaintenanceState state = WaveStateOf(vm);
+    if (!moved && state != MaintenanceState::kDraining && state != MaintenanceState::kRebooting) {
+      throw Violation(
+          fmt::format("VM {} is drained without move or permit, state {}", vm.id, ToString(state)));
+    }
+  }
+
+  void CheckReboot(const SimulatedWorkers::Worker& worker) {
+    const MaintenanceState state = WaveStateOf(head.newest().fleet.vms.at(worker.vm));
+    if (state != MaintenanceState::kRebooting || !worker.tasks.empty()) {
+      throw Violation(fmt::format("VM {} is rebooted in state {}", worker.vm, ToString(state)));
     }
   }
 
@@ -332,12 +531,26 @@
           contract == head.newest().fleet.teams.end() ? 0 : contract->second.contract.upper_limit;
       const int allowed = std::max(limit, Held(team));
       if (count.first > allowed || count.second > allowed) {
-        throw Violation(fmt::format("team {} runs {} and may use {}, allowed {}", team, count.first,
-                                    count.second, allowed));
+        throw Violation(fmt::format("team {} runs {} and may use {}, allowed {}:{}", team,
+                                    count.first, count.second, allowed, Holders(team)));
       }
     }
   }
 
+  std::string Holders(const std::string& team) const {
+    std::string text;
+    for (const auto& daemon : daemons) {
+      text += fmt::format(" {} usable {} running {}{};", daemon->process.incarnation,
+                          daemon->ledger.Usable(team), daemon->ledger.Running(team),
+                          daemon->process.paused ? " paused" : "");
+    }
+    for (const auto& [holder, count] :
+         ledgers.at(LedgerKey(LedgerShardOf(team))).teams.at(team).held) {
+      text += fmt::format(" ledger {} {};", holder, count);
+    }
+    return text;
+  }
+
   void CheckStart(const SimulatedWorkers::Worker& worker, const SimulatedWorkers::Task& task) {
     const Vm& vm = head.newest().fleet.vms.at(worker.vm);
     if (vm.pool != task.pool) {
--- a/packages/control/tests/slot_ledger_test.cc
+++ b/packages/control/tests/slot_ledger_test.cc
@@ -10,17 +10,6 @@
 
 const std::string smiths = "smiths";
 
-/// Runs until `condition` holds; returns false after `limit`.
-bool RunUntil(SimulatedRun* run, Duration limit, const std::function<bool()>& condition) {
-  for (Duration waited{0}; waited < limit; waited += Duration(100)) {
-    if (condition()) {
-      return true;
-    }
-    run->clock.RunFor(Duration(100));
-  }
-  return condition();
-}
-
 SimulatedRunOptions OneTeam(int limit) {
   SimulatedRunOptions options;
   options.limits = {{smiths, limit}};
@@ -48,10 +37,10 @@
   SimulatedRun run(OneTeam(10));
   run.clock.RunFor(Duration(20'000));
   run.At(0).waiting[smiths] = 1'000'000;
-  CHECK(RunUntil(&run, Duration(10'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
+  CHECK(run.RunUntil(Duration(10'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
   const std::uint64_t writes = run.store.writes;
   run.At(1).waiting[smiths] = 1'000'000;
-  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.At(1).ledger.Usable(smiths) >= 4; }));
+  CHECK(run.RunUntil(Duration(15'000), [&] { return run.At(1).ledger.Usable(smiths) >= 4; }));
   run.clock.RunFor(Duration(60'000));
   // Guards against slots that swing back and forth between two daemons with equal demand.
   CHECK(run.store.writes - writes < 20);
@@ -62,7 +51,7 @@
   run.store.lose_next = 1'000;
   run.clock.RunFor(Duration(5'000));
   run.store.lose_next = 0;
-  CHECK(RunUntil(&run, Duration(30'000), [&] {
+  CHECK(run.RunUntil(Duration(30'000), [&] {
     int usable = 0;
     for (const auto& daemon : run.daemons) {
       usable += daemon->ledger.Usable(smiths);
@@ -76,14 +65,15 @@
   run.clock.RunFor(Duration(20'000));
   run.At(0).process.alive = false;
   const std::string incarnation = run.At(0).process.incarnation;
-  REQUIRE(RunUntil(&run, Duration(10'000),
-                   [&] { return !run.At(1).head.MayStillDispatch(incarnation, run.clock.now()); }));
+  REQUIRE(run.RunUntil(Duration(10'000), [&] {
+    return !run.At(1).head.MayStillDispatch(incarnation, run.clock.now());
+  }));
   const auto held = [&] {
     return run.ledgers.at(LedgerKey(LedgerShardOf(smiths))).teams.at(smiths).HeldBy(incarnation);
   };
   run.clock.RunFor(SimulatedRun::kLease + Duration(1'500));
   CHECK(held() > 0);
-  CHECK(RunUntil(&run, Duration(30'000), [&] { return held() == 0 && run.Held(smiths) == 10; }));
+  CHECK(run.RunUntil(Duration(30'000), [&] { return held() == 0 && run.Held(smiths) == 10; }));
 }
 
 TEST_CASE("A lowered limit retires slots as tasks end and asks for checkpoints") {
@@ -100,12 +90,12 @@
         [&](TimePoint, const std::string&, int tasks) { asked += tasks; });
   }
   run.SetLimit(smiths, 3);
-  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.Held(smiths) == 3; }));
+  CHECK(run.RunUntil(Duration(15'000), [&] { return run.Held(smiths) == 3; }));
   CHECK(asked > 0);
   run.SetLimit(smiths, 12);
-  CHECK(RunUntil(&run, Duration(15'000), [&] { return run.Held(smiths) == 12; }));
+  CHECK(run.RunUntil(Duration(15'000), [&] { return run.Held(smiths) == 12; }));
   run.head.Record([](SimulatedHead::Revision* next) { next->fleet.teams.clear(); });
-  CHECK(RunUntil(&run, Duration(20'000), [&] { return run.Held(smiths) == 0; }));
+  CHECK(run.RunUntil(Duration(20'000), [&] { return run.Held(smiths) == 0; }));
 }
 
 TEST_CASE("A planned stop hands over all slots; a new incarnation adopts none") {
@@ -118,7 +108,7 @@
   CHECK_FALSE(ledger.HandedOver());
   CHECK_FALSE(ledger.Acquire(run.clock.now(), smiths));
   ledger.Release(run.clock.now(), smiths);
-  CHECK(RunUntil(&run, Duration(5'000), [&] { return ledger.HandedOver(); }));
+  CHECK(run.RunUntil(Duration(5'000), [&] { return ledger.HandedOver(); }));
   run.Kill(0);
   run.clock.RunFor(Duration(3'500));
   CHECK(run.At(0).ledger.Usable(smiths) == 0);
@@ -134,7 +124,7 @@
   CHECK_FALSE(run.At(0).ledger.Acquire(run.clock.now(), smiths));
   run.At(0).process.Resume();
   run.At(0).waiting[smiths] = 1'000'000;
-  CHECK(RunUntil(&run, Duration(30'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
+  CHECK(run.RunUntil(Duration(30'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
 }
 
 TEST_CASE("Store writes of a daemon are bounded") {
--- /dev/null
+++ b/packages/control/tests/vm_mover_test.cc
@@ -0,0 +1,112 @@
+#include "cranberryplank/control/vm_mover.h"
+
+#include <catch2/catch.hpp>
+
+#include "simulated_run.h"
+
+namespace cranberryplank {
+
+namespace {
+
+ChangeResult StartMove(SimulatedRun* run, int daemon, const std::string& vm,
+                       const std::string& pool) {
+  ChangeResult result;
+  bool answered = false;
+  run->At(daemon).mover.Start(run->clock.now(), vm, pool,
+                              [&](TimePoint, const ChangeResult& answer) {
+                                result = answer;
+                                answered = true;
+                              });
+  REQUIRE(run->RunUntil(Duration(10'000), [&] { return answered; }));
+  return result;
+}
+
+const Vm& RecordOf(const SimulatedRun& run, const std::string& vm) {
+  return run.head.revisions.back().fleet.vms.at(vm);
+}
+
+}  // namespace
+
+TEST_CASE("A move drains the VM, finds it empty and lets it serve the other pool") {
+  SimulatedRun run({});
+  run.At(0).waiting["smiths"] = 1'000'000;
+  run.clock.RunFor(Duration(5'000));
+  CHECK(StartMove(&run, 0, "vm00", "hallmark").outcome == ChangeOutcome::kRecorded);
+  std::vector<VmState> states;
+  REQUIRE(run.RunUntil(Duration(20'000), [&] {
+    const Vm& vm = RecordOf(run, "vm00");
+    if (states.empty() || states.back() != vm.state) {
+      states.push_back(vm.state);
+    }
+    return vm.pool == "hallmark";
+  }));
+  CHECK(states == std::vector<VmState>{VmState::kDraining, VmState::kEmpty, VmState::kServing});
+  CHECK_FALSE(run.workers.workers.at("vm00").draining);
+}
+
+TEST_CASE("A move that cannot be right is refused") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  CHECK(StartMove(&run, 0, "vm99", "hallmark").reason == "VM vm99 is unknown");
+  CHECK(StartMove(&run, 0, "vm00", "nowhere").reason == "pool nowhere is unknown");
+  CHECK(StartMove(&run, 0, "vm00", "tone").reason == "VM vm00 is in pool tone already");
+  CHECK(StartMove(&run, 0, "vm00", "hallmark").outcome == ChangeOutcome::kRecorded);
+  run.clock.RunFor(Duration(200));
+  CHECK(StartMove(&run, 1, "vm00", "hallmark").reason == "VM vm00 already moves to pool hallmark");
+  const std::vector<std::string> vms{"vm01"};
+  run.At(0).maintenance.Start(run.clock.now(), "tone", vms, [](TimePoint, const WaveResult&) {});
+  REQUIRE(run.RunUntil(Duration(10'000), [&] {
+    return run.waves.contains("tone") && run.waves.at("tone").HasPermit("vm01");
+  }));
+  CHECK(StartMove(&run, 0, "vm01", "hallmark").reason == "VM vm01 is under maintenance");
+}
+
+TEST_CASE("A cancelled move leaves the VM serving its old pool") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  CHECK(StartMove(&run, 0, "vm00", "hallmark").outcome == ChangeOutcome::kRecorded);
+  REQUIRE(run.RunUntil(Duration(10'000), [&] { return run.workers.workers["vm00"].draining; }));
+  run.At(2).mover.Cancel(run.clock.now(), "vm00", [](TimePoint, const ChangeResult&) {});
+  run.clock.RunFor(Duration(10'000));
+  CHECK(RecordOf(run, "vm00").pool == "tone");
+  CHECK(run.Unfinished().empty());
+}
+
+TEST_CASE("An empty VM whose worker rebooted is checked again before it serves") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  CHECK(StartMove(&run, 0, "vm00", "hallmark").outcome == ChangeOutcome::kRecorded);
+  REQUIRE(run.RunUntil(Duration(10'000),
+                       [&] { return RecordOf(run, "vm00").state == VmState::kEmpty; }));
+  run.workers.BringUp(&run.workers.workers.at("vm00"));
+  const std::string boot = run.workers.workers.at("vm00").BootId();
+  REQUIRE(run.RunUntil(Duration(10'000), [&] { return RecordOf(run, "vm00").boot_id == boot; }));
+  CHECK(run.RunUntil(Duration(10'000), [&] { return RecordOf(run, "vm00").pool == "hallmark"; }));
+}
+
+TEST_CASE("A partitioned daemon that is still fresh starts nothing on a VM of another pool") {
+  const bool wait = GENERATE(true, false);
+  SimulatedRunOptions options;
+  options.moves.test_wait_for_effect = wait;
+  options.max_run = Duration(50);
+  SimulatedRun run(options);
+  run.At(0).waiting["smiths"] = 1'000'000;
+  run.clock.RunFor(Duration(5'000));
+  run.At(0).process.store_cut = run.At(0).process.peers_cut = true;
+  const auto move_all = [&] {
+    for (int i = 0; i < 8; ++i) {
+      run.At(1).mover.Start(run.clock.now(), fmt::format("vm{:02}", i), "hallmark",
+                            [](TimePoint, const ChangeResult&) {});
+    }
+    run.clock.RunFor(Duration(20'000));
+  };
+  if (wait) {
+    CHECK_NOTHROW(move_all());
+    CHECK(run.moves == 8);
+  } else {
+    // Shows that the checks notice a move that does not wait until draining is in effect.
+    CHECK_THROWS_AS(move_all(), Violation);
+  }
+}
+
+}  // namespace cranberryplank
