--- /dev/null
+++ b/tests/support/include/cranberryplank/support/fake_program.h
@@ -0,0 +1,28 @@
+#ifndef CRANBERRYPLANK_SUPPORT_FAKE_PROGRAM_H_
+#define CRANBERRYPLANK_SUPPORT_FAKE_PROGRAM_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "cranberryplank/support/event_loop.h"
+
+namespace cranberryplank {
+
+/// Reads a whole decimal number from `minimum` to `maximum`.
+std::optional<int> ParseNumber(std::string_view text, int minimum, int maximum);
+
+/// Reads `HOST:PORT`.
+std::optional<std::pair<std::string, std::uint16_t>> ParseAddress(std::string_view text);
+
+/// Reports on standard error that a fake listens.
+void LogListening(std::string_view program, std::uint16_t port);
+
+/// Runs the loop until SIGTERM or SIGINT.
+void RunUntilSignal(EventLoop* loop);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SUPPORT_FAKE_PROGRAM_H_
--- a/tests/support/include/cranberryplank/support/fake_worker.h
+++ b/tests/support/include/cranberryplank/support/fake_worker.h
@@ -7,8 +7,8 @@
 namespace cranberryplank {
 
 /// Fake of a worker, with the protocol of docs/API.md. It adds the faults `fail_all` (until
-/// `clear`), `pause` (for `ms`) and `crash`. `GET /log` returns
-/// `{"tasks": {ID: {"queue": NAME, "starts": N, "completions": N}}, "max_running": N}`.
+/// `clear`), `pause` (for `ms`) and `crash`. `GET /log` returns `{"tasks": {ID: {"queue": NAME,
+/// "reply": TEXT, "starts": N, "completions": N}}, "max_running": N}`.
 class FakeWorker : public FakeServer {
  public:
   /// @param name prefix of the boot ids; must differ between processes
--- a/tests/support/include/cranberryplank/support/simulated_worker.h
+++ b/tests/support/include/cranberryplank/support/simulated_worker.h
@@ -35,6 +35,7 @@
 /// Entry of a worker's log, which survives reboots. `starts` above 1 is a duplicate.
 struct LoggedTask {
   std::string queue;
+  std::string reply;  ///< Reply that the body asked for, which may name the request.
   int starts = 0;
   int completions = 0;  ///< Runs that ended with the reply that the body asked for.
 };
--- a/tests/support/src/fake_worker.cc
+++ b/tests/support/src/fake_worker.cc
@@ -99,7 +99,10 @@
   }
   json tasks = json::object();
   for (const auto& [id, task] : m_worker.log()) {
-    tasks[id] = {{"queue", task.queue}, {"starts", task.starts}, {"completions", task.completions}};
+    tasks[id] = {{"queue", task.queue},
+                 {"reply", task.reply},
+                 {"starts", task.starts},
+                 {"completions", task.completions}};
   }
   exchange->Reply(JsonReply(200, {{"tasks", tasks}, {"max_running", m_worker.max_running()}}));
   return true;
--- a/tests/support/src/memory_workers.cc
+++ b/tests/support/src/memory_workers.cc
@@ -41,8 +41,7 @@
 struct MemoryWorkers::StartCall {
   Scheduler* network;
   Scheduler* process;
-  WorkerFleet::Member* member;
-  std::shared_ptr<WorkerFleet> fleet;  ///< Keeps `member` alive.
+  WorkerFleet::Member* member;  ///< Used only in actions of the worker, which end with it.
   TaskStart task;
   TaskCallback done;
 
@@ -131,7 +130,7 @@
 void MemoryWorkers::Start(const WorkerAddress& worker, const TaskStart& task, Duration timeout,
                           TaskCallback done) {
   auto call = std::make_shared<StartCall>(
-      StartCall{m_network, m_process, m_fleet->Find(worker), m_fleet, task, std::move(done)});
+      StartCall{m_network, m_process, m_fleet->Find(worker), task, std::move(done)});
   if (m_cut.contains(worker)) {
     StartCall::Deliver(call, Failed(Verdict::kMayHaveRun, "no answer in time"), timeout);
     return;
@@ -171,18 +170,17 @@
   if (cut || member->faults.silent) {
     return;
   }
-  member->worker->process().Schedule(
-      m_network->Now() + member->faults.request_delay,
-      [fleet = m_fleet, member, handle = std::move(handle), finish_at](TimePoint at) {
-        if (Refuses(member)) {
-          finish_at(at, "the connection was closed");
-          return;
-        }
-        const std::string reason = handle(*member->worker);
-        if (!member->faults.silent) {
-          finish_at(at + member->faults.answer_delay, reason);
-        }
-      });
+  member->worker->process().Schedule(m_network->Now() + member->faults.request_delay,
+                                     [member, handle = std::move(handle), finish_at](TimePoint at) {
+                                       if (Refuses(member)) {
+                                         finish_at(at, "the connection was closed");
+                                         return;
+                                       }
+                                       const std::string reason = handle(*member->worker);
+                                       if (!member->faults.silent) {
+                                         finish_at(at + member->faults.answer_delay, reason);
+                                       }
+                                     });
 }
 
 void MemoryWorkers::GetStatus(const WorkerAddress& worker, StatusCallback done) {
--- a/tests/support/src/simulated_worker.cc
+++ b/tests/support/src/simulated_worker.cc
@@ -63,6 +63,7 @@
     return WorkerRefusal::kBusy;
   }
   TaskPlan plan = ReadBody(task.body);
+  const std::string reply = plan.answer.status == 200 ? plan.answer.body : "";
   if (m_fail_all) {
     plan = {kFailureTime, {kTaskFailed, "text/plain", "the task failed"}};
   } else if (plan.run > task.lease) {
@@ -70,6 +71,7 @@
   }
   LoggedTask& logged = m_log[task.task_id];
   logged.queue = task.queue;
+  logged.reply = reply;
   ++logged.starts;
   ++m_last_run;
   m_running.emplace(task.task_id, Run{m_last_run, std::move(ended)});
