--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -86,7 +86,7 @@
       m_freshness(std::make_unique<FreshnessTracker>(m_self.incarnation)),
       m_effect(std::make_unique<EffectTracker>(m_self.incarnation, rules)),
       m_writer(std::make_unique<HeadWriter>(m_self.incarnation, store, *m_reader, random)),
-      m_presence(std::make_unique<VmPresence>(m_self.id, directory)),
+      m_presence(std::make_unique<VmPresence>(m_self.id, directory, *m_freshness)),
       m_registrar(std::make_unique<Registrar>(m_self, *m_reader, *m_writer, *m_effect, *m_freshness,
                                               random, rules)),
       m_denied(std::make_unique<DeniedKeys>(m_self.incarnation, random)),
@@ -114,7 +114,7 @@
 }
 
 std::set<std::string> HeadKeeper::FindGone() const {
-  std::set<std::string> gone = m_presence->Gone(*m_freshness);
+  std::set<std::string> gone = m_presence->Gone();
   // A process that answers a beat sent after this daemon knew of another registered process on
   // the same VM is the later one of the two: processes on a VM follow each other, since each
   // binds the VM's peer address. The VM list never reports such a predecessor gone, so without
--- a/packages/control/src/head_writer.cc
+++ b/packages/control/src/head_writer.cc
@@ -221,18 +221,39 @@
     return;
   }
   for (const auto& [digest, text] : m_attempt.parts) {
-    m_store.CompareAndSwap(PartKey(Digest{digest}), text, 0,
-                           m_guard.Wrap([this](TimePoint received, const StoreWriteReply& reply) {
-                             OnPartWritten(received, reply);
-                           }));
+    m_store.CompareAndSwap(
+        PartKey(Digest{digest}), text, 0,
+        m_guard.Wrap([this, part = digest](TimePoint received, const StoreWriteReply& reply) {
+          OnPartWritten(received, part, reply);
+        }));
   }
 }
 
-void HeadWriter::OnPartWritten(TimePoint now, const StoreWriteReply& reply) {
-  // A conflict means that the part exists; its content follows from its key.
-  if (reply.status != StoreStatus::kOk && reply.status != StoreStatus::kConflict) {
+void HeadWriter::OnPartWritten(TimePoint now, const std::string& digest,
+                               const StoreWriteReply& reply) {
+  switch (reply.status) {
+    case StoreStatus::kOk:
+    case StoreStatus::kConflict:
+      // A conflict means that the part exists; its content follows from its key.
+      FinishPart(now, true, "");
+      return;
+    case StoreStatus::kRefused:
+      FinishPart(now, false, reply.reason);
+      return;
+    case StoreStatus::kUnknown:
+      m_store.Read(PartKey(Digest{digest}),
+                   m_guard.Wrap([this](TimePoint received, const StoreReadReply& read) {
+                     const bool exists = read.status == StoreStatus::kOk && read.found;
+                     FinishPart(received, exists, "the write had no answer");
+                   }));
+      return;
+  }
+}
+
+void HeadWriter::FinishPart(TimePoint now, bool written, std::string_view failure) {
+  if (!written) {
     m_attempt.parts_failed = true;
-    m_failure = fmt::format("a part was not written: {}", reply.reason);
+    m_failure = fmt::format("a part was not written: {}", failure);
   }
   if (--m_attempt.parts_left > 0) {
     return;
--- a/packages/control/src/head_writer.h
+++ b/packages/control/src/head_writer.h
@@ -73,7 +73,8 @@
   bool EditRegistration(TimePoint now, Attempt* attempt);
   void Refuse(TimePoint now, const std::string& reason);
   void WriteParts(TimePoint now);
-  void OnPartWritten(TimePoint now, const StoreWriteReply& reply);
+  void OnPartWritten(TimePoint now, const std::string& digest, const StoreWriteReply& reply);
+  void FinishPart(TimePoint now, bool written, std::string_view failure);
   void Swap(TimePoint now);
   void OnSwapped(TimePoint now, const StoreWriteReply& reply);
   void ReadBack(TimePoint now);
--- a/packages/control/src/vm_presence.cc
+++ b/packages/control/src/vm_presence.cc
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-VmPresence::VmPresence(std::string own_vm, VmDirectory& directory)
-    : m_own_vm(std::move(own_vm)), m_directory(directory) {}
+VmPresence::VmPresence(std::string own_vm, VmDirectory& directory,
+                       const FreshnessTracker& freshness)
+    : m_own_vm(std::move(own_vm)), m_directory(directory), m_freshness(freshness) {}
 
 void VmPresence::Tick(TimePoint now, const Head& head) {
   std::erase_if(m_daemons, [&](const auto& entry) {
@@ -31,7 +32,7 @@
            std::none_of(head.previous_daemons.begin(), head.previous_daemons.end(), listed);
   });
   for (const DaemonRecord& daemon : head.daemons) {
-    m_daemons[daemon.incarnation].vm = daemon.id;
+    m_daemons.try_emplace(daemon.incarnation, Daemon{daemon.id, m_trusted.contains(daemon.id)});
   }
   if (m_reading || (m_next_read && now < *m_next_read)) {
     return;
@@ -49,17 +50,21 @@
                    }));
 }
 
-std::set<std::string> VmPresence::Gone(const FreshnessTracker& freshness) const {
+std::set<std::string> VmPresence::Gone() const {
   std::set<std::string> gone;
   for (const auto& [incarnation, daemon] : m_daemons) {
-    const std::optional<TimePoint> heard = freshness.HeardAt(incarnation);
-    if (daemon.gone && !(heard && *heard > daemon.missing_since)) {
+    if (daemon.gone && !HeardSinceMissing(incarnation, daemon)) {
       gone.insert(incarnation);
     }
   }
   return gone;
 }
 
+bool VmPresence::HeardSinceMissing(const std::string& incarnation, const Daemon& daemon) const {
+  const std::optional<TimePoint> heard = m_freshness.HeardAt(incarnation);
+  return heard && *heard > daemon.missing_since;
+}
+
 void VmPresence::OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings) {
   std::set<std::string> vms;
   for (const VmListing& listing : listings) {
@@ -84,6 +89,11 @@
       daemon.missing = 0;
       continue;
     }
+    if (daemon.missing > 0 && HeardSinceMissing(incarnation, daemon)) {
+      // The reads so far were wrong; they say nothing about what happened since.
+      daemon.missing = 0;
+      daemon.gone = false;
+    }
     if (daemon.missing++ == 0) {
       daemon.missing_since = sent;
     }
--- a/packages/control/src/vm_presence.h
+++ b/packages/control/src/vm_presence.h
@@ -19,29 +19,31 @@
 class VmPresence {
  public:
   /// @param own_vm id of this daemon's VM; a list without it is not trusted.
-  VmPresence(std::string own_vm, VmDirectory& directory);
+  VmPresence(std::string own_vm, VmDirectory& directory, const FreshnessTracker& freshness);
 
   /// Reads the list when due; `head` names the daemons to look for.
   void Tick(TimePoint now, const Head& head);
 
   /// Incarnations in `head` whose VM was missing in two reads in a row and that were not heard
   /// from since the first of the two was sent.
-  std::set<std::string> Gone(const FreshnessTracker& freshness) const;
+  std::set<std::string> Gone() const;
 
  private:
   struct Daemon {
     std::string vm;
     bool listed = false;  ///< Was in the list at least once.
     int missing = 0;      ///< Reads in a row without it.
-    TimePoint missing_since;
+    TimePoint missing_since{};
     bool gone = false;
   };
 
   void OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings);
+  bool HeardSinceMissing(const std::string& incarnation, const Daemon& daemon) const;
   bool Trusted(const std::set<std::string>& vms) const;
 
   std::string m_own_vm;
   VmDirectory& m_directory;
+  const FreshnessTracker& m_freshness;
   std::map<std::string, Daemon> m_daemons;  ///< By incarnation.
   std::set<std::string> m_trusted;          ///< VMs of the last trusted list.
   std::optional<TimePoint> m_distrusted_since;
--- a/packages/control/tests/simulation.h
+++ b/packages/control/tests/simulation.h
@@ -253,6 +253,53 @@
     }
   }
 
+  /// Ends all faults.
+  void Heal() {
+    store_faults = StoreFaults();
+    node_faults.clear();
+    cuts.clear();
+    list_lag = Duration(0);
+    list_truncated = false;
+    for (const std::string& incarnation : Live()) {
+      Resume(incarnation);
+    }
+  }
+
+  /// Runs until `condition` holds; it has to within `limit`.
+  void Require(Duration limit, const std::function<bool()>& condition, const std::string& failure) {
+    const bool met = Run(limit, condition);
+    Check(met, failure + ": " + DescribeMembers());
+  }
+
+  /// Checks that a new change is in effect within 3 s, and all outcomes reported so far.
+  void RequireChangeTakesEffect() {
+    const int tag = SubmitChange(Live().front(), false);
+    Require(
+        Duration(3'000),
+        [&] {
+          const auto result = m_results.find(tag);
+          return result != m_results.end() && result->second.outcome == ChangeOutcome::kRecorded &&
+                 m_reported >= result->second.revision;
+        },
+        "a change is not in effect after 3 s");
+    Require(
+        Duration(1'000), [&] { return AllFresh(); }, "a daemon is not fresh after a change");
+    CheckChanges();
+  }
+
+  /// Starts `count` daemons and runs until all are registered and fresh.
+  std::vector<std::string> StartFleet(int count) {
+    std::vector<std::string> fleet;
+    for (int i = 1; i <= count; ++i) {
+      fleet.push_back(Start(fmt::format("vm-{}", i)));
+    }
+    Require(
+        Duration(20'000), [&] { return RegisteredExactlyLive() && AllFresh() && AllInEffect(); },
+        "the fleet does not start");
+    return fleet;
+  }
+  bool AllInEffect() const { return m_reported == m_head.revision; }
+
   Node* Find(const std::string& incarnation) {
     const auto found = m_nodes.find(incarnation);
     return found == m_nodes.end() ? nullptr : found->second.get();
@@ -311,6 +358,19 @@
   const std::string& trace() const { return m_trace; }
   std::uint64_t event_count() const { return m_event_count; }
   const std::map<int, ChangeResult>& results() const { return m_results; }
+  std::uint64_t beats_from(const std::string& incarnation) const {
+    const auto found = m_beats.find(incarnation);
+    return found == m_beats.end() ? 0 : found->second;
+  }
+  /// Records a head whose part `name` has the text `text`.
+  void Corrupt(const std::string& name, const std::string& text) {
+    Head head = m_head;
+    ++head.revision;
+    head.writer = "test";
+    head.parts[name] = Sha256(text);
+    Apply("test", PartKey(head.parts[name]), text, 0);
+    Apply("test", std::string(kHeadKey), EncodeHead(head), m_values[std::string(kHeadKey)].index);
+  }
   std::uint64_t store_calls() const { return m_store_calls; }
 
   StoreFaults store_faults;                        ///< Of all calls.
@@ -498,6 +558,9 @@
       });
     };
     After(HalfCall(incarnation), [this, incarnation, key, value, index, answer] {
+      if (write_hook) {
+        write_hook(key == kHeadKey ? Write::kSwap : Write::kPart, incarnation);
+      }
       const StoreFaults faults = FaultsOf(incarnation);
       if (faults.down) {
         answer(m_random.Below(2) == 0 ? StoreStatus::kRefused : StoreStatus::kUnknown,
@@ -521,9 +584,6 @@
 
   bool Apply(const std::string& incarnation, const std::string& key, const std::string& value,
              std::uint64_t index) {
-    if (write_hook) {
-      write_hook(key == kHeadKey ? Write::kSwap : Write::kPart, incarnation);
-    }
     const auto found = m_values.find(key);
     if ((found == m_values.end() ? 0 : found->second.index) != index) {
       return false;
@@ -592,6 +652,7 @@
     if (target == sender) {
       return;
     }
+    m_beats[sender] += std::holds_alternative<Beat>(message) ? 1 : 0;
     Duration delay(1 + m_random.Below(10));
     if (IsCut(sender, target)) {
       if (!late_messages || m_random.Below(3) != 0) {
@@ -668,6 +729,7 @@
   std::map<std::pair<std::string, std::string>, TimePoint> m_last_delivery;
   Head m_head;
   std::vector<DaemonRecord> m_ever_registered;
+  std::map<std::string, std::uint64_t> m_beats;
   std::uint64_t m_reported = 0;
   std::string m_reporter;
   TimePoint m_next_sweep;
