Split the request router; take VMs out of service and remove lost ones

A VM that is gone from the VM list can have its record removed, and a drain without a target pool leaves the VM empty; before, a failed VM could never be removed, since its worker cannot be asked whether it runs anything.

--- a/packages/control/src/vm_mover.cc
+++ b/packages/control/src/vm_mover.cc
@@ -26,7 +26,7 @@
   if (vm == fleet.vms.end()) {
     return fmt::format("VM {} is unknown", id);
   }
-  if (!fleet.pools.contains(to)) {
+  if (!to.empty() && !fleet.pools.contains(to)) {
     return fmt::format("pool {} is unknown", to);
   }
   if (IsMoving(vm->second)) {
@@ -183,7 +183,11 @@
     });
   }
   for (const std::string& id : m_moving) {
-    Advance(now, fleet.vms.find(id)->second);
+    const Vm& vm = fleet.vms.find(id)->second;
+    const bool out_of_service = vm.state == VmState::kEmpty && vm.target_pool.empty();
+    if (!out_of_service) {
+      Advance(now, vm);
+    }
   }
   SubmitSteps(now);
 }
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/pending_requests.h
@@ -0,0 +1,80 @@
+#ifndef CRANBERRYPLANK_DAEMON_PENDING_REQUESTS_H_
+#define CRANBERRYPLANK_DAEMON_PENDING_REQUESTS_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cranberryplank/daemon/caller_request.h"
+#include "cranberryplank/daemon/metrics.h"
+#include "cranberryplank/daemon/ticket_book.h"
+
+namespace cranberryplank {
+
+/// Accepted request that has no reply yet.
+struct PendingRequest {
+  CallerRequest request;
+  ReplyCallback done;
+  TimePoint accepted;
+  std::vector<std::string> excluded;   ///< Workers that failed it.
+  bool holds_ticket = false;           ///< The ticket book admitted this use of its ticket.
+  bool may_have_run = false;           ///< An earlier attempt's outcome is unknown.
+  int attempts = 0;                    ///< Starts sent to workers.
+  std::optional<TimePoint> answer_by;  ///< Set while the fate of its attempt is looked up.
+};
+
+/// Requests without a reply, and the one place where replies are made.
+class PendingRequests {
+ public:
+  /// Both arguments must outlive this object.
+  PendingRequests(const TicketBook* tickets, Metrics* metrics);
+
+  /// Keeps a request under its task id, which must not be in use.
+  void Keep(PendingRequest pending);
+
+  /// Takes a request out, for a reply or for another owner.
+  std::optional<PendingRequest> Take(std::string_view task_id);
+
+  /// Returns nullptr if there is none. Valid until the next Keep or Take.
+  PendingRequest* Find(std::string_view task_id);
+
+  bool empty() const { return m_requests.empty(); }
+
+  /// Task ids of requests for which `condition` holds.
+  template <typename Condition>
+  std::vector<std::string> Select(Condition condition) const {
+    std::vector<std::string> selected;
+    for (const auto& [task_id, pending] : m_requests) {
+      if (condition(pending)) {
+        selected.push_back(task_id);
+      }
+    }
+    return selected;
+  }
+
+  /// Replies that the request is refused. The verdict is "not run" unless an attempt, or an earlier
+  /// use of its ticket, may have run.
+  void Refuse(TimePoint now, const PendingRequest& pending, int status, std::string_view reason,
+              std::optional<Duration> retry_after = std::nullopt) const;
+
+  /// Replies that it is not known whether the request ran.
+  void AnswerMayHaveRun(TimePoint now, const PendingRequest& pending,
+                        std::string_view reason) const;
+
+  /// Replies with a given outcome.
+  void Reply(TimePoint now, const PendingRequest& pending, CallerReply reply) const;
+
+ private:
+  Verdict RefusalVerdict(const PendingRequest& pending) const;
+
+  const TicketBook* m_tickets;
+  Metrics* m_metrics;
+  std::unordered_map<std::string, PendingRequest> m_requests;  ///< By task id.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_PENDING_REQUESTS_H_
--- a/packages/daemon/include/cranberryplank/daemon/request_router.h
+++ b/packages/daemon/include/cranberryplank/daemon/request_router.h
@@ -10,7 +10,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "cranberryplank/control/head_control.h"
@@ -18,9 +17,10 @@
 #include "cranberryplank/daemon/admission.h"
 #include "cranberryplank/daemon/caller_request.h"
 #include "cranberryplank/daemon/demand_board.h"
-#include "cranberryplank/daemon/forward_table.h"
 #include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/daemon/peer_table.h"
+#include "cranberryplank/daemon/pending_requests.h"
+#include "cranberryplank/daemon/request_forwarder.h"
 #include "cranberryplank/daemon/task_runner.h"
 #include "cranberryplank/daemon/ticket_book.h"
 #include "cranberryplank/model/random.h"
@@ -108,31 +108,15 @@
   std::size_t waiting() const { return m_queue.size(); }
 
  private:
-  struct Pending {
-    CallerRequest request;
-    ReplyCallback done;
-    TimePoint accepted;
-    std::vector<std::string> excluded;   ///< Workers that failed it.
-    bool holds_ticket = false;           ///< The ticket book admitted this use of its ticket.
-    bool may_have_run = false;           ///< An earlier attempt's outcome is unknown.
-    int attempts = 0;                    ///< Starts sent to workers.
-    std::optional<TimePoint> answer_by;  ///< Set while the fate of its attempt is looked up.
-  };
   enum class DispatchOutcome { kStarted, kRefused, kNoSlot, kNoWorker };
 
-  void Admit(TimePoint now, Pending pending);
-  bool AdmitTicket(TimePoint now, Pending* pending);
-  void Enqueue(TimePoint now, Pending pending);
-  void Requeue(TimePoint now, Pending pending, std::string_view reason);
-  PushResult Push(TimePoint now, const Pending& pending, int max_waiting);
-
-  void Refuse(TimePoint now, const Pending& pending, int status, std::string_view reason,
-              std::optional<Duration> retry_after = std::nullopt);
-  void AnswerMayHaveRun(TimePoint now, const Pending& pending, std::string_view reason);
-  void Reply(TimePoint now, const Pending& pending, CallerReply reply);
-  Verdict RefusalVerdict(const Pending& pending) const;
+  void Admit(TimePoint now, PendingRequest pending);
+  bool AdmitTicket(TimePoint now, PendingRequest* pending);
+  void Enqueue(TimePoint now, PendingRequest pending);
+  void Requeue(TimePoint now, PendingRequest pending, std::string_view reason);
+  PushResult Push(TimePoint now, const PendingRequest& pending, int max_waiting);
+
   Duration RetryAfterFor(const CallerRequest& request, const Queue& queue);
-  std::optional<Pending> TakePending(std::string_view task_id);
 
   std::optional<TimePoint> DispatchUntil(TimePoint now, std::string* last_reason) const;
   void PumpAll(TimePoint now);
@@ -140,13 +124,14 @@
   DispatchOutcome Dispatch(TimePoint now, const std::string& pool, std::string_view reason,
                            TimePoint fresh_until, const WaitingRequest& waiting);
   std::optional<PlacementChoice> ChooseWorker(TimePoint now, const std::string& pool,
-                                              const Pending& pending);
+                                              const PendingRequest& pending);
   void Start(TimePoint now, const Queue& queue, const PlacementChoice& choice,
-             TimePoint fresh_until, Pending* pending);
+             TimePoint fresh_until, PendingRequest* pending);
   void OnEnd(TimePoint now, const std::string& task_id, const std::string& vm, const TaskEnd& end);
-  void OnCompleted(TimePoint now, Pending pending, const std::string& vm, const TaskEnd& end);
-  void OnCheckpointed(TimePoint now, Pending pending);
-  void OnNoAnswer(TimePoint now, Pending pending, const std::string& vm);
+  void OnCompleted(TimePoint now, PendingRequest pending, const std::string& vm,
+                   const TaskEnd& end);
+  void OnCheckpointed(TimePoint now, PendingRequest pending);
+  void OnNoAnswer(TimePoint now, PendingRequest pending, const std::string& vm);
   void OnResolved(TimePoint now, const std::string& task_id, TaskFate fate);
 
   void DropExpired(TimePoint now);
@@ -156,18 +141,6 @@
   void UpdateShares(TimePoint now, std::uint64_t rotation);
   void OnConfiguration(TimePoint now);
 
-  void ForwardWaiting(TimePoint now);
-  std::optional<RouteChoice> RouteOf(TimePoint now, const std::string& pool,
-                                     const std::string& team, const WaitingRequest& next);
-  void Forward(TimePoint now, const std::string& incarnation, std::string_view reason,
-               Pending pending);
-  void OnForwardEnd(TimePoint now, const std::string& task_id, const ForwardReply* reply,
-                    std::string_view reason);
-  void OnMessage(TimePoint now, const std::string& sender, const PeerMessage& message);
-  std::optional<std::string> AnyRegisteredPeer() const;
-  bool Registered() const;
-  bool HasFreeSlot(std::string_view team) const;
-
   RouterParts m_parts;
   RouterOptions m_options;
   AdmissionCheck m_admission;
@@ -177,8 +150,8 @@
   RetryBudget m_retries;
   TaskRunner m_runner;
   DemandBoard m_demand;
-  ForwardTable m_forwards;
-  std::unordered_map<std::string, Pending> m_pending;  ///< Every request without a reply.
+  PendingRequests m_pending;
+  RequestForwarder m_forwarder;
   std::set<std::string, std::less<>> m_leaving;
   TimePoint m_shares_updated;
   std::optional<TimePoint> m_stale_since;  ///< Since when this daemon has not been fresh.
--- a/packages/daemon/include/cranberryplank/daemon/vm_list_tracker.h
+++ b/packages/daemon/include/cranberryplank/daemon/vm_list_tracker.h
@@ -34,6 +34,9 @@
   /// VMs that leave or are gone, as of the last trusted list.
   const LeavingSet& leaving() const { return m_leaving; }
 
+  /// Tells whether a trusted list was read and does not show `vm` any more.
+  bool IsGone(std::string_view vm) const { return !m_listed.empty() && !m_listed.contains(vm); }
+
   /// Lists not trusted since the start.
   std::uint64_t distrusted() const { return m_distrusted; }
 
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -424,14 +424,16 @@
 
 void AdminApi::RemoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
   Submit(now, exchange, fmt::format("remove VM {}", id),
-         [id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+         [this, id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
            const auto vm = current.vms.find(id);
            if (vm == current.vms.end()) {
              *last_reason = fmt::format("VM {} is unknown", id);
              return std::nullopt;
            }
-           if (vm->second.state != VmState::kEmpty || !vm->second.target_pool.empty()) {
-             *last_reason = "the VM is not drained and empty";
+           const bool drained =
+               vm->second.state == VmState::kEmpty && vm->second.target_pool.empty();
+           if (!drained && !m_parts.vm_list->IsGone(id)) {
+             *last_reason = "the VM is neither drained and empty nor gone from the VM list";
              return std::nullopt;
            }
            Fleet next = current;
@@ -440,8 +442,10 @@
          });
 }
 
-void AdminApi::DrainVm(TimePoint /*now*/, const Exchange& exchange, const std::string& /*id*/) {
-  exchange->Reply(Error(422, "draining without a target pool is not supported yet"));
+void AdminApi::DrainVm(TimePoint now, const Exchange& exchange, const std::string& id) {
+  m_parts.mover->Start(now, id, "", [this, exchange](TimePoint at, const ChangeResult& result) {
+    ReplyChange(at, exchange, result);
+  });
 }
 
 void AdminApi::MoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
@@ -450,7 +454,7 @@
     return;
   }
   std::string pool;
-  if (!GetField(*body, "pool", &pool)) {
+  if (!GetField(*body, "pool", &pool) || pool.empty()) {
     exchange->Reply(Error(400, "expected pool"));
     return;
   }
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -25,12 +25,6 @@
 /// Starts of one request that workers may refuse before the request is refused.
 constexpr int kMaxAttempts = 10;
 
-/// Hops of a forwarded request: to the owner of its ticket and from there to a slot holder.
-constexpr int kMaxHops = 2;
-
-/// Added to a forwarded request's deadline, so that the other daemon's own answer comes first.
-constexpr Duration kForwardMargin{500};
-
 std::string FormatCandidates(std::span<const PlacementCandidate> candidates) {
   std::string text;
   for (const PlacementCandidate& candidate : candidates) {
@@ -48,9 +42,17 @@
       m_tickets(parts.head->incarnation(), options.tickets, parts.random),
       m_runner(parts.workers, parts.slots, options.rules.keep_uncertain_slots),
       m_demand(parts.head, &m_queue, &m_runner, &m_peers),
-      m_forwards(parts.links) {
+      m_pending(&m_tickets, parts.metrics),
+      m_forwarder(
+          ForwarderParts{parts.head, parts.slots, parts.links, parts.shares, parts.random, &m_peers,
+                         &m_demand, &m_queue, &m_pending},
+          [this](TimePoint now, PendingRequest pending, std::string_view reason) {
+            Requeue(now, std::move(pending), reason);
+          },
+          [this](TimePoint now, CallerRequest request, ReplyCallback done) {
+            Accept(now, std::move(request), std::move(done));
+          }) {
   m_parts.head->signal_changed().connect(sigc::mem_fun(*this, &RequestRouter::OnConfiguration));
-  m_parts.links->signal_message().connect(sigc::mem_fun(*this, &RequestRouter::OnMessage));
 }
 
 // --- Accepting ---
@@ -60,7 +62,7 @@
     request.task_id = m_parts.random->Nonce();
   }
   std::string task_id = request.task_id;
-  Pending pending;
+  PendingRequest pending;
   pending.request = std::move(request);
   pending.done = std::move(done);
   pending.accepted = now;
@@ -68,23 +70,23 @@
   return task_id;
 }
 
-void RequestRouter::Admit(TimePoint now, Pending pending) {
+void RequestRouter::Admit(TimePoint now, PendingRequest pending) {
   CallerRequest& request = pending.request;
-  if (m_pending.contains(request.task_id)) {
-    Refuse(now, pending, 409, "a request with this task id is under way");
+  if (m_pending.Find(request.task_id) != nullptr) {
+    m_pending.Refuse(now, pending, 409, "a request with this task id is under way");
     return;
   }
   const auto refusal =
       m_admission.Check(m_parts.head->fleet(), request.queue, request.key_digest, &request.team);
   if (refusal) {
-    Refuse(now, pending, refusal->status, refusal->reason);
+    m_pending.Refuse(now, pending, refusal->status, refusal->reason);
     return;
   }
   if (!request.ticket.empty() && !AdmitTicket(now, &pending)) {
     return;
   }
   if (m_shutting_down) {
-    Refuse(now, pending, 503, "this daemon is shutting down", kStalePatience);
+    m_pending.Refuse(now, pending, 503, "this daemon is shutting down", kStalePatience);
     return;
   }
   std::string stale_reason;
@@ -92,23 +94,21 @@
     Enqueue(now, std::move(pending));
     return;
   }
-  const auto peer = Registered() || request.hops >= kMaxHops ? std::nullopt : AnyRegisteredPeer();
-  if (peer) {
-    Forward(now, *peer, "not registered", std::move(pending));
+  if (m_forwarder.ForwardUnregistered(now, &pending)) {
     return;
   }
-  Refuse(now, pending, 503, stale_reason, kStalePatience);
+  m_pending.Refuse(now, pending, 503, stale_reason, kStalePatience);
 }
 
-bool RequestRouter::AdmitTicket(TimePoint now, Pending* pending) {
+bool RequestRouter::AdmitTicket(TimePoint now, PendingRequest* pending) {
   CallerRequest& request = pending->request;
   const std::string owner(TicketBook::OwnerOf(request.ticket));
   if (owner != m_parts.head->incarnation()) {
     if (m_parts.head->head().FindIncarnation(owner) == nullptr || request.hops >= kMaxHops) {
-      AnswerMayHaveRun(now, *pending, "the daemon that issued the ticket is gone");
+      m_pending.AnswerMayHaveRun(now, *pending, "the daemon that issued the ticket is gone");
       return false;
     }
-    Forward(now, owner, "owner of the ticket", std::move(*pending));
+    m_forwarder.Forward(now, owner, "owner of the ticket", std::move(*pending));
     return false;
   }
   CallerReply reply;
@@ -129,10 +129,10 @@
       pending->done(now, reply);
       return false;
     case TicketBook::Admission::kUnknown:
-      AnswerMayHaveRun(now, *pending, "the ticket has expired");
+      m_pending.AnswerMayHaveRun(now, *pending, "the ticket has expired");
       return false;
     case TicketBook::Admission::kForeign:
-      AnswerMayHaveRun(now, *pending, "the ticket belongs to another request");
+      m_pending.AnswerMayHaveRun(now, *pending, "the ticket belongs to another request");
       return false;
   }
   return false;
@@ -152,11 +152,11 @@
   return m_tickets.Issue(now, *team, count);
 }
 
-void RequestRouter::Enqueue(TimePoint now, Pending pending) {
+void RequestRouter::Enqueue(TimePoint now, PendingRequest pending) {
   const CallerRequest& request = pending.request;
   const auto queue = m_parts.head->fleet().queues.find(request.queue);
   if (queue == m_parts.head->fleet().queues.end()) {
-    Refuse(now, pending, 404, "unknown queue");
+    m_pending.Refuse(now, pending, 404, "unknown queue");
     return;
   }
   DropExpired(now);
@@ -164,18 +164,17 @@
     case PushResult::kQueued:
       break;
     case PushResult::kFull:
-      Refuse(now, pending, 429, "queue full", RetryAfterFor(request, queue->second));
+      m_pending.Refuse(now, pending, 429, "queue full", RetryAfterFor(request, queue->second));
       return;
     case PushResult::kDuplicate:
-      Refuse(now, pending, 409, "a request with this task id waits");
+      m_pending.Refuse(now, pending, 409, "a request with this task id waits");
       return;
     case PushResult::kExpired:
-      Refuse(now, pending, 503, "deadline passed");
+      m_pending.Refuse(now, pending, 503, "deadline passed");
       return;
   }
   const std::string pool = queue->second.pool;
-  const std::string task_id = request.task_id;
-  m_pending.emplace(task_id, std::move(pending));
+  m_pending.Keep(std::move(pending));
   Pump(now, pool);
 }
 
@@ -183,64 +182,16 @@
   if (!m_queue.Take(task_id)) {
     return false;
   }
-  const auto pending = TakePending(task_id);
+  const auto pending = m_pending.Take(task_id);
   if (!pending) {
     return false;
   }
-  Refuse(now, *pending, 503, "cancelled by the caller");
+  m_pending.Refuse(now, *pending, 503, "cancelled by the caller");
   return !pending->may_have_run;
 }
 
 // --- Replying ---
 
-Verdict RequestRouter::RefusalVerdict(const Pending& pending) const {
-  // An earlier use of the ticket may have run, whatever becomes of this one.
-  const std::string& ticket = pending.request.ticket;
-  const bool first_use = ticket.empty() || pending.holds_ticket || m_tickets.IsUnused(ticket);
-  return pending.may_have_run || !first_use ? Verdict::kMayHaveRun : Verdict::kNotRun;
-}
-
-void RequestRouter::Refuse(TimePoint now, const Pending& pending, int status,
-                           std::string_view reason, std::optional<Duration> retry_after) {
-  CallerReply reply;
-  reply.verdict = RefusalVerdict(pending);
-  reply.status = status;
-  reply.reason = reason;
-  reply.retry_after = retry_after;
-  LogLine(LogLevel::kInfo, "refusal")
-      .Field("task", pending.request.task_id)
-      .Field("queue", pending.request.queue)
-      .Field("team", pending.request.team)
-      .Field("verdict", ToString(reply.verdict))
-      .Field("status", status)
-      .Field("reason", reason);
-  Reply(now, pending, std::move(reply));
-}
-
-void RequestRouter::AnswerMayHaveRun(TimePoint now, const Pending& pending,
-                                     std::string_view reason) {
-  CallerReply reply;
-  reply.verdict = Verdict::kMayHaveRun;
-  reply.status = now >= pending.request.deadline ? 504 : 502;
-  reply.reason = reason;
-  LogLine(LogLevel::kWarning, "may_have_run")
-      .Field("task", pending.request.task_id)
-      .Field("queue", pending.request.queue)
-      .Field("team", pending.request.team)
-      .Field("reason", reason);
-  Reply(now, pending, std::move(reply));
-}
-
-void RequestRouter::Reply(TimePoint now, const Pending& pending, CallerReply reply) {
-  reply.task_id = pending.request.task_id;
-  m_parts.metrics->Count(
-      "cranberryplank_requests_total",
-      fmt::format("verdict=\"{}\",status=\"{}\"", ToString(reply.verdict), reply.status));
-  m_parts.metrics->RecordLatency(
-      std::chrono::duration_cast<Metrics::Latency>(now - pending.accepted));
-  pending.done(now, reply);
-}
-
 Duration RequestRouter::RetryAfterFor(const CallerRequest& request, const Queue& queue) {
   RefusalState state;
   state.waiting = m_queue.Waiting(m_demand.QueuesOf(queue.pool), request.team);
@@ -249,16 +200,6 @@
   return RetryAfter::Compute(state, *m_parts.random);
 }
 
-std::optional<RequestRouter::Pending> RequestRouter::TakePending(std::string_view task_id) {
-  const auto found = m_pending.find(std::string(task_id));
-  if (found == m_pending.end()) {
-    return std::nullopt;
-  }
-  Pending pending = std::move(found->second);
-  m_pending.erase(found);
-  return pending;
-}
-
 // --- Dispatching ---
 
 std::optional<TimePoint> RequestRouter::DispatchUntil(TimePoint now,
@@ -309,19 +250,19 @@
                                                        std::string_view reason,
                                                        TimePoint fresh_until,
                                                        const WaitingRequest& waiting) {
-  const auto found = m_pending.find(waiting.task_id);
-  if (found == m_pending.end()) {
+  PendingRequest* found = m_pending.Find(waiting.task_id);
+  if (found == nullptr) {
     return DispatchOutcome::kRefused;
   }
-  Pending& pending = found->second;
+  PendingRequest& pending = *found;
   if (m_options.rules.check_key_before_dispatch) {
     std::string team;
     const auto refusal = m_admission.Check(m_parts.head->fleet(), pending.request.queue,
                                            pending.request.key_digest, &team);
     if (refusal || team != pending.request.team) {
-      const Pending refused = *TakePending(waiting.task_id);
-      Refuse(now, refused, refusal ? refusal->status : 403,
-             refusal ? refusal->reason : "the key was granted to another team");
+      const PendingRequest refused = *m_pending.Take(waiting.task_id);
+      m_pending.Refuse(now, refused, refusal ? refusal->status : 403,
+                       refusal ? refusal->reason : "the key was granted to another team");
       return DispatchOutcome::kRefused;
     }
   }
@@ -348,7 +289,7 @@
 }
 
 std::optional<PlacementChoice> RequestRouter::ChooseWorker(TimePoint now, const std::string& pool,
-                                                           const Pending& pending) {
+                                                           const PendingRequest& pending) {
   PlacementRequest wanted{pool, m_options.zone, pending.request.idempotent, pending.excluded};
   const std::span<const WorkerView> views = m_runner.workers().Views(now, pool);
   auto choice = m_parts.placement->Choose(now, wanted, views, m_runner.health(), *m_parts.random);
@@ -361,7 +302,7 @@
 }
 
 void RequestRouter::Start(TimePoint now, const Queue& queue, const PlacementChoice& choice,
-                          TimePoint fresh_until, Pending* pending) {
+                          TimePoint fresh_until, PendingRequest* pending) {
   const CallerRequest& request = pending->request;
   CP_INVARIANT(!pending->may_have_run || request.idempotent ||
                    !m_options.rules.never_rerun_after_may_have_run,
@@ -402,7 +343,7 @@
 
 void RequestRouter::OnEnd(TimePoint now, const std::string& task_id, const std::string& vm,
                           const TaskEnd& end) {
-  auto pending = TakePending(task_id);
+  auto pending = m_pending.Take(task_id);
   if (!pending) {
     return;
   }
@@ -414,8 +355,8 @@
       if (pending->attempts < kMaxAttempts) {
         Requeue(now, std::move(*pending), end.result.reason);
       } else {
-        Refuse(now, *pending, 503, fmt::format("workers refused it: {}", end.result.reason),
-               kStalePatience);
+        m_pending.Refuse(now, *pending, 503,
+                         fmt::format("workers refused it: {}", end.result.reason), kStalePatience);
       }
       break;
     case Verdict::kMayHaveRun:
@@ -424,7 +365,7 @@
   }
 }
 
-void RequestRouter::OnCompleted(TimePoint now, Pending pending, const std::string& vm,
+void RequestRouter::OnCompleted(TimePoint now, PendingRequest pending, const std::string& vm,
                                 const TaskEnd& end) {
   if (end.checkpointed) {
     OnCheckpointed(now, std::move(pending));
@@ -446,19 +387,19 @@
   reply.status = end.result.status;
   reply.content_type = end.result.content_type;
   reply.body = end.result.body;
-  Reply(now, pending, std::move(reply));
+  m_pending.Reply(now, pending, std::move(reply));
 }
 
-void RequestRouter::OnCheckpointed(TimePoint now, Pending pending) {
+void RequestRouter::OnCheckpointed(TimePoint now, PendingRequest pending) {
   pending.may_have_run = true;
   if (pending.request.idempotent && now < pending.request.deadline && !m_shutting_down) {
     Requeue(now, std::move(pending), "checkpointed");
     return;
   }
-  AnswerMayHaveRun(now, pending, "the task was checkpointed before it finished");
+  m_pending.AnswerMayHaveRun(now, pending, "the task was checkpointed before it finished");
 }
 
-void RequestRouter::OnNoAnswer(TimePoint now, Pending pending, const std::string& vm) {
+void RequestRouter::OnNoAnswer(TimePoint now, PendingRequest pending, const std::string& vm) {
   const bool may_rerun =
       pending.request.idempotent || !m_options.rules.never_rerun_after_may_have_run;
   if (may_rerun && pending.attempts < kMaxAttempts && now < pending.request.deadline &&
@@ -469,27 +410,26 @@
     return;
   }
   pending.answer_by = std::min(now + kFatePatience, pending.request.deadline);
-  std::string task_id = pending.request.task_id;
-  m_pending.emplace(std::move(task_id), std::move(pending));
+  m_pending.Keep(std::move(pending));
 }
 
 void RequestRouter::OnResolved(TimePoint now, const std::string& task_id, TaskFate fate) {
-  const auto found = m_pending.find(task_id);
-  if (found == m_pending.end() || !found->second.answer_by) {
+  const PendingRequest* found = m_pending.Find(task_id);
+  if (found == nullptr || !found->answer_by) {
     return;
   }
-  Pending pending = *TakePending(task_id);
+  PendingRequest pending = *m_pending.Take(task_id);
   pending.answer_by.reset();
   if (fate == TaskFate::kEnded) {
-    AnswerMayHaveRun(now, pending, "the worker's answer was lost");
+    m_pending.AnswerMayHaveRun(now, pending, "the worker's answer was lost");
   } else if (pending.attempts < kMaxAttempts) {
     Requeue(now, std::move(pending), "the worker never received it");
   } else {
-    Refuse(now, pending, 503, "no worker received it", kStalePatience);
+    m_pending.Refuse(now, pending, 503, "no worker received it", kStalePatience);
   }
 }
 
-void RequestRouter::Requeue(TimePoint now, Pending pending, std::string_view reason) {
+void RequestRouter::Requeue(TimePoint now, PendingRequest pending, std::string_view reason) {
   const CallerRequest& request = pending.request;
   LogLine(LogLevel::kInfo, "requeue")
       .Field("task", request.task_id)
@@ -497,19 +437,19 @@
       .Field("reason", reason);
   const auto queue = m_parts.head->fleet().queues.find(request.queue);
   if (queue == m_parts.head->fleet().queues.end()) {
-    Refuse(now, pending, 404, "unknown queue");
+    m_pending.Refuse(now, pending, 404, "unknown queue");
     return;
   }
   // The request had left its place in the queue, so one more than the bound may wait.
   if (Push(now, pending, queue->second.max_waiting + 1) != PushResult::kQueued) {
-    Refuse(now, pending, 503, "no time or place to wait for another attempt", kStalePatience);
+    m_pending.Refuse(now, pending, 503, "no time or place to wait for another attempt",
+                     kStalePatience);
     return;
   }
-  std::string task_id = request.task_id;
-  m_pending.emplace(std::move(task_id), std::move(pending));
+  m_pending.Keep(std::move(pending));
 }
 
-PushResult RequestRouter::Push(TimePoint now, const Pending& pending, int max_waiting) {
+PushResult RequestRouter::Push(TimePoint now, const PendingRequest& pending, int max_waiting) {
   const CallerRequest& request = pending.request;
   WaitingRequest waiting;
   waiting.task_id = request.task_id;
@@ -529,20 +469,19 @@
   DropExpired(now);
   DropStale(now);
   AnswerUnresolved(now);
-  m_forwards.Tick(now);
   m_runner.Tick(now);
   if (now - m_shares_updated >= kShareInterval) {
     m_shares_updated = now;
     UpdateShares(now, rotation);
   }
   PumpAll(now);
-  ForwardWaiting(now);
+  m_forwarder.Tick(now);
 }
 
 void RequestRouter::DropExpired(TimePoint now) {
   for (const WaitingRequest& waiting : m_queue.TakeExpired(now)) {
-    if (const auto pending = TakePending(waiting.task_id)) {
-      Refuse(now, *pending, 503, "deadline passed while waiting");
+    if (const auto pending = m_pending.Take(waiting.task_id)) {
+      m_pending.Refuse(now, *pending, 503, "deadline passed while waiting");
     }
   }
 }
@@ -560,21 +499,18 @@
     return;
   }
   for (const WaitingRequest& waiting : m_queue.TakeAll()) {
-    if (const auto pending = TakePending(waiting.task_id)) {
-      Refuse(now, *pending, 503, reason, kStalePatience);
+    if (const auto pending = m_pending.Take(waiting.task_id)) {
+      m_pending.Refuse(now, *pending, 503, reason, kStalePatience);
     }
   }
 }
 
 void RequestRouter::AnswerUnresolved(TimePoint now) {
-  std::vector<std::string> due;
-  for (const auto& [task_id, pending] : m_pending) {
-    if (pending.answer_by && *pending.answer_by <= now) {
-      due.push_back(task_id);
-    }
-  }
+  const auto due = m_pending.Select([&](const PendingRequest& pending) {
+    return pending.answer_by && *pending.answer_by <= now;
+  });
   for (const std::string& task_id : due) {
-    AnswerMayHaveRun(now, *TakePending(task_id), "the worker did not answer");
+    m_pending.AnswerMayHaveRun(now, *m_pending.Take(task_id), "the worker did not answer");
   }
 }
 
@@ -592,24 +528,21 @@
 }
 
 void RequestRouter::DropNotAdmitted(TimePoint now) {
-  std::vector<std::string> dropped;
-  for (const auto& [task_id, pending] : m_pending) {
+  const auto refusal_of = [&](const PendingRequest& pending) {
     std::string team;
-    if (m_admission.Check(m_parts.head->fleet(), pending.request.queue, pending.request.key_digest,
-                          &team)) {
-      dropped.push_back(task_id);
-    }
-  }
+    return m_admission.Check(m_parts.head->fleet(), pending.request.queue,
+                             pending.request.key_digest, &team);
+  };
+  const auto dropped = m_pending.Select(
+      [&](const PendingRequest& pending) { return refusal_of(pending).has_value(); });
   for (const std::string& task_id : dropped) {
     // Only what waits can be dropped; what was sent to a worker or a peer goes on.
     if (!m_queue.Take(task_id)) {
       continue;
     }
-    const Pending pending = *TakePending(task_id);
-    std::string team;
-    const auto refusal = m_admission.Check(m_parts.head->fleet(), pending.request.queue,
-                                           pending.request.key_digest, &team);
-    Refuse(now, pending, refusal->status, refusal->reason);
+    const PendingRequest pending = *m_pending.Take(task_id);
+    const auto refusal = refusal_of(pending);
+    m_pending.Refuse(now, pending, refusal->status, refusal->reason);
   }
 }
 
@@ -645,180 +578,12 @@
   beat->leaving_vms.insert(beat->leaving_vms.end(), m_leaving.begin(), m_leaving.end());
 }
 
-// --- Forwarding ---
-
-bool RequestRouter::Registered() const {
-  return m_parts.head->head().FindIncarnation(m_parts.head->incarnation()) != nullptr;
-}
-
-std::optional<std::string> RequestRouter::AnyRegisteredPeer() const {
-  std::vector<std::string> peers;
-  for (const std::string& incarnation : m_peers.Daemons()) {
-    if (m_parts.head->head().FindIncarnation(incarnation) != nullptr) {
-      peers.push_back(incarnation);
-    }
-  }
-  if (peers.empty()) {
-    return std::nullopt;
-  }
-  return peers[m_parts.random->Below(peers.size())];
-}
-
-void RequestRouter::ForwardWaiting(TimePoint now) {
-  for (const auto& [pool, queues] : m_demand.QueuesByPool()) {
-    for (const std::string& team : m_queue.Teams(queues)) {
-      while (const WaitingRequest* next = m_queue.Peek(now, queues, team)) {
-        const auto route = RouteOf(now, pool, team, *next);
-        if (!route) {
-          break;
-        }
-        const std::string task_id = next->task_id;
-        m_queue.Take(task_id);
-        m_peers.UseSlot(route->daemon, team);
-        Forward(now, route->daemon, route->reason, *TakePending(task_id));
-      }
-    }
-  }
-}
-
-std::optional<RouteChoice> RequestRouter::RouteOf(TimePoint now, const std::string& pool,
-                                                  const std::string& team,
-                                                  const WaitingRequest& next) {
-  const auto pending = m_pending.find(next.task_id);
-  if (pending == m_pending.end() || pending->second.request.hops >= kMaxHops) {
-    return std::nullopt;
-  }
-  LocalTeam local = m_demand.Local(now, pool, team);
-  local.may_start = HasFreeSlot(team);
-  RouteChoice route =
-      m_parts.shares->Route(now, pool, local, m_demand.Free(now, pool), m_peers.Holders(team));
-  if (!route.forward) {
-    return std::nullopt;
-  }
-  return route;
-}
-
-bool RequestRouter::HasFreeSlot(std::string_view team) const {
-  for (const FreeSlots& slots : m_parts.slots->Free()) {
-    if (slots.team == team) {
-      return slots.free > 0;
-    }
-  }
-  return false;
-}
-
-void RequestRouter::Forward(TimePoint now, const std::string& incarnation, std::string_view reason,
-                            Pending pending) {
-  const CallerRequest& request = pending.request;
-  ForwardRequest message;
-  message.task_id = request.task_id;
-  // Only the owner of the ticket may look it up; any other daemon would send it back there.
-  message.ticket = TicketBook::OwnerOf(request.ticket) == incarnation ? request.ticket : "";
-  message.queue = request.queue;
-  message.team = request.team;
-  message.key_digest = request.key_digest;
-  message.idempotent = request.idempotent;
-  message.urgent = request.urgent;
-  message.remaining_ms = std::chrono::duration_cast<Duration>(request.deadline - now).count();
-  message.hops = request.hops + 1;
-  message.content_type = request.content_type;
-  message.body = request.body;
-  LogLine(LogLevel::kInfo, "routing")
-      .Field("task", request.task_id)
-      .Field("queue", request.queue)
-      .Field("team", request.team)
-      .Field("to", incarnation)
-      .Field("reason", reason);
-  const SendOutcome outcome =
-      m_forwards.Send(incarnation, message, request.deadline + kForwardMargin,
-                      [this, task_id = request.task_id](TimePoint at, const ForwardReply* reply,
-                                                        std::string_view no_reply) {
-                        OnForwardEnd(at, task_id, reply, no_reply);
-                      });
-  if (outcome == SendOutcome::kSent) {
-    std::string task_id = request.task_id;
-    m_pending.emplace(std::move(task_id), std::move(pending));
-    return;
-  }
-  pending.request.hops = kMaxHops;  // Another attempt to forward it would fail the same way.
-  if (!message.ticket.empty()) {
-    AnswerMayHaveRun(now, pending, "the daemon that issued the ticket cannot be reached");
-  } else if (Registered()) {
-    Requeue(now, std::move(pending), "the other daemon cannot be reached");
-  } else {
-    Refuse(now, pending, 503, "no registered daemon can be reached", kStalePatience);
-  }
-}
-
-void RequestRouter::OnForwardEnd(TimePoint now, const std::string& task_id,
-                                 const ForwardReply* reply, std::string_view reason) {
-  auto pending = TakePending(task_id);
-  if (!pending) {
-    return;
-  }
-  if (reply == nullptr) {
-    AnswerMayHaveRun(now, *pending, reason);
-    return;
-  }
-  // A request with another daemon's ticket must not run here, or a retry could run it twice.
-  const bool may_run_here = pending->request.ticket.empty() || pending->holds_ticket;
-  const bool final_refusal = reply->status == 401 || reply->status == 403 || reply->status == 404;
-  const bool retry_here = reply->verdict == Verdict::kNotRun && may_run_here && !final_refusal &&
-                          Registered() && now < pending->request.deadline && !m_shutting_down;
-  if (retry_here) {
-    pending->request.hops = kMaxHops;
-    Requeue(now, std::move(*pending), reply->reason);
-    return;
-  }
-  const bool only_this_attempt = reply->verdict == Verdict::kNotRun && pending->may_have_run;
-  CallerReply answer;
-  answer.verdict = only_this_attempt ? Verdict::kMayHaveRun : reply->verdict;
-  answer.status = reply->status;
-  answer.reason = reply->reason;
-  answer.content_type = reply->content_type;
-  answer.body = reply->body;
-  Reply(now, *pending, std::move(answer));
-}
-
-void RequestRouter::OnMessage(TimePoint now, const std::string& sender,
-                              const PeerMessage& message) {
-  const auto* forwarded = std::get_if<ForwardRequest>(&message);
-  if (forwarded == nullptr) {
-    return;
-  }
-  CallerRequest request;
-  request.task_id = forwarded->task_id;
-  request.ticket = forwarded->ticket;
-  request.queue = forwarded->queue;
-  request.key_digest = forwarded->key_digest;
-  request.idempotent = forwarded->idempotent;
-  request.urgent = forwarded->urgent;
-  request.deadline = now + Duration(forwarded->remaining_ms);
-  request.hops = forwarded->hops;
-  request.content_type = forwarded->content_type;
-  request.body = forwarded->body;
-  Accept(now, std::move(request),
-         [this, sender, request_id = forwarded->request_id, task_id = forwarded->task_id](
-             TimePoint /*at*/, const CallerReply& reply) {
-           ForwardReply answer;
-           answer.request_id = request_id;
-           // The outcome of an earlier use of its ticket carries that use's task id.
-           answer.task_id = task_id;
-           answer.verdict = reply.verdict;
-           answer.status = reply.status;
-           answer.reason = reply.reason;
-           answer.content_type = reply.content_type;
-           answer.body = reply.body;
-           m_parts.links->Send(sender, answer);
-         });
-}
-
 // --- Shutdown ---
 
 void RequestRouter::EndWaiting(TimePoint now) {
   for (const WaitingRequest& waiting : m_queue.TakeAll()) {
-    if (const auto pending = TakePending(waiting.task_id)) {
-      Refuse(now, *pending, 503, "this daemon is shutting down", kStalePatience);
+    if (const auto pending = m_pending.Take(waiting.task_id)) {
+      m_pending.Refuse(now, *pending, 503, "this daemon is shutting down", kStalePatience);
     }
   }
   m_runner.CheckpointVm("", "this daemon is shutting down");
