--- /dev/null
+++ b/bench/policy/wave_replay.cc
@@ -0,0 +1,130 @@
+#include "wave_replay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace cranberryplank::bench {
+
+namespace {
+
+constexpr int kTasksPerVm = 8;
+// Reboots take up to this much more or less than their estimate.
+constexpr double kRebootSpread = 0.1;
+
+struct WaveTask {
+  WaveVm estimate;
+  Duration actual{0};  // Drain and reboot.
+};
+
+struct Return {
+  Duration time{0};
+  std::size_t vm = 0;
+  bool operator>(const Return& other) const { return time > other.time; }
+};
+
+Duration ToDuration(double seconds) { return Duration(std::llround(seconds * 1e3)); }
+
+std::vector<WaveTask> DrawWave(const Deployment& deployment, const QueueShape& shape,
+                               RandomSource& random) {
+  std::vector<WaveTask> tasks;
+  for (const auto& [id, vm] : deployment.fleet.vms) {
+    if (vm.pool != shape.pool) {
+      continue;
+    }
+    // A drain lasts as long as the longest running task; the estimate does not know how long the
+    // tasks have run already.
+    double drain = 0;
+    double estimate = 0;
+    const auto running = random.Below(kTasksPerVm + 1);
+    for (std::uint64_t i = 0; i < running; ++i) {
+      const double run = DrawRunSeconds(shape.run_seconds, random);
+      estimate = std::max(estimate, run);
+      drain = std::max(drain, run * random.Fraction());
+    }
+    const double reboot = std::chrono::duration<double>(deployment.reboot).count() *
+                          (1 + kRebootSpread * (2 * random.Fraction() - 1));
+    tasks.push_back(
+        WaveTask{WaveVm{id, vm.zone, vm.rack, ToDuration(estimate)}, ToDuration(drain + reboot)});
+  }
+  return tasks;
+}
+
+bool WithinBudget(const AvailabilityBudget& budget, const std::vector<WaveVm>& down) {
+  std::map<std::string, int> racks;
+  std::map<std::string, int> zones;
+  bool within = static_cast<int>(down.size()) <= budget.per_pool;
+  for (const WaveVm& vm : down) {
+    within = within && ++racks[vm.rack] <= budget.per_rack && ++zones[vm.zone] <= budget.per_zone;
+  }
+  return within;
+}
+
+// Returns the rollout time of one pool.
+Duration RunWave(const AvailabilityBudget& budget, Duration reboot,
+                 const std::vector<WaveTask>& tasks, const WavePlanner& planner,
+                 int* budget_violations) {
+  WaveState state;
+  state.budget = budget;
+  state.reboot = reboot;
+  for (const WaveTask& task : tasks) {
+    state.pending.push_back(task.estimate);
+  }
+  std::priority_queue<Return, std::vector<Return>, std::greater<>> returns;
+  Duration now{0};
+  while (!state.pending.empty() || !returns.empty()) {
+    for (const std::string& id : planner.Next(state)) {
+      const auto pending = std::find_if(state.pending.begin(), state.pending.end(),
+                                        [&](const WaveVm& vm) { return vm.id == id; });
+      state.down.push_back(*pending);
+      state.pending.erase(pending);
+      const auto task = std::find_if(tasks.begin(), tasks.end(),
+                                     [&](const WaveTask& t) { return t.estimate.id == id; });
+      returns.push(Return{now + task->actual, static_cast<std::size_t>(task - tasks.begin())});
+    }
+    *budget_violations += WithinBudget(budget, state.down) ? 0 : 1;
+    if (returns.empty()) {
+      break;
+    }
+    now = returns.top().time;
+    const std::string& id = tasks[returns.top().vm].estimate.id;
+    std::erase_if(state.down, [&](const WaveVm& vm) { return vm.id == id; });
+    returns.pop();
+  }
+  return now;
+}
+
+}  // namespace
+
+WaveResult ReplayWaves(const Deployment& deployment, const WavePlanner& planner, int waves,
+                       std::uint64_t seed) {
+  SeededRandom random(seed);
+  WaveResult result;
+  for (int wave = 0; wave < waves; ++wave) {
+    Duration rollout{0};
+    Duration bound{0};
+    for (const QueueShape& shape : deployment.queues) {
+      const std::vector<WaveTask> tasks = DrawWave(deployment, shape, random);
+      const AvailabilityBudget& budget = deployment.fleet.pools.at(shape.pool).budget;
+      rollout = std::max(
+          rollout, RunWave(budget, deployment.reboot, tasks, planner, &result.budget_violations));
+      // The bound knows the actual times.
+      std::vector<WaveVm> actual;
+      for (const WaveTask& task : tasks) {
+        actual.push_back(task.estimate);
+        actual.back().drain = task.actual;
+      }
+      bound = std::max(bound, WaveBound(budget, actual, Duration(0)));
+    }
+    const double over =
+        std::chrono::duration<double>(rollout) / std::chrono::duration<double>(bound);
+    result.mean_over_bound += over / waves;
+    result.worst_over_bound = std::max(result.worst_over_bound, over);
+    result.mean_seconds += std::chrono::duration<double>(rollout).count() / waves;
+  }
+  return result;
+}
+
+}  // namespace cranberryplank::bench
--- a/packages/policy/include/cranberryplank/policy/max_min_share_allocator.h
+++ b/packages/policy/include/cranberryplank/policy/max_min_share_allocator.h
@@ -31,14 +31,17 @@
 /// Settings of `MaxMinShareAllocator`.
 struct MaxMinSettings {
   std::string daemon;  ///< Name of this daemon in the demand reports.
-  Rounding rounding = Rounding::kRotatingSum;
+  Rounding rounding = Rounding::kLargestRemainder;
   /// Slots left to a daemon that is entitled to them may be used by others after this time, so
   /// that a daemon that reports demand but does not start it cannot idle the pool. Twice the
   /// period of the demand reports.
   Duration borrow_after{400};
   /// Part of a team's accumulated shortfall (slot-seconds) that is added to its slots. 0 switches
   /// the correction off.
-  double correction = 0.0;
+  double correction = 2.0;
+  /// Teams that ask for less than their share start at once, without regard to portions, which
+  /// are computed from reports of up to 200 ms ago.
+  bool satisfied_first = true;
 };
 
 /// Whole slots of one team at one daemon.
@@ -74,8 +77,15 @@
     int running = 0;
     int waiting = 0;
   };
+  // A team that asks for less than its share may start at once on any daemon.
+  struct Entitlement {
+    bool satisfied = false;        // Its whole demand is within its share.
+    double level = 0;              // Slots it would have if it asked for more.
+    double running_elsewhere = 0;  // On other daemons.
+  };
   struct PoolShare {
     std::map<std::string, std::map<std::string, Cell, std::less<>>, std::less<>> cells;  // By team.
+    std::map<std::string, Entitlement, std::less<>> entitlements;                        // By team.
     std::map<std::string, double, std::less<>> shortfall;  // By team, slot-seconds.
     TimePoint updated;
     bool full = false;        // Demand is at or above the capacity.
@@ -88,6 +98,9 @@
     std::vector<double> demand;
   };
 
+  static void Entitle(const PoolDemand& demand, const TeamSums& sums, std::span<const double> exact,
+                      PoolShare* share);
+  static bool BelowShare(const PoolShare& share, const LocalTeam& team);
   const Cell* OwnCell(const PoolShare& share, std::string_view team) const;
   void Divide(TimePoint now, std::uint64_t rotation, const PoolDemand& demand,
               PoolShare* share) const;
--- a/packages/policy/include/cranberryplank/policy/placement_policy.h
+++ b/packages/policy/include/cranberryplank/policy/placement_policy.h
@@ -40,7 +40,7 @@
 struct PlacementRequest {
   std::string_view pool;
   std::string_view zone;                  ///< Zone of this daemon.
-  bool may_probe = false;                 ///< Idempotent, so that a failed probe can be retried.
+  bool may_probe = false;                 ///< Idempotent, and its team has a retry left.
   std::span<const std::string> excluded;  ///< Workers that failed or refused this request already.
 };
 
--- a/packages/policy/include/cranberryplank/policy/retry_budget.h
+++ b/packages/policy/include/cranberryplank/policy/retry_budget.h
@@ -14,6 +14,10 @@
   /// Notes a first attempt.
   void RecordFirstAttempt(std::string_view team);
 
+  /// Tells whether `TryTake` would succeed, so that only a request that could be retried is used
+  /// as a probe.
+  bool CanTake(std::string_view team) const;
+
   /// Takes one retry from the team's budget.
   /// @return false if the budget is used up
   bool TryTake(std::string_view team);
--- a/packages/policy/include/cranberryplank/policy/shortage_move_planner.h
+++ b/packages/policy/include/cranberryplank/policy/shortage_move_planner.h
@@ -12,27 +12,37 @@
 
 class PoolView;
 
+/// Which pool gives a VM, after the spare pool.
+enum class DonorOrder {
+  kLargestSurplus,
+  /// The pool whose last load peak ended most recently. Where peaks go round the queues, its next
+  /// peak is the furthest away, so its VMs are least likely to be asked back.
+  kLatestPeak,
+};
+
 /// Settings of `ShortageMovePlanner`.
 struct ShortageMoveSettings {
   /// Time over which a shortage has to persist before a VM is moved for it.
-  Duration sustain{2'000};
+  Duration sustain{1'000};
   /// Time that a move takes besides the drain: two head changes in effect and the check with the
   /// worker.
   Duration move_overhead{2'000};
-  /// A move is made only if the work lost or late exceeds this many times the capacity that the
-  /// move itself costs.
+  /// A move is made only if the work that would be late without it exceeds this many times the
+  /// capacity that the move itself costs.
   double cost_factor = 1.0;
-  /// Time over which needs and lost work are remembered. Load peaks return in turn, so a pool
-  /// between two peaks is not free to give, and shortages too short to move for add up.
-  Duration memory{600'000};
-  /// VMs that a donor keeps beyond its remembered need.
-  double donor_margin = 0.0;
-  /// Time between two rounds of moves into the same pool, by which the first shows its effect.
-  Duration settle{10'000};
+  /// Part of the allowed wait that is planned with. The rest covers run times that vary and
+  /// backlogs that differ between daemons.
+  double wait_part = 0.5;
+  /// Length of a load peak assumed until some have been observed.
+  Duration first_peak{30'000};
+  /// A donor keeps this many times its present load.
+  double donor_reserve = 1.3;
+  DonorOrder donor_order = DonorOrder::kLatestPeak;
 };
 
-/// Moves VMs on sustained shortage only, from the spare pool first, and never takes what a pool's
-/// own demand and availability budget need.
+/// Moves VMs only if a shortage lasts and would make more work late than the move costs. Takes
+/// them from the spare pool first and never takes what a pool's own demand and availability
+/// budget need.
 class ShortageMovePlanner : public MovePlanner {
  public:
   explicit ShortageMovePlanner(ShortageMoveSettings settings);
@@ -42,24 +52,28 @@
  private:
   struct History {
     TimePoint updated;
-    double need = 0;       // Highest slots needed to serve in time, fading over the memory.
-    double late_work = 0;  // Slot-seconds lost, fading likewise.
-    double projected_late = 0;
     std::uint64_t lost = 0;
-    bool busy = false;  // Requests wait or are lost.
-    TimePoint busy_since;
-    double served = 0;  // Slot-seconds in this busy period.
-    double lost_work = 0;
-    double waiting_work = 0;
+    int waiting = 0;
+    double offered = 0;       // Slots that arriving work needs, smoothed.
+    double peak_seconds = 0;  // Mean length of load peaks, smoothed.
+    bool in_peak = false;
+    TimePoint peak_start;
+    TimePoint peak_end;
+    double peak_offered = 0;
     bool short_now = false;
     TimePoint short_since;
-    bool gained = false;
-    TimePoint last_gain;
+  };
+  struct Shortage {
+    double late_work = 0;  // Slot-seconds that no present or arriving VM can do in time.
+    int vms = 0;           // That would do it.
   };
 
   void Observe(TimePoint now, const PoolView& view);
-  bool Sustained(TimePoint now, const PoolView& view);
+  Shortage Predict(TimePoint now, const PoolView& view) const;
+  bool Sustained(TimePoint now, const Shortage& shortage, const PoolView& view);
   double Keep(const PoolView& view) const;
+  bool CanGive(const PoolView& view) const;
+  bool Better(const PoolView& a, const PoolView& b) const;
   PoolView* FindDonor(std::vector<PoolView>* views, const PoolView& taker) const;
 
   ShortageMoveSettings m_settings;
--- a/packages/policy/include/cranberryplank/policy/worker_health.h
+++ b/packages/policy/include/cranberryplank/policy/worker_health.h
@@ -40,6 +40,16 @@
   /// Tells whether a worker is quarantined.
   bool Quarantined(std::string_view vm) const;
 
+  /// Tells whether a worker failed lately, here or on another daemon, without a success since.
+  /// Requests that must not be retried are kept away from it.
+  bool Suspect(TimePoint now, std::string_view vm) const;
+
+  /// Workers that failed here lately, to be told to the other daemons.
+  std::vector<std::string> SuspectVms(TimePoint now) const;
+
+  /// Notes that another daemon suspects a worker.
+  void NoteSuspect(TimePoint now, std::string_view vm);
+
   /// Tells whether a quarantined worker may be given one job as a probe. Choose an idempotent one.
   bool ProbeDue(TimePoint now, std::string_view vm) const;
 
@@ -72,6 +82,8 @@
   };
   struct Worker {
     double streak = 0;  // Charges since the last success.
+    TimePoint suspect_here;
+    TimePoint suspect_elsewhere;
     std::map<std::string, KindCounts> kinds;
     std::vector<TimePoint> penalties;  // Ends of the times during which a slot counts as busy.
     bool quarantined = false;
--- a/packages/policy/src/follow_demand_move_planner.cc
+++ b/packages/policy/src/follow_demand_move_planner.cc
@@ -16,7 +16,7 @@
   int best_surplus = 0;
   for (PoolView& view : *views) {
     const int surplus = view.ServingSlots() - view.SlotsPerVm() - Need(view);
-    if (&view != &taker && view.ServingVms() > 1 && surplus >= 0 &&
+    if (&view != &taker && view.ServingVms() > LeastVms(view.load().pool) && surplus >= 0 &&
         (best == nullptr || surplus > best_surplus)) {
       best = &view;
       best_surplus = surplus;
--- a/packages/policy/src/max_min_share_allocator.cc
+++ b/packages/policy/src/max_min_share_allocator.cc
@@ -21,6 +21,10 @@
 // Shortfall older than the window over which shares are measured is not made up for.
 constexpr double kShortfallMemorySeconds = 10.0;
 
+// Bounds of the correction, so that no team is starved to repay what it had in excess.
+constexpr double kLeastCorrection = 0.25;
+constexpr double kMostCorrection = 4.0;
+
 double FractionOf(double value) { return value - std::floor(value); }
 
 // Rounds `quotas` to whole numbers that add up to `total`; each is rounded up or down only.
@@ -111,12 +115,40 @@
     double& shortfall = share->shortfall[teams[i].team];
     shortfall *= std::exp(-seconds / kShortfallMemorySeconds);
     shortfall += (exact[i] - sums.running[i]) * seconds;
-    targets[i].weight =
-        std::clamp(exact[i] + m_settings.correction * shortfall, 0.5 * exact[i], 2.0 * exact[i]);
+    targets[i].weight = std::clamp(exact[i] + m_settings.correction * shortfall,
+                                   kLeastCorrection * exact[i], kMostCorrection * exact[i]);
   }
   return WeightedMaxMin(capacity, targets, sums.demand);
 }
 
+void MaxMinShareAllocator::Entitle(const PoolDemand& demand, const TeamSums& sums,
+                                   std::span<const double> exact, PoolShare* share) {
+  // Slots per weight of the teams that get less than they ask for.
+  double per_weight = demand.capacity;
+  for (std::size_t i = 0; i < demand.teams.size(); ++i) {
+    const double wanted = std::min<double>(sums.demand[i], demand.teams[i].limit);
+    if (exact[i] + kEpsilon < wanted && demand.teams[i].weight > 0) {
+      per_weight = std::min(per_weight, exact[i] / demand.teams[i].weight);
+    }
+  }
+  share->entitlements.clear();
+  for (std::size_t i = 0; i < demand.teams.size(); ++i) {
+    const TeamShare& team = demand.teams[i];
+    Entitlement& entitlement = share->entitlements[team.team];
+    entitlement.level = std::min<double>(per_weight * team.weight, team.limit);
+    entitlement.satisfied = exact[i] + kEpsilon >= sums.demand[i];
+    for (const auto& [daemon, cell] : share->cells[team.team]) {
+      entitlement.running_elsewhere += cell.running;
+    }
+  }
+}
+
+bool MaxMinShareAllocator::BelowShare(const PoolShare& share, const LocalTeam& team) {
+  const auto found = share.entitlements.find(team.team);
+  return found != share.entitlements.end() && found->second.satisfied &&
+         found->second.running_elsewhere + team.running + 1 <= found->second.level;
+}
+
 void MaxMinShareAllocator::Update(TimePoint now, std::uint64_t rotation, std::string_view pool,
                                   const PoolDemand& demand) {
   PoolShare& share = m_pools[std::string(pool)];
@@ -139,6 +171,10 @@
   }
   Divide(now, rotation, demand, &share);
   share.updated = now;
+  for (auto& [team, entitlement] : share.entitlements) {
+    const Cell* own = OwnCell(share, team);
+    entitlement.running_elsewhere -= own == nullptr ? 0 : own->running;
+  }
   share.unmet_elsewhere = 0;
   for (const auto& [team, cells] : share.cells) {
     for (const auto& [daemon, cell] : cells) {
@@ -173,6 +209,8 @@
   share->full = usable >= demand.capacity;
   const std::vector<double> target = Corrected(now, demand.capacity, teams, sums, exact, share);
 
+  Entitle(demand, sums, exact, share);
+
   // Capacity that nobody asks for yet is divided too, so that new work can start at once.
   std::vector<double> open(teams.size());
   for (std::size_t i = 0; i < teams.size(); ++i) {
@@ -227,11 +265,16 @@
   }
   const LocalTeam* best = nullptr;
   int best_deficit = std::numeric_limits<int>::min();
+  const LocalTeam* below_share = nullptr;
   for (const LocalTeam& team : teams) {
     const Cell* cell = OwnCell(share->second, team.team);
     if (cell == nullptr || team.waiting == 0 || !team.may_start) {
       continue;
     }
+    if (BelowShare(share->second, team) &&
+        (below_share == nullptr || team.oldest < below_share->oldest)) {
+      below_share = &team;
+    }
     const int deficit = cell->slots - team.running;
     if (deficit > best_deficit || (deficit == best_deficit && team.oldest < best->oldest)) {
       best = &team;
@@ -241,6 +284,9 @@
   if (best == nullptr) {
     return std::nullopt;
   }
+  if (m_settings.satisfied_first && below_share != nullptr) {
+    return TeamChoice{below_share->team, "asks for less than its share"};
+  }
   if (best_deficit > 0) {
     return TeamChoice{best->team, "below its portion"};
   }
--- a/packages/policy/src/pool_view.cc
+++ b/packages/policy/src/pool_view.cc
@@ -32,6 +32,8 @@
   return vm;
 }
 
+int LeastVms(const Pool& pool) { return pool.budget.per_pool + 1; }
+
 std::vector<PoolView> ViewPools(std::span<const PoolLoad> pools) {
   std::vector<PoolView> views;
   for (const PoolLoad& load : pools) {
--- a/packages/policy/src/pool_view.h
+++ b/packages/policy/src/pool_view.h
@@ -42,6 +42,10 @@
   int m_arriving_slots = 0;
 };
 
+/// Fewest serving VMs a pool may be left with: as many as its availability budget lets be down at
+/// once, and one that serves meanwhile.
+int LeastVms(const Pool& pool);
+
 /// Returns the views of all pools, with VMs on their way counted where they go.
 std::vector<PoolView> ViewPools(std::span<const PoolLoad> pools);
 
--- a/packages/policy/src/retry_budget.cc
+++ b/packages/policy/src/retry_budget.cc
@@ -17,12 +17,16 @@
   tenths = std::min(tenths + 1, kMaxSavedRetries * kTenthsPerRetry);
 }
 
-bool RetryBudget::TryTake(std::string_view team) {
+bool RetryBudget::CanTake(std::string_view team) const {
   const auto found = m_tenths.find(team);
-  if (found == m_tenths.end() || found->second < kTenthsPerRetry) {
+  return found != m_tenths.end() && found->second >= kTenthsPerRetry;
+}
+
+bool RetryBudget::TryTake(std::string_view team) {
+  if (!CanTake(team)) {
     return false;
   }
-  found->second -= kTenthsPerRetry;
+  m_tenths.find(team)->second -= kTenthsPerRetry;
   return true;
 }
 
--- a/packages/policy/src/shortage_move_planner.cc
+++ b/packages/policy/src/shortage_move_planner.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 #include "pool_view.h"
 
@@ -12,6 +11,18 @@
 
 namespace {
 
+// Smoothing of the offered load. Arrivals of one second vary by a tenth or more; a longer time
+// would delay the response to a peak of some seconds.
+constexpr double kOfferedSeconds = 1.5;
+// A peak has ended when the offered load is below this part of its highest value.
+constexpr double kPeakEndPart = 0.5;
+// New peak lengths count a quarter.
+constexpr double kPeakGain = 0.25;
+// Peaks are planned to last this many times their mean.
+constexpr double kPeakMargin = 1.2;
+// A peak that outlasts its expected length is planned to go on for this long.
+constexpr double kLeastRemainingSeconds = 3;
+
 double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
@@ -23,86 +34,67 @@
   const auto [entry, added] = m_history.try_emplace(load.pool.name);
   History& history = entry->second;
   if (added) {
-    history.updated = now;
-    history.lost = load.lost;
+    history.offered = load.running;
+    history.peak_seconds = Seconds(m_settings.first_peak);
+  } else if (now > history.updated) {
+    const double elapsed = Seconds(now - history.updated);
+    // The count of lost requests restarts at 0 with a daemon.
+    const double lost =
+        load.lost >= history.lost ? static_cast<double>(load.lost - history.lost) : 0;
+    const double growth = (load.waiting - history.waiting + lost) * Seconds(load.run_time);
+    const double arrived = std::max(0.0, load.running + growth / elapsed);
+    history.offered += (1 - std::exp(-elapsed / kOfferedSeconds)) * (arrived - history.offered);
   }
-  const double elapsed = Seconds(now - history.updated);
-  const double fade = std::exp(-elapsed / Seconds(m_settings.memory));
-  const double run = Seconds(load.run_time);
-  const double allowed = std::max(0.1, Seconds(load.allowed_wait));
-  const double lost = load.lost >= history.lost ? static_cast<double>(load.lost - history.lost) : 0;
-  history.lost = load.lost;
   history.updated = now;
-  history.need *= fade;
-  history.late_work = history.late_work * fade + lost * run;
-
-  const int capacity = view.ServingSlots();
-  if (load.waiting == 0 && lost == 0) {
-    history.busy = false;
-    history.projected_late = 0;
-    history.need = std::max(history.need, static_cast<double>(load.running));
-    return;
+  history.lost = load.lost;
+  history.waiting = load.waiting;
+
+  if (!history.in_peak && history.offered > view.ServingSlots()) {
+    history.in_peak = true;
+    history.peak_start = now;
+    history.peak_offered = 0;
   }
-  if (!history.busy) {
-    history.busy = true;
-    history.busy_since = now;
-    history.served = 0;
-    history.lost_work = 0;
-    history.waiting_work = 0;
+  if (history.in_peak) {
+    history.peak_offered = std::max(history.peak_offered, history.offered);
+    if (history.offered < kPeakEndPart * history.peak_offered) {
+      history.in_peak = false;
+      history.peak_end = now;
+      history.peak_seconds +=
+          kPeakGain * (Seconds(now - history.peak_start) - history.peak_seconds);
+    }
   }
-  history.served += load.running * elapsed;
-  history.lost_work += lost * run;
-  const double waiting_work = load.waiting * run;
-  const double growth = elapsed > 0 ? (waiting_work - history.waiting_work) / elapsed : 0;
-  history.waiting_work = waiting_work;
-  // All work that arrived in this busy period has to be done within the period and the allowed
-  // wait, so this many slots would have been enough.
-  const double arrived = history.served + history.lost_work + waiting_work;
-  history.need = std::max(history.need, arrived / (Seconds(now - history.busy_since) + allowed));
-  // Backlog at the time a move started now would be done, beyond what can start in time.
-  const double ahead = Seconds(m_settings.move_overhead) + run;
-  history.projected_late =
-      std::max(0.0, waiting_work + std::max(0.0, growth) * ahead - capacity * allowed);
 }
 
-double ShortageMovePlanner::Keep(const PoolView& view) const {
-  const History& history = m_history.at(view.load().pool.name);
-  return std::max(history.need, static_cast<double>(view.load().running + view.load().waiting));
-}
-
-PoolView* ShortageMovePlanner::FindDonor(std::vector<PoolView>* views,
-                                         const PoolView& taker) const {
-  PoolView* best = nullptr;
-  double best_surplus = 0;
-  for (PoolView& view : *views) {
-    // VMs under the budget may be down at any moment, so the pool must do without them.
-    const int reserve = view.load().pool.budget.per_pool;
-    if (&view == &taker || view.ServingVms() - 1 < reserve + 1) {
-      continue;
-    }
-    const double margin = m_settings.donor_margin * view.SlotsPerVm();
-    const double surplus = view.ServingSlots() - view.SlotsPerVm() - Keep(view) - margin;
-    if (surplus < 0) {
-      continue;
-    }
-    const bool better =
-        best == nullptr || (view.load().pool.spare && !best->load().pool.spare) ||
-        (view.load().pool.spare == best->load().pool.spare && surplus > best_surplus);
-    if (better) {
-      best = &view;
-      best_surplus = surplus;
-    }
+ShortageMovePlanner::Shortage ShortageMovePlanner::Predict(TimePoint now,
+                                                           const PoolView& view) const {
+  const PoolLoad& load = view.load();
+  const History& history = m_history.at(load.pool.name);
+  const double run = Seconds(load.run_time);
+  const double wait = m_settings.wait_part * Seconds(load.allowed_wait);
+  const double lead = Seconds(m_settings.move_overhead) + run;
+  double remaining = 0;
+  if (history.in_peak) {
+    remaining = std::max(kLeastRemainingSeconds,
+                         kPeakMargin * history.peak_seconds - Seconds(now - history.peak_start));
   }
-  return best;
+  // The backlog and all that arrives until the end of the peak has to start by then plus the
+  // allowed wait; VMs that arrive help after the lead time.
+  const double horizon = remaining + wait;
+  const double helped = horizon - lead;
+  if (helped <= 0) {
+    return {};
+  }
+  const double work = load.waiting * run + history.offered * remaining;
+  const double late = work - view.ServingSlots() * horizon - view.ArrivingSlots() * helped;
+  if (late <= m_settings.cost_factor * view.SlotsPerVm() * lead) {
+    return {};
+  }
+  return Shortage{late, static_cast<int>(std::ceil(late / helped / view.SlotsPerVm()))};
 }
 
-bool ShortageMovePlanner::Sustained(TimePoint now, const PoolView& view) {
+bool ShortageMovePlanner::Sustained(TimePoint now, const Shortage& shortage, const PoolView& view) {
   History& history = m_history.at(view.load().pool.name);
-  const double move_seconds = Seconds(m_settings.move_overhead) + Seconds(view.load().run_time);
-  const double cost = m_settings.cost_factor * view.SlotsPerVm() * move_seconds;
-  const bool short_now = history.late_work + history.projected_late > cost &&
-                         history.need > view.ServingSlots() + view.ArrivingSlots();
-  if (!short_now) {
+  if (shortage.vms == 0) {
     history.short_now = false;
     return false;
   }
@@ -110,8 +102,41 @@
     history.short_now = true;
     history.short_since = now;
   }
-  return now - history.short_since >= m_settings.sustain &&
-         (!history.gained || now - history.last_gain >= m_settings.settle);
+  return now - history.short_since >= m_settings.sustain;
+}
+
+double ShortageMovePlanner::Keep(const PoolView& view) const {
+  const PoolLoad& load = view.load();
+  return std::max(m_settings.donor_reserve * m_history.at(load.pool.name).offered,
+                  static_cast<double>(load.running + load.waiting));
+}
+
+bool ShortageMovePlanner::CanGive(const PoolView& view) const {
+  const double left = view.ServingSlots() - view.SlotsPerVm();
+  return view.ServingVms() > LeastVms(view.load().pool) && left >= Keep(view);
+}
+
+bool ShortageMovePlanner::Better(const PoolView& a, const PoolView& b) const {
+  if (a.load().pool.spare != b.load().pool.spare) {
+    return a.load().pool.spare;
+  }
+  const TimePoint a_peak = m_history.at(a.load().pool.name).peak_end;
+  const TimePoint b_peak = m_history.at(b.load().pool.name).peak_end;
+  if (m_settings.donor_order == DonorOrder::kLatestPeak && a_peak != b_peak) {
+    return a_peak > b_peak;
+  }
+  return a.ServingSlots() - Keep(a) > b.ServingSlots() - Keep(b);
+}
+
+PoolView* ShortageMovePlanner::FindDonor(std::vector<PoolView>* views,
+                                         const PoolView& taker) const {
+  PoolView* best = nullptr;
+  for (PoolView& view : *views) {
+    if (&view != &taker && CanGive(view) && (best == nullptr || Better(view, *best))) {
+      best = &view;
+    }
+  }
+  return best;
 }
 
 std::vector<PlannedMove> ShortageMovePlanner::Plan(TimePoint now, std::span<const PoolLoad> pools) {
@@ -121,29 +146,25 @@
   }
   std::vector<PlannedMove> moves;
   for (PoolView& taker : views) {
-    if (!Sustained(now, taker)) {
+    const Shortage shortage = Predict(now, taker);
+    if (!Sustained(now, shortage, taker)) {
       continue;
     }
-    History& history = m_history.at(taker.load().pool.name);
-    const double work = history.late_work + history.projected_late;
-    int wanted = static_cast<int>(std::ceil(
-        (history.need - taker.ServingSlots() - taker.ArrivingSlots()) / taker.SlotsPerVm()));
-    for (; wanted > 0; --wanted) {
+    for (int i = 0; i < shortage.vms; ++i) {
       PoolView* donor = FindDonor(&views, taker);
       if (donor == nullptr) {
         break;
       }
+      const double keep = Keep(*donor);
       const MovableVm vm = donor->TakeVm();
       taker.AddArriving(vm.slots);
       moves.push_back(PlannedMove{
           vm.id, donor->load().pool.name, taker.load().pool.name,
-          fmt::format("{:.0f} slot-seconds late or lost, needs {:.0f} slots, has {}; {} pool keeps "
-                      "{:.0f} slots for itself",
-                      work, history.need, taker.ServingSlots(),
-                      donor->load().pool.spare ? "spare" : "donor", Keep(*donor))});
-      history.gained = true;
-      history.last_gain = now;
-      history.late_work = 0;
+          fmt::format("{:.0f} slot-seconds would be late, {} slots serve {:.0f}; {} pool keeps "
+                      "{} slots for {:.0f}",
+                      shortage.late_work, taker.ServingSlots(),
+                      m_history.at(taker.load().pool.name).offered,
+                      donor->load().pool.spare ? "spare" : "donor", donor->ServingSlots(), keep)});
     }
   }
   return moves;
--- a/packages/policy/src/two_choice_placement.cc
+++ b/packages/policy/src/two_choice_placement.cc
@@ -11,11 +11,16 @@
          request.excluded.end();
 }
 
+bool Serves(const PlacementRequest& request, const WorkerView& worker) {
+  return worker.vm->pool == request.pool && worker.vm->state == VmState::kServing &&
+         !worker.leaving;
+}
+
 bool MayProbe(TimePoint now, const PlacementRequest& request, const WorkerView& worker,
               const WorkerHealth& health) {
   const Vm& vm = *worker.vm;
-  return request.may_probe && vm.pool == request.pool && vm.state == VmState::kServing &&
-         !worker.leaving && worker.running < vm.slots && health.ProbeDue(now, vm.id);
+  return request.may_probe && Serves(request, worker) && worker.running < vm.slots &&
+         health.ProbeDue(now, vm.id);
 }
 
 PlacementCandidate CandidateOf(TimePoint now, const PlacementRequest& request,
@@ -32,6 +37,11 @@
                                                           RandomSource& random) const {
   std::vector<const WorkerView*> local;
   std::vector<const WorkerView*> all;
+  // A request that must not be retried waits rather than going to a worker that failed lately:
+  // such a worker often has the only free slots because it fails fast. If the whole pool is under
+  // suspicion, the suspicion tells nothing.
+  std::vector<const WorkerView*> suspects;
+  bool trusted_worker = false;
   for (const WorkerView& worker : workers) {
     if (Excluded(request, *worker.vm)) {
       continue;
@@ -40,12 +50,25 @@
     if (MayProbe(now, request, worker, health)) {
       return PlacementChoice{worker.vm->id, true, in_zone, "probe of a quarantined worker", {}};
     }
-    if (FreeSlotsOf(now, worker, request.pool, health) > 0) {
-      all.push_back(&worker);
-      if (in_zone) {
-        local.push_back(&worker);
-      }
+    if (!Serves(request, worker)) {
+      continue;
+    }
+    const bool suspect = !request.may_probe && health.Suspect(now, worker.vm->id);
+    trusted_worker = trusted_worker || !suspect;
+    if (FreeSlotsOf(now, worker, request.pool, health) <= 0) {
+      continue;
     }
+    if (suspect) {
+      suspects.push_back(&worker);
+      continue;
+    }
+    all.push_back(&worker);
+    if (in_zone) {
+      local.push_back(&worker);
+    }
+  }
+  if (!trusted_worker) {
+    all = suspects;
   }
   const std::vector<const WorkerView*>& eligible = local.empty() ? all : local;
   if (eligible.empty()) {
--- a/packages/policy/src/worker_health.cc
+++ b/packages/policy/src/worker_health.cc
@@ -18,6 +18,13 @@
 constexpr Duration kLongestProbeInterval{300'000};
 // Between good probes of one quarantine.
 constexpr Duration kNextProbeInterval{500};
+// Failures of which less than this was charged, since others fail the same jobs, make no suspect.
+constexpr double kSuspectStreak = 0.3;
+// A suspicion ends with the next success. Without one it lapses only after a long time, since a
+// worker of an idle pool may not be given any work that would confirm it.
+constexpr Duration kSuspectTime{600'000};
+// What other daemons report is repeated every 200 to 500 ms while it holds.
+constexpr Duration kPeerSuspectTime{1'000};
 // Jobs whose failures are remembered; bounds the memory.
 constexpr std::size_t kMaxJobs = 10'000;
 
@@ -38,6 +45,7 @@
   Worker& worker = m_workers[run.vm];
   worker.kinds[run.kind].successes.Add(now, 1);
   worker.streak = 0;
+  worker.suspect_here = TimePoint();
   if (!worker.quarantined) {
     return;
   }
@@ -113,6 +121,9 @@
     return FailureEffect::kCounted;
   }
   worker.streak += charge;
+  if (worker.streak >= kSuspectStreak) {
+    worker.suspect_here = now + kSuspectTime;
+  }
   if (worker.streak < kQuarantineStreak) {
     return FailureEffect::kCounted;
   }
@@ -133,6 +144,9 @@
     Worker& worker = found->second;
     worker.kinds[kind].failures.Add(now, -1);
     worker.streak = std::max(0.0, worker.streak - charge.amount);
+    if (worker.streak < kSuspectStreak) {
+      worker.suspect_here = TimePoint();
+    }
     if (worker.quarantined && worker.streak < kQuarantineStreak) {
       worker.quarantined = false;
     }
@@ -145,6 +159,27 @@
   return found != m_workers.end() && found->second.quarantined;
 }
 
+bool WorkerHealth::Suspect(TimePoint now, std::string_view vm) const {
+  const auto found = m_workers.find(vm);
+  return found != m_workers.end() &&
+         (found->second.quarantined || found->second.suspect_here > now ||
+          found->second.suspect_elsewhere > now);
+}
+
+std::vector<std::string> WorkerHealth::SuspectVms(TimePoint now) const {
+  std::vector<std::string> vms;
+  for (const auto& [vm, worker] : m_workers) {
+    if (worker.quarantined || worker.suspect_here > now) {
+      vms.push_back(vm);
+    }
+  }
+  return vms;
+}
+
+void WorkerHealth::NoteSuspect(TimePoint now, std::string_view vm) {
+  m_workers[std::string(vm)].suspect_elsewhere = now + kPeerSuspectTime;
+}
+
 bool WorkerHealth::ProbeDue(TimePoint now, std::string_view vm) const {
   const auto found = m_workers.find(vm);
   return found != m_workers.end() && found->second.quarantined && found->second.next_probe <= now;
