--- a/packages/daemon/include/cranberryplank/daemon/request_router.h
+++ b/packages/daemon/include/cranberryplank/daemon/request_router.h
@@ -102,6 +102,12 @@
   /// True if nothing waits, runs, is forwarded or is uncertain.
   bool Idle() const { return m_pending.empty() && m_runner.Idle(); }
 
+  /// Requests of a pool's queues refused as full or expired here since the start.
+  std::uint64_t LostIn(std::string_view pool) const;
+
+  /// Mean of the expected run times of the requests that wait or run here; 1 s without any.
+  Duration ExpectedRunTimeIn(std::string_view pool) const;
+
   TaskRunner& runner() { return m_runner; }
   DemandBoard& demand() { return m_demand; }
   const PeerTable& peers() const { return m_peers; }
@@ -134,6 +140,7 @@
   void OnNoAnswer(TimePoint now, PendingRequest pending, const std::string& vm);
   void OnResolved(TimePoint now, const std::string& task_id, TaskFate fate);
 
+  void CountLost(const std::string& queue);
   void DropExpired(TimePoint now);
   void DropStale(TimePoint now);
   void DropNotAdmitted(TimePoint now);
@@ -153,6 +160,7 @@
   PendingRequests m_pending;
   RequestForwarder m_forwarder;
   std::set<std::string, std::less<>> m_leaving;
+  std::map<std::string, std::uint64_t, std::less<>> m_lost;  ///< By pool.
   TimePoint m_shares_updated;
   std::optional<TimePoint> m_stale_since;  ///< Since when this daemon has not been fresh.
   bool m_shutting_down = false;
--- a/packages/daemon/include/cranberryplank/daemon/settings.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings.h
@@ -48,6 +48,8 @@
   std::map<std::string, std::string> approvers;  ///< Ed25519 public keys in hexadecimal by name.
   int approvals_required = 1;
 
+  bool automatic_moves = true;  ///< Move VMs between pools on sustained shortage.
+
   Duration shutdown_grace{30'000};  ///< Bound on finishing running tasks at a planned stop.
 
   bool operator==(const Settings&) const = default;
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -19,6 +19,7 @@
 #include "cranberryplank/daemon/caller_api.h"
 #include "cranberryplank/daemon/log.h"
 #include "cranberryplank/daemon/metrics.h"
+#include "cranberryplank/daemon/move_scheduler.h"
 #include "cranberryplank/daemon/request_router.h"
 #include "cranberryplank/daemon/shutdown.h"
 #include "cranberryplank/daemon/status_api.h"
@@ -31,6 +32,7 @@
 #include "cranberryplank/platform/http_vm_directory.h"
 #include "cranberryplank/platform/http_worker_client.h"
 #include "cranberryplank/policy/max_min_share_allocator.h"
+#include "cranberryplank/policy/shortage_move_planner.h"
 #include "cranberryplank/policy/two_choice_placement.h"
 
 namespace cranberryplank {
@@ -153,6 +155,8 @@
   RequestRouter router;
   MaintenanceCoordinator maintenance;
   VmListTracker vm_list;
+  ShortageMovePlanner move_planner;
+  MoveScheduler moves;
   CallerApi caller_api;
   AdminApi admin_api;
   Shutdown shutdown;
@@ -182,6 +186,8 @@
              RouterOptionsOf(settings)),
       maintenance(&head, &store, &directory, &workers, &random, WaveOrderOf(&router)),
       vm_list(&directory, settings.vm_list_poll),
+      move_planner(ShortageMoveSettings{}),
+      moves(MoveParts{&head, &mover, &router, &vm_list, &move_planner}),
       caller_api(&settings, &router),
       admin_api(AdminParts{&settings, &head, &mover, &maintenance, &router, &vm_list}),
       shutdown(ShutdownParts{&head, &slots, &router}, settings.shutdown_grace),
@@ -264,6 +270,9 @@
   vm_list.Tick(now, head.fleet());
   router.Tick(now, RotationNow());
   mover.Tick(now);
+  if (settings.automatic_moves) {
+    moves.Tick(now);
+  }
   maintenance.Tick(now);
   admin_api.Tick(now);
   if (now - callers_checked >= kCallerCheckInterval) {
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -164,6 +164,7 @@
     case PushResult::kQueued:
       break;
     case PushResult::kFull:
+      CountLost(request.queue);
       m_pending.Refuse(now, pending, 429, "queue full", RetryAfterFor(request, queue->second));
       return;
     case PushResult::kDuplicate:
@@ -478,9 +479,36 @@
   m_forwarder.Tick(now);
 }
 
+void RequestRouter::CountLost(const std::string& queue) {
+  const auto found = m_parts.head->fleet().queues.find(queue);
+  if (found != m_parts.head->fleet().queues.end()) {
+    ++m_lost[found->second.pool];
+  }
+}
+
+std::uint64_t RequestRouter::LostIn(std::string_view pool) const {
+  const auto lost = m_lost.find(pool);
+  return lost == m_lost.end() ? 0 : lost->second;
+}
+
+Duration RequestRouter::ExpectedRunTimeIn(std::string_view pool) const {
+  constexpr Duration kWithoutDemand{1'000};
+  Duration sum{0};
+  int kinds = 0;
+  for (const std::string& name : m_demand.QueuesOf(pool)) {
+    const Queue& queue = m_parts.head->fleet().queues.at(name);
+    for (const std::string& team : m_queue.Teams(std::span(&name, 1))) {
+      sum += m_runner.ExpectedRunTime(team, queue);
+      ++kinds;
+    }
+  }
+  return kinds == 0 ? kWithoutDemand : sum / kinds;
+}
+
 void RequestRouter::DropExpired(TimePoint now) {
   for (const WaitingRequest& waiting : m_queue.TakeExpired(now)) {
     if (const auto pending = m_pending.Take(waiting.task_id)) {
+      CountLost(waiting.queue);
       m_pending.Refuse(now, *pending, 503, "deadline passed while waiting");
     }
   }
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -259,6 +259,7 @@
   table.Text("zone", true, &settings->zone);
   table.LevelOfLog("log_level", &settings->log_level);
   table.Flag("abort_on_invariant_violation", &settings->abort_on_invariant_violation);
+  table.Flag("automatic_moves", &settings->automatic_moves);
   table.Milliseconds("shutdown_grace_ms", 100, kDayMs, &settings->shutdown_grace);
   table.RefuseUnknownKeys();
 }
