Add the operators' command line

A change moves on to the next daemon only if it was certainly not processed: no connection, or a 503. evhttp does not tell a failed connect from a lost answer, so a connect is made first; every later failure counts as a lost answer. One event loop shared by all calls was ruled out too, since an exit timer left from one call cuts a later one.

No daemon serves the API yet.

--- /dev/null
+++ b/packages/cli/include/cranberryplank/cli/admin_client.h
@@ -0,0 +1,72 @@
+#ifndef CRANBERRYPLANK_CLI_ADMIN_CLIENT_H_
+#define CRANBERRYPLANK_CLI_ADMIN_CLIENT_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cranberryplank/cli/exit_code.h"
+#include "cranberryplank/cli/http_client.h"
+#include "cranberryplank/model/random.h"
+
+namespace cranberryplank {
+
+/// Call to the admin API, described in docs/API.md.
+struct AdminRequest {
+  std::string method;
+  std::string path;  ///< Below /v1/admin/.
+  std::string body;  ///< JSON or empty.
+
+  bool IsRead() const { return method == "GET"; }
+};
+
+/// Outcome of a call. `body` is the answer's object, if there was one.
+struct AdminReply {
+  ExitCode code;
+  nlohmann::json body;
+  std::string reason;  ///< Set unless done.
+
+  explicit AdminReply(ExitCode new_code = ExitCode::kUnreachable, nlohmann::json new_body = {},
+                      std::string new_reason = "")
+      : code(new_code), body(std::move(new_body)), reason(std::move(new_reason)) {}
+};
+
+/// Where and as whom to call.
+struct AdminAccess {
+  std::vector<DaemonAddress> daemons;  ///< Tried in this order.
+  std::string token;
+  Duration timeout{15'000};  ///< For one call.
+};
+
+/// Calls daemons in turn. A change moves on to the next daemon only if the one before has
+/// certainly not processed it.
+class AdminClient {
+ public:
+  AdminClient(AdminAccess access, HttpClient* http, RandomSource* random);
+
+  AdminReply Read(const std::string& path);
+
+  /// Makes a change and waits up to `wait` until it is in effect.
+  /// @param nonce identifies the change; empty makes a new one
+  AdminReply Change(const AdminRequest& request, std::string_view nonce,
+                    std::optional<Duration> wait);
+
+ private:
+  AdminReply Call(const AdminRequest& request, std::string_view nonce);
+  std::optional<AdminReply> CallOne(const DaemonAddress& daemon, const AdminRequest& request,
+                                    std::string_view nonce, std::string* last_reason);
+  AdminReply Wait(const AdminRequest& request, std::string_view nonce, AdminReply reply,
+                  Duration wait);
+
+  AdminAccess m_access;
+  HttpClient* m_http;
+  RandomSource* m_random;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CLI_ADMIN_CLIENT_H_
--- /dev/null
+++ b/packages/cli/include/cranberryplank/cli/exit_code.h
@@ -0,0 +1,17 @@
+#ifndef CRANBERRYPLANK_CLI_EXIT_CODE_H_
+#define CRANBERRYPLANK_CLI_EXIT_CODE_H_
+
+namespace cranberryplank {
+
+/// Exit codes of the command line.
+enum class ExitCode {
+  kDone = 0,
+  kRefused = 1,
+  kUsage = 2,
+  kUnreachable = 3,     ///< No whole answer; the outcome of a change may not be known.
+  kNotYetInEffect = 4,  ///< Accepted, but not in effect when the wait was over.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CLI_EXIT_CODE_H_
--- a/packages/cli/program/main.cc
+++ b/packages/cli/program/main.cc
@@ -1,8 +1,23 @@
 #include <fmt/format.h>
 
+#include <csignal>
 #include <cstdio>
+#include <exception>
+#include <iostream>
 
-int main() {
-  fmt::print(stderr, "cranberryplank: no command given\n");
-  return 2;
+#include "cranberryplank/cli/evhttp_client.h"
+#include "cranberryplank/cli/program.h"
+
+int main(int argc, char** argv) {
+  // A daemon that closes its connection is reported as such.
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    cranberryplank::EvhttpClient http;
+    cranberryplank::SystemRandom random;
+    cranberryplank::Program program(&http, &random, &std::cout, &std::cerr);
+    return static_cast<int>(program.Run(argc, argv));
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "cranberryplank: {}\n", error.what());
+    return static_cast<int>(cranberryplank::ExitCode::kUnreachable);
+  }
 }
--- /dev/null
+++ b/packages/cli/src/bundle_commands.cc
@@ -0,0 +1,184 @@
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+#include <optional>
+#include <ostream>
+#include <utility>
+
+#include "cranberryplank/bundle/bundle_checker.h"
+#include "cranberryplank/bundle/bundle_parser.h"
+#include "cranberryplank/bundle/bundle_signer.h"
+#include "cranberryplank/bundle/bundle_verifier.h"
+#include "cranberryplank/bundle/key_files.h"
+#include "cranberryplank/cli/program.h"
+
+namespace cranberryplank {
+
+ExitCode Program::RunBundle(std::string_view verb) {
+  if (verb == "keygen") {
+    return BundleKeygen();
+  }
+  if (verb == "check") {
+    return BundleCheck();
+  }
+  if (verb == "sign") {
+    return BundleSign();
+  }
+  if (verb == "retire") {
+    return BundleRetire();
+  }
+  if (verb == "submit") {
+    return BundleSubmit();
+  }
+  if (verb == "status") {
+    return BundleStatus();
+  }
+  return Usage(fmt::format("unknown command 'bundle {}'", verb));
+}
+
+std::optional<Bundle> Program::ReadBundleFile(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    return std::nullopt;
+  }
+  BundleParser parser;
+  auto bundle = parser.Parse(*text);
+  if (!bundle) {
+    Fail(ExitCode::kRefused, fmt::format("{}: {}", path, parser.last_reason()));
+  }
+  return bundle;
+}
+
+ExitCode Program::BundleKeygen() {
+  if (!CheckWords(1)) {
+    return ExitCode::kUsage;
+  }
+  const std::string& path = m_options.words[2];
+  KeyFiles files;
+  if (!files.Create(path)) {
+    return Fail(ExitCode::kRefused, files.last_reason());
+  }
+  fmt::print(*m_out, "wrote {0}.key and {0}.pub\n", path);
+  return ExitCode::kDone;
+}
+
+ExitCode Program::BundleCheck() {
+  if (!CheckWords(1)) {
+    return ExitCode::kUsage;
+  }
+  const auto bundle = ReadBundleFile(m_options.words[2]);
+  if (!bundle) {
+    return ExitCode::kRefused;
+  }
+  if (m_options.approver_files.empty()) {
+    BundleChecker checker;
+    if (!checker.Check(*bundle)) {
+      return Fail(ExitCode::kRefused, checker.last_reason());
+    }
+    fmt::print(*m_out, "version {}: content accepted, signatures not checked\n", bundle->version);
+    return ExitCode::kDone;
+  }
+  ApproverKeys keys;
+  KeyFiles files;
+  for (const auto& [approver, path] : m_options.approver_files) {
+    const auto key = files.ReadPublic(path);
+    if (!key) {
+      return Fail(ExitCode::kUsage, files.last_reason());
+    }
+    keys.emplace(approver, *key);
+  }
+  BundleVerifier verifier(std::move(keys), m_options.required_approvals);
+  if (!verifier.Verify(*bundle, 0)) {
+    return Fail(ExitCode::kRefused, verifier.last_reason());
+  }
+  fmt::print(*m_out, "version {}: content and signatures accepted\n", bundle->version);
+  return ExitCode::kDone;
+}
+
+ExitCode Program::BundleSign() {
+  if (!CheckWords(1)) {
+    return ExitCode::kUsage;
+  }
+  if (m_options.signer.empty() || m_options.key_file.empty()) {
+    return Usage("bundle sign needs --as and --key-file");
+  }
+  // Nobody should approve what the daemons would refuse.
+  const auto bundle = ReadBundleFile(m_options.words[2]);
+  BundleChecker checker;
+  if (!bundle) {
+    return ExitCode::kRefused;
+  }
+  if (!checker.Check(*bundle)) {
+    return Fail(ExitCode::kRefused, checker.last_reason());
+  }
+  KeyFiles files;
+  const auto key = files.ReadSecret(m_options.key_file);
+  if (!key) {
+    return Fail(ExitCode::kUsage, files.last_reason());
+  }
+  BundleSigner signer;
+  const auto text = signer.Approve(bundle->text, m_options.signer, *key);
+  return text ? WriteOutput(*text) : Fail(ExitCode::kRefused, signer.last_reason());
+}
+
+ExitCode Program::BundleRetire() {
+  if (!CheckWords(3)) {
+    return ExitCode::kUsage;
+  }
+  if (m_options.signer.empty() || m_options.key_file.empty()) {
+    return Usage("bundle retire needs --as and --key-file");
+  }
+  const auto bundle = ReadBundleFile(m_options.words[2]);
+  if (!bundle) {
+    return ExitCode::kRefused;
+  }
+  KeyFiles files;
+  const auto key = files.ReadSecret(m_options.key_file);
+  if (!key) {
+    return Fail(ExitCode::kUsage, files.last_reason());
+  }
+  BundleSigner signer;
+  const auto text =
+      signer.Retire(bundle->text, m_options.words[3], m_options.words[4], m_options.signer, *key);
+  return text ? WriteOutput(*text) : Fail(ExitCode::kRefused, signer.last_reason());
+}
+
+ExitCode Program::BundleSubmit() {
+  if (!CheckWords(1)) {
+    return ExitCode::kUsage;
+  }
+  const auto bundle = ReadBundleFile(m_options.words[2]);
+  if (!bundle) {
+    return ExitCode::kRefused;
+  }
+  BundleChecker checker;
+  if (!checker.Check(*bundle)) {
+    return Fail(ExitCode::kRefused, checker.last_reason());
+  }
+  return RunChange({"POST", "bundle", bundle->text});
+}
+
+ExitCode Program::BundleStatus() {
+  if (!CheckWords(0)) {
+    return ExitCode::kUsage;
+  }
+  if (m_options.json) {
+    return PrintRead("bundle");
+  }
+  auto client = Connect();
+  if (!client) {
+    return ExitCode::kUsage;
+  }
+  const AdminReply reply = client->Read("bundle");
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply.code, reply.reason);
+  }
+  // Without the text of the bundle, which --json shows.
+  const nlohmann::json approvals = reply.body.value("approvals", nlohmann::json::array());
+  fmt::print(*m_out, "version {}, approvals {}, head revision {}\n",
+             reply.body.value("version", nlohmann::json()).dump(), approvals.dump(),
+             reply.body.value("revision", nlohmann::json()).dump());
+  return ExitCode::kDone;
+}
+
+}  // namespace cranberryplank
