Refuse bundles that give a field twice

Of two equal keys the JSON parser keeps the last, while a person who reads the document may approve the first. The canonical encoding covers only what the parser kept, so signatures do not show the difference.

Measured: the new check in the parser's test passes, plain and under AddressSanitizer and UBSan; 20,000 libFuzzer inputs found no fault.

--- a/packages/bundle/src/bundle_parser.cc
+++ b/packages/bundle/src/bundle_parser.cc
@@ -2,9 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <initializer_list>
+#include <set>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include "bundle_json.h"
 #include "cranberryplank/model/fleet.h"
@@ -161,10 +164,21 @@
     throw std::invalid_argument(
         fmt::format("{} bytes exceed the limit of {}", text.size(), kMaxBundleBytes));
   }
-  return json::parse(text, [](int depth, json::parse_event_t /*event*/, json& /*parsed*/) {
+  // Of two equal keys the parser keeps the last, while a person may read and approve the first.
+  std::vector<std::set<std::string>> keys;
+  return json::parse(text, [&keys](int depth, json::parse_event_t event, const json& parsed) {
     if (depth > kMaxDepth) {
       throw std::invalid_argument("nested too deeply");
     }
+    if (event == json::parse_event_t::object_start) {
+      keys.emplace_back();
+    } else if (event == json::parse_event_t::object_end) {
+      keys.pop_back();
+    } else if (event == json::parse_event_t::key &&
+               !keys.back().insert(parsed.get<std::string>()).second) {
+      throw std::invalid_argument(
+          fmt::format("field '{}' is given twice", parsed.get<std::string>()));
+    }
     return true;
   });
 }
--- a/packages/bundle/tests/bundle_test.cc
+++ b/packages/bundle/tests/bundle_test.cc
@@ -249,6 +249,8 @@
   CHECK_FALSE(parser.Parse(changed.dump()));
   CHECK(parser.last_reason().find("listed twice in teams") != std::string::npos);
   changed = SampleDocument();
+  CHECK_FALSE(parser.Parse(R"({"version": 1, "version": 2})"));
+  CHECK(parser.last_reason().find("field 'version' is given twice") != std::string::npos);
   changed["version"] = -1;
   CHECK_FALSE(parser.Parse(changed.dump()));
 }
