Take a change as unprocessed only on the daemon's own word

A 503 can also come from a proxy after the daemon has taken the change; the client took every 503 as certain and sent the change to the next daemon. Now a 5xx counts as certain only with "processed": false in its body, as docs/API.md says.

--- a/packages/cli/src/admin_client.cc
+++ b/packages/cli/src/admin_client.cc
@@ -15,9 +15,7 @@
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+constexpr int kServerError = 500;  ///< This and all above.
 
 // One wait of the server, and the pause between two.
 constexpr Duration kLongestPoll{5'000};
@@ -36,6 +34,11 @@
          body["pending"].is_array();
 }
 
+/// Tells whether a refused change had and will have no effect.
+bool IsUnprocessed(const json& body) {
+  return body.is_object() && body.contains("processed") && body["processed"] == json(false);
+}
+
 /// Tells whether a change was taken by the daemons but not yet written to the store.
 bool IsUnrecorded(const json& body) {
   return body.contains("recorded") && body["recorded"] == json(false);
@@ -90,22 +93,24 @@
 }
 
 AdminReply AdminClient::Call(const AdminRequest& request, std::string_view nonce) {
-  AdminReply last;
-  last.reason = "no daemon given";
+  AdminReply last(ExitCode::kUnreachable, {}, "no daemon given");
   for (const DaemonAddress& daemon : m_access.daemons) {
-    std::string reason;
-    if (auto reply = CallOne(daemon, request, nonce, &reason)) {
-      return std::move(*reply);
+    bool try_next = false;
+    AdminReply reply = CallOne(daemon, request, nonce, &try_next);
+    if (!try_next) {
+      return reply;
+    }
+    reply.reason = fmt::format("{} port {}: {}", daemon.host, daemon.port, reply.reason);
+    // A daemon's refusal tells more than another one that cannot be reached.
+    if (last.code != ExitCode::kRefused || reply.code == ExitCode::kRefused) {
+      last = reply;
     }
-    last.reason = fmt::format("{} port {}: {}", daemon.host, daemon.port, reason);
   }
   return last;
 }
 
-/// Returns nothing, with `last_reason` set, if the next daemon may be tried.
-std::optional<AdminReply> AdminClient::CallOne(const DaemonAddress& daemon,
-                                               const AdminRequest& request, std::string_view nonce,
-                                               std::string* last_reason) {
+AdminReply AdminClient::CallOne(const DaemonAddress& daemon, const AdminRequest& request,
+                                std::string_view nonce, bool* try_next) {
   HttpRequest http{request.method,
                    "/v1/admin/" + request.path,
                    {{"Authorization", "Bearer " + m_access.token}},
@@ -117,39 +122,46 @@
     http.headers.emplace_back("Content-Type", "application/json");
   }
   const HttpReply reply = m_http->Call(daemon, http, m_access.timeout);
-  *last_reason = reply.reason;
   if (reply.outcome == HttpOutcome::kNotSent) {
-    return std::nullopt;
+    *try_next = true;
+    return AdminReply(ExitCode::kUnreachable, {}, reply.reason);
+  }
+  *try_next = request.IsRead();
+  if (reply.outcome == HttpOutcome::kLost) {
+    return Doubtful(request, nonce, reply.reason);
   }
   const json body = json::parse(reply.body, nullptr, false);
-  const bool success = reply.status == kOk || reply.status == kAccepted;
-  const bool whole = reply.outcome == HttpOutcome::kAnswered && reply.status != kBadGateway &&
-                     reply.status != kGatewayTimeout &&
-                     (!success || (body.is_object() && (request.IsRead() || IsChangeAnswer(body))));
-  if (!whole) {
-    if (reply.outcome == HttpOutcome::kAnswered) {
-      *last_reason = success ? "answer is not valid" : ReasonOf(body, reply.status);
-    }
-    if (request.IsRead()) {
-      return std::nullopt;
+  if (reply.status == kOk || reply.status == kAccepted) {
+    if (!body.is_object() || (!request.IsRead() && !IsChangeAnswer(body))) {
+      return Doubtful(request, nonce, "answer is not valid");
     }
-    return AdminReply{ExitCode::kUnreachable,
-                      {},
-                      fmt::format("{}; the change may have been recorded. Repeat it with "
-                                  "--nonce {}",
-                                  *last_reason, nonce)};
+    *try_next = false;
+    return AdminReply(ExitCode::kDone, body);
   }
-  if (success) {
-    return AdminReply{ExitCode::kDone, body, ""};
-  }
-  *last_reason = ReasonOf(body, reply.status);
-  if (reply.status == kUnavailable) {
-    return std::nullopt;
+  if (reply.status >= kServerError) {
+    // Only the daemon's own statement makes a failure certain; a proxy may fail the same way.
+    if (!IsUnprocessed(body)) {
+      return Doubtful(request, nonce, ReasonOf(body, reply.status));
+    }
+    *try_next = true;
+    return AdminReply(ExitCode::kRefused, body, ReasonOf(body, reply.status));
   }
+  *try_next = false;
+  std::string reason = ReasonOf(body, reply.status);
   if (reply.status == kConflict && body.is_object() && body.contains("revision")) {
-    *last_reason += fmt::format(" (revision {} won)", body["revision"].dump());
+    reason += fmt::format(" (revision {} won)", body["revision"].dump());
+  }
+  return AdminReply(ExitCode::kRefused, body, std::move(reason));
+}
+
+AdminReply AdminClient::Doubtful(const AdminRequest& request, std::string_view nonce,
+                                 std::string_view reason) {
+  if (request.IsRead()) {
+    return AdminReply(ExitCode::kUnreachable, {}, std::string(reason));
   }
-  return AdminReply{ExitCode::kRefused, body, *last_reason};
+  return AdminReply(ExitCode::kUnreachable, {},
+                    fmt::format("{}; the change may have been recorded. Repeat it with --nonce {}",
+                                reason, nonce));
 }
 
 }  // namespace cranberryplank
--- a/packages/cli/tests/admin_client_test.cc
+++ b/packages/cli/tests/admin_client_test.cc
@@ -45,6 +45,7 @@
   Fixture f;
   SECTION("lost") { f.http.Fail(HttpOutcome::kLost); }
   SECTION("doubtful") { f.http.Answer(504, R"({"reason":"slow store","processed":true})"); }
+  SECTION("a proxy's failure") { f.http.Answer(503, "<html>"); }
   SECTION("not JSON") { f.http.Answer(202, "{"); }
   SECTION("without a revision") { f.http.Answer(202, R"({"in_effect":true})"); }
   const std::string nonce(32, 'a');
@@ -55,6 +56,17 @@
   CHECK(f.http.calls[0].Header("Change-Nonce") == nonce);
 }
 
+// Guards against an exit code that leaves open whether a change was made when it was not.
+TEST_CASE("a change that no daemon takes is refused if one of them says so") {
+  Fixture f;
+  f.http.Answer(503, R"({"reason":"not fresh","processed":false})");
+  f.http.Fail(HttpOutcome::kNotSent);
+  const AdminReply reply = f.client.Change(change_request, "", std::nullopt);
+  CHECK(reply.code == ExitCode::kRefused);
+  CHECK(reply.reason == "a port 1: not fresh");
+  CHECK(f.http.calls.size() == 2);
+}
+
 TEST_CASE("a read is tried on every daemon") {
   Fixture f;
   f.http.Fail(HttpOutcome::kLost);
--- a/packages/peers/include/cranberryplank/peers/peer_links.h
+++ b/packages/peers/include/cranberryplank/peers/peer_links.h
@@ -41,7 +41,8 @@
   LostSignal& signal_lost() { return m_lost; }
 
   /// Emitted when an incarnation can be sent to. It may be one that is not among the peers: a
-  /// daemon that is not registered yet and has connected to this one.
+  /// daemon that is not registered yet and has connected to this one. May be emitted again while
+  /// a link is up.
   UpSignal& signal_up() { return m_up; }
 
  protected:
