--- a/packages/policy/tests/placement_test.cc
+++ b/packages/policy/tests/placement_test.cc
@@ -58,6 +58,7 @@
   vms[0].state = VmState::kDraining;
   vms[3].pool = "other";
   std::vector<WorkerView> workers;
+  workers.reserve(vms.size());
   for (const Vm& vm : vms) {
     workers.push_back(WorkerView{&vm, 0, vm.id == "leaving"});
   }
@@ -79,10 +80,12 @@
 // Guards against all daemons choosing one worker, and against a choice of the fuller one.
 TEST_CASE("of two random workers the one with more free slots is taken") {
   std::vector<Vm> vms;
+  vms.reserve(10);
   for (int i = 0; i < 10; ++i) {
     vms.push_back(MakeVm("vm-" + std::to_string(i), "az-1", "r" + std::to_string(i)));
   }
   std::vector<WorkerView> workers;
+  workers.reserve(vms.size());
   for (std::size_t i = 0; i < vms.size(); ++i) {
     workers.push_back(WorkerView{&vms[i], i == 0 ? 7 : 2, false});
   }
--- a/packages/policy/tests/planner_test.cc
+++ b/packages/policy/tests/planner_test.cc
@@ -76,6 +76,7 @@
   for (int run = 0; run < 60; ++run) {
     ShortageMovePlanner planner{ShortageMoveSettings{}};
     std::vector<PoolLoad> pools;
+    pools.reserve(4);
     for (int p = 0; p < 4; ++p) {
       pools.push_back(
           MakePool("pool-" + std::to_string(p), 1 + static_cast<int>(random.Below(12)), p == 3));
--- a/packages/policy/tests/waiting_queue_test.cc
+++ b/packages/policy/tests/waiting_queue_test.cc
@@ -11,7 +11,7 @@
 namespace cranberryplank {
 namespace {
 
-const std::vector<std::string> kQueues{"tone", "permits"};
+std::vector<std::string> Queues() { return {"tone", "permits"}; }
 
 TimePoint At(int ms) { return TimePoint(Duration(ms)); }
 
@@ -36,9 +36,9 @@
   REQUIRE(queue.Push(At(0), Request("urgent", 40, true), 9) == PushResult::kQueued);
   REQUIRE(queue.Push(At(0), other, 9) == PushResult::kQueued);
   for (const std::string expected : {"urgent", "early", "other", "late"}) {
-    CHECK(queue.TakeNext(At(1), kQueues, "smiths")->task_id == expected);
+    CHECK(queue.TakeNext(At(1), Queues(), "smiths")->task_id == expected);
   }
-  CHECK_FALSE(queue.TakeNext(At(1), kQueues, "smiths").has_value());
+  CHECK_FALSE(queue.TakeNext(At(1), Queues(), "smiths").has_value());
 }
 
 // Guards against an unbounded queue and against two requests under one task id.
@@ -55,8 +55,8 @@
   WaitingQueue queue;
   queue.Push(At(0), Request("urgent", 10, true), 9);
   queue.Push(At(0), Request("ordinary", 20), 9);
-  CHECK(queue.TakeNext(At(10), kQueues, "smiths")->task_id == "ordinary");
-  CHECK(queue.Peek(At(10), kQueues, "smiths") == nullptr);
+  CHECK(queue.TakeNext(At(10), Queues(), "smiths")->task_id == "ordinary");
+  CHECK(queue.Peek(At(10), Queues(), "smiths") == nullptr);
   REQUIRE(queue.TakeExpired(At(10)).size() == 1);
   CHECK(queue.size() == 0);
 }
@@ -78,7 +78,7 @@
         }
         break;
       case 1:
-        if (const auto next = queue.TakeNext(At(now), kQueues, "team-1")) {
+        if (const auto next = queue.TakeNext(At(now), Queues(), "team-1")) {
           CHECK(next->deadline > At(now));
           leave(*next);
         }
@@ -97,8 +97,9 @@
         }
         break;
       default: {
-        WaitingRequest request = Request(std::to_string(next_id), now + 1 + random.Below(400));
-        request.queue = kQueues[random.Below(2)];
+        WaitingRequest request =
+            Request(std::to_string(next_id), now + 1 + static_cast<int>(random.Below(400)));
+        request.queue = random.Below(2) == 0 ? "tone" : "permits";
         request.team = "team-" + std::to_string(random.Below(3));
         request.key_digest = "key-" + std::to_string(random.Below(4));
         request.urgent = random.Below(4) == 0;
