Add process tests: kill, pause, store outage, rolling replacement

Each runs three daemons and six workers as processes under load and fails on any request lost, run twice, falsely refused as not run or answered with another's reply.

--- /dev/null
+++ b/tests/process/faults.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Runs one fault against separate processes under load and counts what must be 0: requests lost or
+# run twice, a false "not run", answers of other requests. Usage: faults.sh CASE
+set -euo pipefail
+source "$(dirname "${BASH_SOURCE[0]}")/cluster.sh"
+
+CASE=${1:?usage: faults.sh kill|pause|store_outage|rolling_replacement}
+REPORT=report.json
+
+fail() {
+  echo "$CASE: $*"
+  tail -n 5 "$CLUSTER_DIR"/entry-*.log
+  exit 1
+}
+
+# start_load REQUESTS: sends requests at about 150 a second in the background.
+start_load() {
+  cluster_load "$1" --concurrency 15 --run-ms 80 --timeout-ms 8000 >"$CLUSTER_DIR/$REPORT" &
+  LOAD=$!
+}
+
+# end_load SERVED: waits for the load and checks its report. Its exit code covers every count.
+end_load() {
+  wait "$LOAD" || fail "the load found a broken promise: $(cat "$CLUSTER_DIR/$REPORT")"
+  local served
+  served=$(cluster_field "$CLUSTER_DIR/$REPORT" served)
+  echo "$CASE: $(cat "$CLUSTER_DIR/$REPORT")"
+  ((served >= $1)) || fail "only $served requests were served"
+  ! grep -h invariant_violated "$CLUSTER_DIR"/entry-*.log || fail "an invariant was violated"
+}
+
+cluster_init 6
+cluster_start_platform
+for i in 1 2 3; do cluster_start_daemon "$i"; done
+for i in 1 2 3; do cluster_wait 30 cluster_ready "$i" || fail "entry-$i is not ready"; done
+cluster_configure
+
+case $CASE in
+  # A daemon that dies loses what it held, and nothing else.
+  kill)
+    start_load 1500
+    sleep 2
+    cluster_signal entry-3 KILL
+    unset "CLUSTER_PIDS[entry-3]"
+    curl -sf -X POST "http://$CLUSTER_VM_LIST/vms" -d \
+      '{"service":"cranberryplankd","id":"entry-3","action":"remove"}' >/dev/null
+    end_load 800
+    removed() { ! cluster_cli status | grep -q '^entry-3 '; }
+    cluster_wait 20 removed || fail "entry-3 is still registered"
+    ;;
+
+  # A daemon paused for longer than its freshness must not act on what it knew before. The key that
+  # is withdrawn meanwhile must not work there afterwards.
+  pause)
+    start_load 1500
+    sleep 2
+    cluster_signal entry-3 STOP
+    CLUSTER_ASK="1 2" cluster_cli key withdraw --key-file "$CLUSTER_DIR/key.clerks" --wait 10 >/dev/null ||
+      fail "the withdrawal did not take effect while entry-3 was paused"
+    sleep 3
+    cluster_signal entry-3 CONT
+    end_load 500
+    cluster_wait 20 cluster_ready 3 || fail "entry-3 did not recover"
+    status=$(curl -s -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
+      -H "Authorization: Bearer $(cluster_key clerks)" \
+      "http://$(cluster_api 3)/v1/queues/counter-requests/requests")
+    [ "$status" = 401 ] || fail "a withdrawn key was answered with $status"
+    ;;
+
+  # Work goes on while the store is away; changes are refused, withdrawn keys are refused at once.
+  store_outage)
+    start_load 3500
+    sleep 1
+    cluster_signal store STOP
+    sleep 3
+    CLUSTER_ASK=1 cluster_cli key withdraw --key-file "$CLUSTER_DIR/key.clerks" >"$CLUSTER_DIR/withdraw.txt" && true
+    grep -q "not yet recorded" "$CLUSTER_DIR/withdraw.txt" || fail "$(cat "$CLUSTER_DIR/withdraw.txt")"
+    sleep 2
+    status=$(curl -s -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
+      -H "Authorization: Bearer $(cluster_key clerks)" \
+      "http://$(cluster_api 2)/v1/queues/counter-requests/requests")
+    [ "$status" = 401 ] || fail "a withdrawn key was answered with $status during the outage"
+    sleep "${STORE_OUTAGE_SECONDS:-20}"
+    cluster_signal store CONT
+    recorded() { cluster_cli team list | grep -q '^clerks *0 '; }
+    cluster_wait 30 recorded || fail "the withdrawal was not recorded after the outage"
+    end_load 2000
+    ;;
+
+  # Every daemon is replaced, one after another, with new ones taking their place under load.
+  rolling_replacement)
+    CLUSTER_LOAD_DAEMONS="1 2 3 4 5 6" start_load 3000
+    for i in 1 2 3; do
+      cluster_start_daemon $((i + 3))
+      cluster_wait 20 cluster_ready $((i + 3)) || fail "entry-$((i + 3)) is not ready"
+      cluster_end "entry-$i" 20 || fail "entry-$i did not stop"
+    done
+    end_load 1500
+    CLUSTER_ASK="4 5 6" cluster_cli status | grep -q '^entry-1 ' && fail "entry-1 is still registered"
+    ;;
+
+  *) fail "unknown case" ;;
+esac
+echo "$CASE: passed"
