--- /dev/null
+++ b/packages/control/src/vm_presence.cc
@@ -0,0 +1,114 @@
+#include "vm_presence.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr std::string_view kService = "cranberryplankd";
+constexpr Duration kReadInterval{1'000};
+constexpr int kReadsUntilGone = 2;
+
+/// A VM that was never seen in the list, or is missing together with over a third of the list,
+/// counts as gone only after this time: a lagging or truncated list must not remove live daemons,
+/// and the loss of most VMs must not block removals for good.
+constexpr Duration kDoubtfulAbsence{30'000};
+
+}  // namespace
+
+VmPresence::VmPresence(std::string own_vm, VmDirectory& directory,
+                       const FreshnessTracker& freshness)
+    : m_own_vm(std::move(own_vm)), m_directory(directory), m_freshness(freshness) {}
+
+void VmPresence::Tick(TimePoint now, const Head& head) {
+  std::erase_if(m_daemons, [&](const auto& entry) {
+    const auto listed = [&](const DaemonRecord& daemon) {
+      return daemon.incarnation == entry.first;
+    };
+    return head.FindIncarnation(entry.first) == nullptr &&
+           std::none_of(head.previous_daemons.begin(), head.previous_daemons.end(), listed);
+  });
+  for (const DaemonRecord& daemon : head.daemons) {
+    m_daemons.try_emplace(daemon.incarnation, Daemon{daemon.id, m_trusted.contains(daemon.id)});
+  }
+  if (m_reading || (m_next_read && now < *m_next_read)) {
+    return;
+  }
+  m_reading = true;
+  m_next_read = now + kReadInterval;
+  m_directory.List(kService,
+                   m_guard.Wrap([this, now](TimePoint received,
+                                            const std::optional<std::vector<VmListing>>& listings,
+                                            std::string_view) {
+                     m_reading = false;
+                     if (listings) {
+                       OnList(received, now, *listings);
+                     }
+                   }));
+}
+
+std::set<std::string> VmPresence::Gone() const {
+  std::set<std::string> gone;
+  for (const auto& [incarnation, daemon] : m_daemons) {
+    if (daemon.gone && !HeardSinceMissing(incarnation, daemon)) {
+      gone.insert(incarnation);
+    }
+  }
+  return gone;
+}
+
+bool VmPresence::HeardSinceMissing(const std::string& incarnation, const Daemon& daemon) const {
+  const std::optional<TimePoint> heard = m_freshness.HeardAt(incarnation);
+  return heard && *heard > daemon.missing_since;
+}
+
+void VmPresence::OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings) {
+  std::set<std::string> vms;
+  for (const VmListing& listing : listings) {
+    vms.insert(listing.id);
+  }
+  // An empty list, or one older than this daemon's VM, tells nothing about the other VMs.
+  if (!vms.contains(m_own_vm)) {
+    return;
+  }
+  const bool trusted = Trusted(vms);
+  if (trusted) {
+    m_distrusted_since.reset();
+  } else if (!m_distrusted_since) {
+    m_distrusted_since = now;
+  }
+  if (trusted || now >= *m_distrusted_since + kDoubtfulAbsence) {
+    m_trusted = vms;
+  }
+  for (auto& [incarnation, daemon] : m_daemons) {
+    if (vms.contains(daemon.vm)) {
+      daemon.listed = true;
+      daemon.missing = 0;
+      continue;
+    }
+    if (daemon.missing > 0 && HeardSinceMissing(incarnation, daemon)) {
+      // The reads so far were wrong; they say nothing about what happened since.
+      daemon.missing = 0;
+      daemon.gone = false;
+    }
+    if (daemon.missing++ == 0) {
+      daemon.missing_since = sent;
+    }
+    const bool certain = trusted && daemon.listed;
+    if (daemon.missing >= kReadsUntilGone &&
+        (certain || now >= daemon.missing_since + kDoubtfulAbsence)) {
+      daemon.gone = true;
+    }
+  }
+}
+
+bool VmPresence::Trusted(const std::set<std::string>& vms) const {
+  const auto lost = std::count_if(m_trusted.begin(), m_trusted.end(),
+                                  [&](const std::string& vm) { return !vms.contains(vm); });
+  return 3 * lost <= static_cast<std::ptrdiff_t>(m_trusted.size());
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/control/src/vm_presence.h
@@ -0,0 +1,57 @@
+#ifndef CRANBERRYPLANK_CONTROL_VM_PRESENCE_H_
+#define CRANBERRYPLANK_CONTROL_VM_PRESENCE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "callback_guard.h"
+#include "cranberryplank/model/head.h"
+#include "cranberryplank/model/time.h"
+#include "cranberryplank/platform/vm_directory.h"
+#include "freshness_tracker.h"
+
+namespace cranberryplank {
+
+/// Polls the list of entry VMs and tells which registered daemons are gone with their VM.
+class VmPresence {
+ public:
+  /// @param own_vm id of this daemon's VM; a list without it is not trusted.
+  VmPresence(std::string own_vm, VmDirectory& directory, const FreshnessTracker& freshness);
+
+  /// Reads the list when due; `head` names the daemons to look for.
+  void Tick(TimePoint now, const Head& head);
+
+  /// Incarnations in `head` whose VM was missing in two reads in a row and that were not heard
+  /// from since the first of the two was sent.
+  std::set<std::string> Gone() const;
+
+ private:
+  struct Daemon {
+    std::string vm;
+    bool listed = false;  ///< Was in the list at least once.
+    int missing = 0;      ///< Reads in a row without it.
+    TimePoint missing_since{};
+    bool gone = false;
+  };
+
+  void OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings);
+  bool HeardSinceMissing(const std::string& incarnation, const Daemon& daemon) const;
+  bool Trusted(const std::set<std::string>& vms) const;
+
+  std::string m_own_vm;
+  VmDirectory& m_directory;
+  const FreshnessTracker& m_freshness;
+  std::map<std::string, Daemon> m_daemons;  ///< By incarnation.
+  std::set<std::string> m_trusted;          ///< VMs of the last trusted list.
+  std::optional<TimePoint> m_distrusted_since;
+  std::optional<TimePoint> m_next_read;
+  bool m_reading = false;
+  CallbackGuard m_guard;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_VM_PRESENCE_H_
