--- a/packages/control/include/cranberryplank/control/head_keeper.h
+++ b/packages/control/include/cranberryplank/control/head_keeper.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -127,16 +128,17 @@
   void OnMessage(TimePoint now, const std::string& sender, const PeerMessage& message);
   void OnBeat(TimePoint now, const std::string& sender, const Beat& beat);
   void OnApplied(TimePoint now);
+  Beat NextBeat(TimePoint now) const;
   void SendBeats(TimePoint now);
   void SendBeat(TimePoint now, const std::string& incarnation, Beat beat);
   void UpdatePeers(TimePoint now);
   void RecordDenials(TimePoint now);
+  std::set<std::string> FindGone() const;
   void FinishDeregistration(TimePoint now);
 
   DaemonRecord m_self;
   std::vector<DaemonRecord> m_first_peers;
   PeerLinks& m_links;
-  MembershipRules m_rules;
   std::unique_ptr<HeadReader> m_reader;
   std::unique_ptr<FreshnessTracker> m_freshness;
   std::unique_ptr<EffectTracker> m_effect;
--- /dev/null
+++ b/packages/control/src/denied_keys.cc
@@ -0,0 +1,142 @@
+#include "denied_keys.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace cranberryplank {
+
+namespace {
+
+/// Recorded denials kept so that late beats do not bring them back.
+constexpr std::size_t kRecordedKept = 1'024;
+
+/// Time that the daemon which took the withdrawal has before another one records it.
+constexpr Duration kOwnersTurn{3'000};
+constexpr Duration kRetryInterval{1'000};
+
+/// Reads the revision that a nonce starts with; nothing if the nonce has another form.
+std::optional<std::uint64_t> RevisionOf(std::string_view nonce) {
+  std::uint64_t revision = 0;
+  const char* end = nonce.data() + nonce.size();
+  const auto [rest, error] = std::from_chars(nonce.data(), end, revision);
+  if (error != std::errc() || rest == end || *rest != '-') {
+    return std::nullopt;
+  }
+  return revision;
+}
+
+}  // namespace
+
+std::string DenialStatus::ToString() const {
+  if (revision) {
+    return fmt::format("refused on {} of {} daemons, recorded in revision {}", refused_on,
+                       registered, *revision);
+  }
+  return fmt::format("refused on {} of {} daemons, not yet recorded", refused_on, registered);
+}
+
+DeniedKeys::DeniedKeys(std::string incarnation, RandomSource& random)
+    : m_incarnation(std::move(incarnation)), m_random(random) {}
+
+void DeniedKeys::Deny(TimePoint now, const Digest& key, std::uint64_t newest) {
+  const auto same_key = [&](const auto& entry) { return entry.second.key == key; };
+  if (std::any_of(m_denials.begin(), m_denials.end(), same_key)) {
+    return;
+  }
+  // The revision tells a daemon that lags behind from one whose configuration records the
+  // withdrawal: both may hold a configuration without the key.
+  const std::string nonce = fmt::format("{}-{:016x}", newest, m_random.Next());
+  m_denials[nonce] = Denial{key, newest, true, now, false, {m_incarnation}};
+}
+
+void DeniedKeys::BeatReceived(TimePoint now, const std::string& sender, const Beat& beat) {
+  for (const DeniedKey& denied : beat.denied_keys) {
+    const std::optional<std::uint64_t> newest = RevisionOf(denied.nonce);
+    if (!newest || WasRecorded(denied.nonce)) {
+      continue;
+    }
+    const auto [entry, added] = m_denials.try_emplace(
+        denied.nonce,
+        Denial{Digest{denied.digest}, *newest, false, now + kOwnersTurn, false, {m_incarnation}});
+    entry->second.refusing.insert(sender);
+  }
+}
+
+void DeniedKeys::Applied(const Fleet& fleet) {
+  for (auto entry = m_denials.begin(); entry != m_denials.end();) {
+    const Denial& denial = entry->second;
+    if (fleet.revision < denial.newest || fleet.keys.contains(denial.key.hex)) {
+      ++entry;
+      continue;
+    }
+    m_recorded.push_back(Recorded{entry->first, denial.key, fleet.revision, denial.refusing});
+    if (m_recorded.size() > kRecordedKept) {
+      m_recorded.pop_front();
+    }
+    entry = m_denials.erase(entry);
+  }
+}
+
+bool DeniedKeys::IsDenied(const Digest& key) const {
+  return std::any_of(m_denials.begin(), m_denials.end(),
+                     [&](const auto& entry) { return entry.second.key == key; });
+}
+
+std::optional<DenialStatus> DeniedKeys::StatusOf(const Digest& key, const Head& head) const {
+  const auto count = [&](const std::set<std::string>& refusing) {
+    return static_cast<int>(std::count_if(
+        head.daemons.begin(), head.daemons.end(),
+        [&](const DaemonRecord& daemon) { return refusing.contains(daemon.incarnation); }));
+  };
+  const int registered = static_cast<int>(head.daemons.size());
+  for (const auto& [nonce, denial] : m_denials) {
+    if (denial.key == key) {
+      return DenialStatus{count(denial.refusing), registered, std::nullopt};
+    }
+  }
+  const auto recorded = std::find_if(m_recorded.rbegin(), m_recorded.rend(),
+                                     [&](const Recorded& entry) { return entry.key == key; });
+  if (recorded == m_recorded.rend()) {
+    return std::nullopt;
+  }
+  return DenialStatus{count(recorded->refusing), registered, recorded->revision};
+}
+
+std::vector<DeniedKey> DeniedKeys::ForBeat() const {
+  std::vector<DeniedKey> denied;
+  for (const auto& [nonce, denial] : m_denials) {
+    denied.push_back(DeniedKey{denial.key.hex, nonce});
+  }
+  return denied;
+}
+
+std::vector<Digest> DeniedKeys::TakeUnrecorded(TimePoint now, bool acting) {
+  std::vector<Digest> keys;
+  for (auto& [nonce, denial] : m_denials) {
+    if (!denial.in_progress && now >= denial.next_attempt && (denial.own || acting)) {
+      denial.in_progress = true;
+      keys.push_back(denial.key);
+    }
+  }
+  return keys;
+}
+
+void DeniedKeys::RecordingFailed(TimePoint now, const Digest& key) {
+  for (auto& [nonce, denial] : m_denials) {
+    if (denial.key == key) {
+      denial.in_progress = false;
+      denial.next_attempt = now + kRetryInterval;
+    }
+  }
+}
+
+bool DeniedKeys::WasRecorded(const std::string& nonce) const {
+  return std::any_of(m_recorded.begin(), m_recorded.end(),
+                     [&](const Recorded& entry) { return entry.nonce == nonce; });
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/control/src/denied_keys.h
@@ -0,0 +1,77 @@
+#ifndef CRANBERRYPLANK_CONTROL_DENIED_KEYS_H_
+#define CRANBERRYPLANK_CONTROL_DENIED_KEYS_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cranberryplank/control/head_keeper.h"
+#include "cranberryplank/model/digest.h"
+#include "cranberryplank/model/fleet.h"
+#include "cranberryplank/model/head.h"
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/model/time.h"
+#include "cranberryplank/peers/messages.h"
+
+namespace cranberryplank {
+
+/// Keys that are refused although the store does not yet record their withdrawal.
+class DeniedKeys {
+ public:
+  DeniedKeys(std::string incarnation, RandomSource& random);
+
+  /// Refuses a key from now on.
+  /// @param newest newest revision heard of; the withdrawal concerns grants up to it.
+  void Deny(TimePoint now, const Digest& key, std::uint64_t newest);
+
+  /// Takes over the denials of a peer's beat.
+  void BeatReceived(TimePoint now, const std::string& sender, const Beat& beat);
+
+  /// Drops the denials that `fleet` records.
+  void Applied(const Fleet& fleet);
+
+  bool IsDenied(const Digest& key) const;
+  std::optional<DenialStatus> StatusOf(const Digest& key, const Head& head) const;
+
+  /// Denials to send in each beat.
+  std::vector<DeniedKey> ForBeat() const;
+
+  /// Returns the keys whose withdrawal is to be recorded now, and counts them as in progress.
+  /// @param acting whether this daemon also records what other daemons denied.
+  std::vector<Digest> TakeUnrecorded(TimePoint now, bool acting);
+
+  /// Notes that recording failed, so that it is tried again.
+  void RecordingFailed(TimePoint now, const Digest& key);
+
+ private:
+  struct Denial {
+    Digest key;
+    std::uint64_t newest = 0;
+    bool own = false;
+    TimePoint next_attempt;
+    bool in_progress = false;
+    std::set<std::string> refusing;  ///< Incarnations known to refuse the key.
+  };
+
+  struct Recorded {
+    std::string nonce;
+    Digest key;
+    std::uint64_t revision = 0;
+    std::set<std::string> refusing;
+  };
+
+  bool WasRecorded(const std::string& nonce) const;
+
+  std::string m_incarnation;
+  RandomSource& m_random;
+  std::map<std::string, Denial> m_denials;  ///< By nonce.
+  std::deque<Recorded> m_recorded;          ///< Oldest first.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_DENIED_KEYS_H_
--- /dev/null
+++ b/packages/control/src/registrar.cc
@@ -0,0 +1,130 @@
+#include "registrar.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cranberryplank {
+
+namespace {
+
+/// Daemons that wait for the same registration change start at different times after it, so that
+/// they do not all write at once.
+constexpr Duration kRetryInterval{100};
+constexpr int kRetrySpreadMs = 200;
+
+}  // namespace
+
+Registrar::Registrar(DaemonRecord self, HeadReader& reader, HeadWriter& writer,
+                     const EffectTracker& effect, const FreshnessTracker& freshness,
+                     RandomSource& random, MembershipRules rules)
+    : m_self(std::move(self)),
+      m_reader(reader),
+      m_writer(writer),
+      m_effect(effect),
+      m_freshness(freshness),
+      m_random(random),
+      m_rules(rules) {}
+
+void Registrar::Tick(TimePoint now, const std::set<std::string>& gone) {
+  if (m_submitted || now < m_next_attempt || !m_reader.store_head() || !IsDue(m_reader.head())) {
+    return;
+  }
+  const std::string remove = ToRemove(now, gone);
+  if (!remove.empty()) {
+    Remove(now, remove);
+  } else if (!IsRegistered() && !m_leaving && !removed()) {
+    Add(now);
+  }
+}
+
+bool Registrar::removed() const {
+  return !IsRegistered() && m_effect.SeenRegistered(m_self.incarnation);
+}
+
+bool Registrar::IsActing(TimePoint now, const std::set<std::string>& gone) const {
+  for (const DaemonRecord& daemon : m_reader.head().daemons) {
+    if (daemon.incarnation == m_self.incarnation) {
+      return true;
+    }
+    const std::optional<TimePoint> heard = m_freshness.HeardAt(daemon.incarnation);
+    if (!gone.contains(daemon.incarnation) && heard && now < *heard + kFreshness) {
+      return false;
+    }
+  }
+  return false;
+}
+
+bool Registrar::IsRegistered() const {
+  return m_reader.head().FindIncarnation(m_self.incarnation) != nullptr;
+}
+
+bool Registrar::IsDue(const Head& head) const {
+  return !m_rules.one_registration_at_a_time ||
+         head.registration_revision <= m_effect.effective_revision();
+}
+
+std::string Registrar::ToRemove(TimePoint now, const std::set<std::string>& gone) const {
+  const std::vector<DaemonRecord>& daemons = m_reader.head().daemons;
+  if (IsRegistered()) {
+    if (m_leaving) {
+      return m_self.incarnation;
+    }
+    const auto lost = std::find_if(daemons.begin(), daemons.end(), [&](const DaemonRecord& daemon) {
+      return gone.contains(daemon.incarnation) && daemon.incarnation != m_self.incarnation;
+    });
+    return lost != daemons.end() && IsActing(now, gone) ? lost->incarnation : std::string();
+  }
+  // A process that was started again on the same VM replaces its predecessor, which the VM list
+  // never reports gone. An addition and a removal in one change would change the set by two.
+  const auto predecessor =
+      std::find_if(daemons.begin(), daemons.end(),
+                   [&](const DaemonRecord& daemon) { return daemon.id == m_self.id; });
+  return predecessor != daemons.end() && !m_leaving && !removed() ? predecessor->incarnation
+                                                                  : std::string();
+}
+
+void Registrar::Add(TimePoint now) {
+  Submit(now, [this](TimePoint, const Head&, std::vector<DaemonRecord>* daemons, std::string*) {
+    daemons->push_back(m_self);
+    return true;
+  });
+}
+
+void Registrar::Remove(TimePoint now, const std::string& incarnation) {
+  Submit(now, [incarnation](TimePoint, const Head& base, std::vector<DaemonRecord>* daemons,
+                            std::string* last_reason) {
+    if (base.FindIncarnation(incarnation) == nullptr) {
+      *last_reason = fmt::format("{} is not registered", incarnation);
+      return false;
+    }
+    std::erase_if(*daemons,
+                  [&](const DaemonRecord& daemon) { return daemon.incarnation == incarnation; });
+    return true;
+  });
+}
+
+void Registrar::Submit(TimePoint now, HeadWriter::RegistrationEdit edit) {
+  m_submitted = true;
+  m_writer.SubmitRegistration(
+      now,
+      [this, edit = std::move(edit)](TimePoint when, const Head& base,
+                                     std::vector<DaemonRecord>* daemons, std::string* last_reason) {
+        if (!IsDue(base)) {
+          *last_reason = fmt::format("registration change {} is not yet in effect",
+                                     base.registration_revision);
+          return false;
+        }
+        return edit(when, base, daemons, last_reason);
+      },
+      [this](TimePoint when, const ChangeResult& result) {
+        m_submitted = false;
+        if (result.outcome != ChangeOutcome::kRecorded) {
+          m_next_attempt = when + kRetryInterval + Duration(m_random.Below(kRetrySpreadMs));
+        }
+      });
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/control/src/registrar.h
@@ -0,0 +1,62 @@
+#ifndef CRANBERRYPLANK_CONTROL_REGISTRAR_H_
+#define CRANBERRYPLANK_CONTROL_REGISTRAR_H_
+
+#include <set>
+#include <string>
+
+#include "cranberryplank/control/head_keeper.h"
+#include "cranberryplank/model/head.h"
+#include "cranberryplank/model/random.h"
+#include "cranberryplank/model/time.h"
+#include "effect_tracker.h"
+#include "freshness_tracker.h"
+#include "head_reader.h"
+#include "head_writer.h"
+
+namespace cranberryplank {
+
+/// Registers this daemon, deregisters it on a planned stop and removes daemons that are gone.
+/// Each change waits until the previous registration change is in effect.
+class Registrar {
+ public:
+  Registrar(DaemonRecord self, HeadReader& reader, HeadWriter& writer, const EffectTracker& effect,
+            const FreshnessTracker& freshness, RandomSource& random, MembershipRules rules);
+
+  /// Starts the registration change that is due; `gone` are incarnations whose VM is gone.
+  void Tick(TimePoint now, const std::set<std::string>& gone);
+
+  /// Makes this daemon leave the head and never register again.
+  void Leave() { m_leaving = true; }
+
+  bool leaving() const { return m_leaving; }
+
+  /// Tells whether another daemon removed this one.
+  bool removed() const;
+
+  /// Tells whether this daemon is the one that acts for all: the first one listed that is neither
+  /// gone nor silent. Two daemons may both believe so; the compare-and-swap decides then.
+  bool IsActing(TimePoint now, const std::set<std::string>& gone) const;
+
+ private:
+  bool IsRegistered() const;
+  bool IsDue(const Head& head) const;
+  std::string ToRemove(TimePoint now, const std::set<std::string>& gone) const;
+  void Add(TimePoint now);
+  void Remove(TimePoint now, const std::string& incarnation);
+  void Submit(TimePoint now, HeadWriter::RegistrationEdit edit);
+
+  DaemonRecord m_self;
+  HeadReader& m_reader;
+  HeadWriter& m_writer;
+  const EffectTracker& m_effect;
+  const FreshnessTracker& m_freshness;
+  RandomSource& m_random;
+  MembershipRules m_rules;
+  bool m_leaving = false;
+  bool m_submitted = false;
+  TimePoint m_next_attempt;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_CONTROL_REGISTRAR_H_
