Add the randomised run of membership

Up to ten daemons run over an in-memory store, VM list and links with store outages, slow calls, lost answers, late writes, partitions that heal in stages, pauses, lost VMs, restarts, planned stops and racing operators.

Searching from seed 1, stale dispatching is found at seed 46 with F counted from the swap, at seed 10 without acknowledgements and at seed 21 with several registrations at once.

--- /dev/null
+++ b/packages/control/tests/membership_random_test.cc
@@ -0,0 +1,341 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "simulation.h"
+
+namespace cranberryplank {
+namespace {
+
+constexpr Duration kFaultTime{60'000};
+
+/// Drives a simulation with random faults, operators and replacements of daemons.
+class RandomRun {
+ public:
+  RandomRun(std::uint64_t seed, MembershipRules rules) : m_simulation(seed, rules) {
+    m_simulation.check_registrations = rules.one_registration_at_a_time;
+  }
+
+  void RunFaults() {
+    const int daemons = 3 + static_cast<int>(Below(7));
+    for (int i = 0; i < daemons; ++i) {
+      StartNew();
+    }
+    Inject();
+    Operate();
+    m_simulation.Run(kFaultTime);
+    m_faults_end = true;
+  }
+
+  /// Checks that every daemon recovers and that a new change takes effect.
+  void CheckRecovery() {
+    m_simulation.Heal();
+    const auto registered_fresh = [&] {
+      for (const std::string& incarnation : m_simulation.Live()) {
+        if (m_simulation.recorded_head().FindIncarnation(incarnation) != nullptr &&
+            !m_stopping.contains(incarnation) && !m_simulation.Fresh(incarnation)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    m_simulation.Require(Duration(3'000), registered_fresh,
+                         "a registered daemon is not fresh after 3 s");
+    // Removals wait for the VM list, up to 30 s if it lost most VMs at once, and registration
+    // changes follow each other.
+    m_simulation.Require(
+        Duration(90'000),
+        [&] { return m_starting == 0 && !Stopping() && m_simulation.RegisteredExactlyLive(); },
+        "the registered daemons are not the live ones");
+    m_simulation.Require(
+        Duration(3'000), [&] { return m_simulation.AllFresh(); }, "a daemon is not fresh");
+    m_simulation.RequireChangeTakesEffect();
+  }
+
+  Simulation& simulation() { return m_simulation; }
+
+ private:
+  std::uint64_t Below(std::uint64_t bound) { return m_simulation.random().Below(bound); }
+  std::string RandomLive() {
+    const std::vector<std::string> live = m_simulation.Live();
+    return live[Below(live.size())];
+  }
+  bool Stopping() const {
+    const std::vector<std::string> live = m_simulation.Live();
+    return std::any_of(live.begin(), live.end(), [&](const std::string& incarnation) {
+      return m_stopping.contains(incarnation);
+    });
+  }
+  void StartNew() { m_simulation.Start(fmt::format("vm-{}", ++m_vm)); }
+
+  void Operate() {
+    if (m_faults_end) {
+      return;
+    }
+    const int operators = Below(3) == 0 ? 3 : 1;
+    for (int i = 0; i < operators; ++i) {
+      const std::string incarnation = RandomLive();
+      if (!m_simulation.Find(incarnation)->paused) {
+        m_simulation.SubmitChange(incarnation, Below(2) == 0);
+      }
+    }
+    m_simulation.After(Duration(200 + Below(2'500)), [this] { Operate(); });
+  }
+
+  void Inject() {
+    if (m_faults_end) {
+      return;
+    }
+    const Duration length(300 + Below(8'000));
+    switch (Below(11)) {
+      case 0:
+        StoreFault(length, "down", [](StoreFaults& faults) { faults.down = true; });
+        break;
+      case 1:
+        StoreFault(length, "slow", [](StoreFaults& faults) { faults.slow = true; });
+        break;
+      case 2:
+        StoreFault(length, "lost", [](StoreFaults& faults) { faults.reply_lost = 0.5; });
+        break;
+      case 3:
+        StoreFault(length, "late", [](StoreFaults& faults) { faults.arrives_late = 0.5; });
+        break;
+      case 4:
+      case 5:
+      case 6:
+        Partition(length);
+        break;
+      case 7:
+        PauseOne(length);
+        break;
+      case 8:
+        Replace();
+        break;
+      case 9:
+        Roll();
+        break;
+      default:
+        m_simulation.list_lag = Duration(Below(4'000));
+        m_simulation.list_truncated = Below(2) == 0;
+        m_simulation.Trace(fmt::format("VM list lags {} ms, truncated {}, {} ms",
+                                       m_simulation.list_lag.count(), m_simulation.list_truncated,
+                                       length.count()));
+        m_simulation.After(length, [this] { m_simulation.list_truncated = false; });
+        break;
+    }
+    m_simulation.After(Duration(200 + Below(2'500)), [this] { Inject(); });
+  }
+
+  template <typename Set>
+  void StoreFault(Duration length, std::string_view name, Set set) {
+    if (Below(2) == 0) {
+      m_simulation.Trace(fmt::format("store {} for all, {} ms", name, length.count()));
+      set(m_simulation.store_faults);
+      m_simulation.After(length, [this] { m_simulation.store_faults = StoreFaults(); });
+      return;
+    }
+    for (const std::string& incarnation : m_simulation.Live()) {
+      if (Below(2) == 0) {
+        m_simulation.Trace(
+            fmt::format("store {} for {}, {} ms", name, incarnation, length.count()));
+        set(m_simulation.node_faults[incarnation]);
+        m_simulation.After(length,
+                           [this, incarnation] { m_simulation.node_faults.erase(incarnation); });
+      }
+    }
+  }
+
+  /// Splits the daemons into two groups, one way or both.
+  void Partition(Duration length) {
+    Cut cut;
+    const bool single = Below(3) == 0;
+    for (const std::string& incarnation : m_simulation.Live()) {
+      if (!single && Below(2) == 0) {
+        cut.group.insert(incarnation);
+      }
+    }
+    if (cut.group.empty()) {
+      cut.group.insert(RandomLive());
+    }
+    const std::uint64_t way = Below(4);
+    cut.outward = way != 1;
+    cut.inward = way != 2;
+    m_simulation.late_messages = Below(2) == 0;
+    const bool cut_store = Below(3) != 0;
+    m_simulation.Trace(fmt::format("partition of {} way {} store {}, {} ms",
+                                   fmt::join(cut.group, ","), way, cut_store, length.count()));
+    if (cut_store) {
+      for (const std::string& inside : cut.group) {
+        m_simulation.node_faults[inside].down = true;
+      }
+    }
+    const int id = ++m_cuts;
+    m_simulation.cuts[id] = cut;
+    m_simulation.After(length, [this, id] { HealInStages(id); });
+    if (m_simulation.Live().size() < 8 && Below(2) == 0) {
+      StartSeveral();
+    }
+  }
+
+  /// Ends a partition; one of its daemons may stay alone for longer than the others.
+  void HealInStages(int id) {
+    if (!m_simulation.cuts.contains(id)) {
+      return;
+    }
+    Cut& cut = m_simulation.cuts[id];
+    const std::string last =
+        *std::next(cut.group.begin(), static_cast<std::ptrdiff_t>(Below(cut.group.size())));
+    const bool in_stages = cut.group.size() > 1 && Below(2) == 0;
+    for (const std::string& inside : cut.group) {
+      if (!in_stages || inside != last) {
+        m_simulation.node_faults.erase(inside);
+      }
+    }
+    if (!in_stages) {
+      m_simulation.cuts.erase(id);
+      return;
+    }
+    cut.group = {last};
+    m_simulation.Trace(fmt::format("partition of {} goes on", last));
+    m_simulation.After(Duration(Below(4'000)), [this, id] { HealInStages(id); });
+  }
+
+  void StartSeveral() {
+    const std::uint64_t count = 1 + Below(9 - m_simulation.Live().size());
+    m_simulation.Trace(fmt::format("start of {} daemons", count));
+    for (std::uint64_t i = 0; i < count; ++i) {
+      StartNew();
+    }
+  }
+
+  void PauseOne(Duration length) {
+    const std::string incarnation = RandomLive();
+    if (m_simulation.Find(incarnation)->paused) {
+      return;
+    }
+    m_simulation.Trace(fmt::format("pause {}, {} ms", incarnation, length.count()));
+    m_simulation.Pause(incarnation);
+    m_simulation.After(length, [this, incarnation] { m_simulation.Resume(incarnation); });
+  }
+
+  /// Loses a VM or a process; another one starts soon after.
+  void Replace() {
+    if (m_simulation.Live().size() < 3) {
+      return;
+    }
+    const std::string incarnation = RandomLive();
+    const std::string id = m_simulation.Find(incarnation)->id;
+    const bool same_vm = Below(2) == 0;
+    m_simulation.Trace(fmt::format("{} of {}", same_vm ? "restart" : "loss", incarnation));
+    if (same_vm) {
+      m_simulation.Crash(incarnation);
+    } else {
+      m_simulation.LoseVm(incarnation);
+    }
+    if (!same_vm && Below(2) == 0) {
+      return;
+    }
+    ++m_starting;
+    m_simulation.After(Duration(Below(4'000)), [this, same_vm, id] {
+      --m_starting;
+      if (same_vm) {
+        m_simulation.Start(id);
+      } else {
+        StartNew();
+      }
+    });
+  }
+
+  /// Starts several daemons at once, or stops one as planned.
+  void Roll() {
+    const std::size_t live = m_simulation.Live().size();
+    if (live < 4 || (live < 8 && Below(2) == 0)) {
+      StartSeveral();
+      return;
+    }
+    const std::string incarnation = RandomLive();
+    if (m_simulation.Find(incarnation)->paused) {
+      return;
+    }
+    m_simulation.Trace(fmt::format("planned stop of {}", incarnation));
+    m_stopping.insert(incarnation);
+    m_simulation.Keeper(incarnation)
+        .Deregister(m_simulation.LocalNow(incarnation), [this, incarnation](TimePoint) {
+          m_simulation.After(Duration(1), [this, incarnation] {
+            if (m_simulation.Find(incarnation) != nullptr) {
+              m_simulation.LoseVm(incarnation);
+            }
+          });
+        });
+  }
+
+  Simulation m_simulation;
+  int m_vm = 0;
+  int m_cuts = 0;
+  int m_starting = 0;  ///< Replacements about to start.
+  std::set<std::string> m_stopping;
+  bool m_faults_end = false;
+};
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+// Guards against stale dispatching, reverted configuration, lost or doubled changes, overlapping
+// registration changes, and against a fleet that does not recover after faults.
+TEST_CASE("membership holds its rules under random faults") {
+  const std::uint64_t first = FromEnvironment("CRANBERRYPLANK_FIRST_SEED", 1);
+  const std::uint64_t seeds = FromEnvironment("CRANBERRYPLANK_SEEDS", 12);
+  std::uint64_t events = 0;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    RandomRun run(seed, MembershipRules());
+    run.RunFaults();
+    run.CheckRecovery();
+    events += run.simulation().event_count();
+    INFO("seed " << seed << "\n" << run.simulation().trace());
+    CHECK_THAT(run.simulation().violation(), Catch::Equals(""));
+  }
+  fmt::print("membership: seeds {} to {}, {} events\n", first, first + seeds - 1, events);
+}
+
+/// Requires a run in which a daemon dispatches on a superseded head, among seeds from `first` on.
+/// `first` is near a seed known to show it, since the search from seed 1 takes minutes under the
+/// sanitizers; CRANBERRYPLANK_FIRST_SEED=1 repeats that search.
+void RequireStaleDispatch(std::string_view name, MembershipRules rules, std::uint64_t first) {
+  constexpr std::uint64_t kMostSeeds = 200;
+  first = FromEnvironment("CRANBERRYPLANK_FIRST_SEED", first);
+  for (std::uint64_t seed = first; seed < first + kMostSeeds; ++seed) {
+    RandomRun run(seed, rules);
+    run.RunFaults();
+    if (run.simulation().violation().find("dispatches on") != std::string::npos) {
+      fmt::print("{}: seeds {} to {}: {}\n", name, first, seed, run.simulation().violation());
+      SUCCEED();
+      return;
+    }
+  }
+  FAIL("no violation in " << kMostSeeds << " seeds");
+}
+
+// The three variants guard against a random run that is too mild to notice what each rule is for.
+TEST_CASE("the random run finds the fault of counting F from the swap") {
+  MembershipRules rules;
+  rules.count_from_swap = true;
+  RequireStaleDispatch("F counted from the swap", rules, 45);
+}
+
+TEST_CASE("the random run finds the fault of not waiting for acknowledgements") {
+  MembershipRules rules;
+  rules.wait_for_acknowledgements = false;
+  RequireStaleDispatch("no wait for acknowledgements", rules, 9);
+}
+
+TEST_CASE("the random run finds the fault of several registrations at once") {
+  MembershipRules rules;
+  rules.one_registration_at_a_time = false;
+  RequireStaleDispatch("several registrations at once", rules, 20);
+}
+
+}  // namespace
+}  // namespace cranberryplank
