--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -64,6 +64,8 @@
   /// confirm a beat that its sender had not received.
   std::map<std::string, Sequences> sequences;
   std::vector<std::string> targets;  ///< Incarnations that beats go to.
+  /// Held and effective revision that `targets` was computed for.
+  std::optional<std::pair<std::uint64_t, std::uint64_t>> targets_basis;
   std::set<std::string> gone;
   std::map<std::string, std::string> unregistered;  ///< Last unregistered process by VM.
   std::map<std::string, TimePoint> answered;        ///< Last beat sent in answer to such a process.
@@ -284,6 +286,11 @@
 }
 
 void HeadKeeper::UpdatePeers(TimePoint now) {
+  const std::pair<std::uint64_t, std::uint64_t> basis(head().revision, effective_revision());
+  if (m_peers->targets_basis == basis) {
+    return;
+  }
+  m_peers->targets_basis = basis;
   std::vector<DaemonRecord> peers = head().daemons;
   const auto add = [&](const DaemonRecord& daemon) {
     const auto same = [&](const DaemonRecord& peer) {
@@ -308,6 +315,7 @@
   std::erase_if(peers,
                 [&](const DaemonRecord& peer) { return peer.incarnation == m_self.incarnation; });
   std::vector<std::string> targets;
+  targets.reserve(peers.size());
   for (const DaemonRecord& peer : peers) {
     targets.push_back(peer.incarnation);
   }
--- a/packages/control/src/head_reader.cc
+++ b/packages/control/src/head_reader.cc
@@ -26,7 +26,7 @@
 constexpr std::size_t kMostCandidates = 8;
 
 /// Parts in one reply to a peer; the frame limit is 1 MiB. A single larger part goes alone.
-constexpr std::size_t kReplyPartBytes = 512 * 1024;
+constexpr std::size_t kReplyPartBytes = 500'000;
 
 bool IsDue(TimePoint now, const std::optional<TimePoint>& last, Duration interval) {
   return !last || now >= *last + interval;
@@ -93,7 +93,10 @@
   }
   m_watch_index = reply.watch_index;
   StoreHead read{Head(), reply.index};
-  if (reply.found) {
+  if (m_store_head && reply.found && reply.index == m_store_head->index) {
+    // The same version holds the same head; most reads end here without decoding it.
+    read = *m_store_head;
+  } else if (reply.found) {
     const std::optional<Head> head = DecodeHead(reply.value, last_reason);
     if (!head) {
       m_undecodable = *last_reason;
