--- a/packages/control/include/cranberryplank/control/head_keeper.h
+++ b/packages/control/include/cranberryplank/control/head_keeper.h
@@ -70,8 +70,8 @@
   static constexpr Duration kTickInterval{50};
 
   /// @param self this daemon's record, with an incarnation new to this process.
-  /// @param first_peers daemons to ask for the head until one is known. Messages to them are sent
-  ///     to the `incarnation` given here, so it has to be an address that `links` understands.
+  /// @param first_peers daemons to ask for the head until one is known. An empty incarnation stands
+  ///     for whichever daemon answers at the address.
   /// The references must outlive the keeper.
   HeadKeeper(DaemonRecord self, std::vector<DaemonRecord> first_peers, Store& store,
              VmDirectory& directory, PeerLinks& links, RandomSource& random,
@@ -127,6 +127,7 @@
 
   void OnMessage(TimePoint now, const std::string& sender, const PeerMessage& message);
   void OnBeat(TimePoint now, const std::string& sender, const Beat& beat);
+  void OnLinkUp(TimePoint now, const std::string& incarnation);
   void OnApplied(TimePoint now);
   Beat NextBeat(TimePoint now) const;
   void SendBeats(TimePoint now);
--- a/packages/control/include/cranberryplank/control/vm_mover.h
+++ b/packages/control/include/cranberryplank/control/vm_mover.h
@@ -20,7 +20,10 @@
 
 /// Settings of a VmMover.
 struct VmMoverOptions {
-  Duration poll{500};                ///< Between attempts at a step of one move.
+  Duration poll{500};  ///< Between attempts at a step of one move.
+  /// Time after which a worker refuses every start request that was sent before the VM was empty:
+  /// the longest time a daemon stays fresh, from which start-by deadlines are worked out.
+  Duration start_requests_end{2'000};
   bool test_wait_for_effect = true;  ///< Tests switch this rule off to see the checks fail.
 };
 
@@ -72,6 +75,7 @@
     std::uint64_t recorded = 0;  ///< Nothing is done before this revision is applied here.
     bool busy = false;           ///< A call or a head change is under way.
     TimePoint next;
+    TimePoint seen;  ///< When this daemon first saw the state.
     std::string step;
   };
   struct Step {
--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -66,6 +66,7 @@
   std::vector<std::string> targets;  ///< Incarnations that beats go to.
   /// Held and effective revision that `targets` was computed for.
   std::optional<std::pair<std::uint64_t, std::uint64_t>> targets_basis;
+  std::set<std::string> linked;  ///< Incarnations that a link came up to.
   std::set<std::string> gone;
   std::map<std::string, std::string> unregistered;  ///< Last unregistered process by VM.
   std::map<std::string, TimePoint> answered;        ///< Last beat sent in answer to such a process.
@@ -94,6 +95,7 @@
       m_denied(std::make_unique<DeniedKeys>(m_self.incarnation, random)),
       m_peers(std::make_unique<PeerState>()) {
   m_links.signal_message().connect(sigc::mem_fun(*this, &HeadKeeper::OnMessage));
+  m_links.signal_up().connect(sigc::mem_fun(*this, &HeadKeeper::OnLinkUp));
   m_reader->signal_applied().connect(sigc::mem_fun(*this, &HeadKeeper::OnApplied));
   m_reader->signal_store_read().connect(sigc::mem_fun(*m_freshness, &FreshnessTracker::StoreRead));
 }
@@ -285,6 +287,12 @@
   m_changed.emit(now);
 }
 
+void HeadKeeper::OnLinkUp(TimePoint /*now*/, const std::string& incarnation) {
+  if (m_peers->linked.insert(incarnation).second) {
+    m_peers->targets_basis.reset();
+  }
+}
+
 void HeadKeeper::UpdatePeers(TimePoint now) {
   const std::pair<std::uint64_t, std::uint64_t> basis(head().revision, effective_revision());
   if (m_peers->targets_basis == basis) {
@@ -294,7 +302,8 @@
   std::vector<DaemonRecord> peers = head().daemons;
   const auto add = [&](const DaemonRecord& daemon) {
     const auto same = [&](const DaemonRecord& peer) {
-      return peer.incarnation == daemon.incarnation;
+      return peer.incarnation == daemon.incarnation && peer.peer_host == daemon.peer_host &&
+             peer.peer_port == daemon.peer_port;
     };
     if (std::none_of(peers.begin(), peers.end(), same)) {
       peers.push_back(daemon);
@@ -317,9 +326,19 @@
   std::vector<std::string> targets;
   targets.reserve(peers.size());
   for (const DaemonRecord& peer : peers) {
-    targets.push_back(peer.incarnation);
+    if (!peer.incarnation.empty()) {
+      targets.push_back(peer.incarnation);
+    }
+  }
+  if (!registered()) {
+    // The settings name first peers by address only; the link tells who answered there.
+    for (const std::string& incarnation : m_peers->linked) {
+      if (std::find(targets.begin(), targets.end(), incarnation) == targets.end()) {
+        targets.push_back(incarnation);
+      }
+    }
   }
-  if (targets == m_peers->targets) {
+  if (targets == m_peers->targets && !m_peers->targets.empty()) {
     return;
   }
   m_peers->targets = targets;
--- a/packages/control/src/vm_mover.cc
+++ b/packages/control/src/vm_mover.cc
@@ -202,6 +202,7 @@
     progress.boot_id = vm.boot_id;
     progress.revision = m_head->head().revision;
     progress.next = now;
+    progress.seen = now;
   }
   std::string reason;
   if (progress.busy || now < progress.next || !Acts(vm.id) ||
@@ -213,12 +214,19 @@
     return;
   }
   // The state was seen at this revision or earlier. Once this revision is in effect, no daemon
-  // starts work on the VM any more, and start requests under way are too late for the worker.
+  // starts work on the VM any more.
   if (m_options.test_wait_for_effect && vm.state == VmState::kDraining &&
       !m_head->StatusOf(progress.revision, now).in_effect) {
     Wait(now, vm, "draining is not in effect yet");
     return;
   }
+  // A revision is in effect as soon as every daemon acknowledged it, which may be before the last
+  // start request sent under the old one reaches the worker or becomes too late for it.
+  if (m_options.test_wait_for_effect && vm.state == VmState::kEmpty &&
+      now - progress.seen < m_options.start_requests_end) {
+    Wait(now, vm, "earlier start requests may still arrive");
+    return;
+  }
   progress.busy = true;
   progress.step = "checking maintenance";
   if (vm.state == VmState::kDraining) {
--- a/packages/daemon/include/cranberryplank/daemon/settings.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings.h
@@ -31,7 +31,7 @@
   Endpoint api_listen;
   Endpoint peer_listen;
   std::vector<Endpoint> first_peers;  ///< Asked for the head while the store is unavailable.
-  std::size_t max_body_bytes = 1 << 20;
+  std::size_t max_body_bytes = 1'000'000;
   std::size_t max_header_bytes = 16 << 10;
   Duration caller_idle_timeout{60'000};  ///< A caller that stalls longer loses its connection.
 
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -54,6 +54,14 @@
              std::string_view::npos;
 }
 
+/// Hexadecimal digits are compared as text.
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -216,9 +224,7 @@
 void AdminApi::Submit(TimePoint now, const Exchange& exchange, std::string_view description,
                       HeadControl::FleetEdit edit) {
   const ApiRequest& request = exchange->request();
-  std::string nonce(request.Header(kNonceHeader));
-  std::transform(nonce.begin(), nonce.end(), nonce.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  const std::string nonce = LowerCase(request.Header(kNonceHeader));
   const std::string fingerprint =
       Sha256(fmt::format("{} {}\n{}", request.method, request.path, request.body)).hex;
   const auto repeated = std::make_shared<std::optional<std::uint64_t>>();
@@ -336,6 +342,7 @@
     exchange->Reply(Error(400, "expected digest (64 hexadecimal digits) and team"));
     return;
   }
+  grant.digest.hex = LowerCase(grant.digest.hex);
   Submit(now, exchange, fmt::format("grant a key to team {}", grant.team),
          [grant](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
            const auto known = current.keys.find(grant.digest.hex);
@@ -353,7 +360,8 @@
          });
 }
 
-void AdminApi::WithdrawKey(TimePoint now, const Exchange& exchange, const std::string& digest) {
+void AdminApi::WithdrawKey(TimePoint now, const Exchange& exchange, const std::string& name) {
+  const std::string digest = LowerCase(name);
   if (!IsHex(digest, kDigestLength)) {
     exchange->Reply(Error(400, "the digest must be 64 hexadecimal digits"));
     return;
