--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/admin_edits.h
@@ -0,0 +1,44 @@
+#ifndef CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
+#define CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cranberryplank/bundle/bundle.h"
+#include "cranberryplank/bundle/bundle_verifier.h"
+#include "cranberryplank/control/head_control.h"
+#include "cranberryplank/model/fleet.h"
+
+namespace cranberryplank {
+
+/// Changes of the configuration that operators ask for. Each returns an edit that refuses, with a
+/// reason, if it does not fit the newest configuration.
+
+HeadControl::FleetEdit GrantKeyEdit(const KeyGrant& grant);
+HeadControl::FleetEdit SetTeamEdit(const Team& team);
+HeadControl::FleetEdit AddVmEdit(const Vm& vm);
+
+/// @param is_gone tells whether the VM is gone from the platform's list, so that its worker cannot
+///   be asked whether it is empty
+HeadControl::FleetEdit RemoveVmEdit(const std::string& id, std::function<bool()> is_gone);
+
+HeadControl::FleetEdit SubmitBundleEdit(const Bundle& bundle, const ApproverKeys& approvers,
+                                        int approvals_required);
+
+/// Nonce and content of an operator's change.
+struct ChangeIdentity {
+  std::string nonce;
+  std::string fingerprint;
+};
+
+/// Adds the change's record to what `edit` makes. A change that is recorded already is refused, and
+/// `*recorded_at` set to its revision.
+HeadControl::FleetEdit RecordedEdit(const ChangeIdentity& identity, HeadControl::FleetEdit edit,
+                                    std::shared_ptr<std::optional<std::uint64_t>> recorded_at);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -81,7 +81,7 @@
 /// HTTP server on one event loop. A damaged or stalled request costs its connection only.
 class ApiServer {
  public:
-  using Handler = std::function<void(TimePoint now, std::shared_ptr<ApiExchange> exchange)>;
+  using Handler = std::function<void(TimePoint now, const std::shared_ptr<ApiExchange>& exchange)>;
 
   ApiServer(event_base* base, const ApiLimits& limits, Handler handler);
   ~ApiServer();
--- a/packages/daemon/include/cranberryplank/daemon/demand_board.h
+++ b/packages/daemon/include/cranberryplank/daemon/demand_board.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_DAEMON_DEMAND_BOARD_H_
 #define CRANBERRYPLANK_DAEMON_DEMAND_BOARD_H_
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -48,6 +49,15 @@
   /// Free worker slots of `pool` as seen from here.
   FreeCapacity Free(TimePoint now, const std::string& pool);
 
+  /// Counts a request of `queue` that was refused as full or expired.
+  void CountLost(std::string_view queue);
+
+  /// Requests of a pool's queues counted as lost here since the start.
+  std::uint64_t LostIn(std::string_view pool) const;
+
+  /// Mean of the expected run times of the kinds of requests that wait here; 1 s without any.
+  Duration ExpectedRunTimeIn(std::string_view pool) const;
+
  private:
   const HeadControl* m_head;
   const WaitingQueue* m_queue;
@@ -55,6 +65,7 @@
   const PeerTable* m_peers;
   std::map<std::string, std::vector<std::string>, std::less<>> m_queues_by_pool;
   std::map<std::string, TimePoint, std::less<>> m_free_since;  ///< By pool.
+  std::map<std::string, std::uint64_t, std::less<>> m_lost;    ///< By pool.
 };
 
 }  // namespace cranberryplank
--- a/packages/daemon/include/cranberryplank/daemon/request_router.h
+++ b/packages/daemon/include/cranberryplank/daemon/request_router.h
@@ -23,6 +23,7 @@
 #include "cranberryplank/daemon/request_forwarder.h"
 #include "cranberryplank/daemon/task_runner.h"
 #include "cranberryplank/daemon/ticket_book.h"
+#include "cranberryplank/daemon/waiting_sweeper.h"
 #include "cranberryplank/model/random.h"
 #include "cranberryplank/peers/peer_links.h"
 #include "cranberryplank/platform/worker_client.h"
@@ -102,12 +103,6 @@
   /// True if nothing waits, runs, is forwarded or is uncertain.
   bool Idle() const { return m_pending.empty() && m_runner.Idle(); }
 
-  /// Requests of a pool's queues refused as full or expired here since the start.
-  std::uint64_t LostIn(std::string_view pool) const;
-
-  /// Mean of the expected run times of the requests that wait or run here; 1 s without any.
-  Duration ExpectedRunTimeIn(std::string_view pool) const;
-
   TaskRunner& runner() { return m_runner; }
   DemandBoard& demand() { return m_demand; }
   const PeerTable& peers() const { return m_peers; }
@@ -140,11 +135,6 @@
   void OnNoAnswer(TimePoint now, PendingRequest pending, const std::string& vm);
   void OnResolved(TimePoint now, const std::string& task_id, TaskFate fate);
 
-  void CountLost(const std::string& queue);
-  void DropExpired(TimePoint now);
-  void DropStale(TimePoint now);
-  void DropNotAdmitted(TimePoint now);
-  void AnswerUnresolved(TimePoint now);
   void UpdateShares(TimePoint now, std::uint64_t rotation);
   void OnConfiguration(TimePoint now);
 
@@ -159,10 +149,9 @@
   DemandBoard m_demand;
   PendingRequests m_pending;
   RequestForwarder m_forwarder;
+  WaitingSweeper m_sweeper;
   std::set<std::string, std::less<>> m_leaving;
-  std::map<std::string, std::uint64_t, std::less<>> m_lost;  ///< By pool.
   TimePoint m_shares_updated;
-  std::optional<TimePoint> m_stale_since;  ///< Since when this daemon has not been fresh.
   bool m_shutting_down = false;
 };
 
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -8,9 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "cranberryplank/bundle/bundle_application.h"
 #include "cranberryplank/bundle/bundle_parser.h"
 #include "cranberryplank/bundle/bundle_verifier.h"
+#include "cranberryplank/daemon/admin_edits.h"
 #include "cranberryplank/daemon/admin_reads.h"
 #include "cranberryplank/daemon/caller_api.h"
 #include "cranberryplank/daemon/log.h"
@@ -121,7 +121,7 @@
     exchange->Reply(Error(401, "operator token missing or wrong"));
     return true;
   }
-  const std::string_view path = std::string_view(request.path).substr(kPrefix.size());
+  const std::string path = request.path.substr(kPrefix.size());
   if (request.method == "GET") {
     Read(now, exchange, path);
   } else if (!IsHex(request.Header(kNonceHeader), kNonceLength)) {
@@ -187,34 +187,33 @@
 }
 
 void AdminApi::Change(TimePoint now, const Exchange& exchange, std::string_view path) {
-  const std::string& method = exchange->request().method;
   const std::size_t slash = path.find('/');
-  const std::string_view kind = path.substr(0, slash);
+  const std::string kind(path.substr(0, slash));
   const std::string rest(slash == std::string_view::npos ? "" : path.substr(slash + 1));
   const std::size_t verb = rest.find('/');
   const std::string name = rest.substr(0, verb);
-  const std::string action = verb == std::string::npos ? "" : rest.substr(verb + 1);
-  if (method == "POST" && path == "bundle") {
+  const std::string action = verb == std::string::npos ? "" : rest.substr(verb);
+  const std::string route = fmt::format("{} {}{}{}", exchange->request().method, kind,
+                                        name.empty() ? "" : "/NAME", action);
+  if (route == "POST bundle") {
     SubmitBundle(now, exchange);
-  } else if (method == "POST" && path == "keys") {
+  } else if (route == "POST keys") {
     GrantKey(now, exchange);
-  } else if (method == "POST" && path == "vms") {
-    AddVm(now, exchange);
-  } else if (name.empty()) {
-    exchange->Reply(Error(404, "no such path"));
-  } else if (method == "DELETE" && kind == "keys") {
+  } else if (route == "DELETE keys/NAME") {
     WithdrawKey(now, exchange, name);
-  } else if (method == "PUT" && kind == "teams") {
+  } else if (route == "PUT teams/NAME") {
     SetTeam(now, exchange, name);
-  } else if (method == "DELETE" && kind == "vms") {
+  } else if (route == "POST vms") {
+    AddVm(now, exchange);
+  } else if (route == "DELETE vms/NAME") {
     RemoveVm(now, exchange, name);
-  } else if (method == "POST" && kind == "vms" && action == "drain") {
+  } else if (route == "POST vms/NAME/drain") {
     DrainVm(now, exchange, name);
-  } else if (method == "POST" && kind == "vms" && action == "move") {
+  } else if (route == "POST vms/NAME/move") {
     MoveVm(now, exchange, name);
-  } else if (method == "POST" && kind == "maintenance") {
+  } else if (route == "POST maintenance/NAME") {
     StartWave(now, exchange, name);
-  } else if (method == "DELETE" && kind == "maintenance") {
+  } else if (route == "DELETE maintenance/NAME") {
     StopWave(now, exchange, name);
   } else {
     exchange->Reply(Error(404, "no such path"));
@@ -228,32 +227,9 @@
   const std::string fingerprint =
       Sha256(fmt::format("{} {}\n{}", request.method, request.path, request.body)).hex;
   const auto repeated = std::make_shared<std::optional<std::uint64_t>>();
-  const auto guarded = [nonce, fingerprint, repeated, edit = std::move(edit)](
-                           const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
-    for (const ChangeRecord& change : current.changes) {
-      if (change.nonce != nonce) {
-        continue;
-      }
-      if (change.fingerprint != fingerprint) {
-        *last_reason = "the nonce was used for another change";
-      } else {
-        *last_reason = "recorded before";
-        *repeated = change.revision;
-      }
-      return std::nullopt;
-    }
-    auto next = edit(current, last_reason);
-    if (!next) {
-      return std::nullopt;
-    }
-    next->changes.push_back(ChangeRecord{nonce, fingerprint, current.revision + 1});
-    if (next->changes.size() > kRememberedChanges) {
-      next->changes.erase(next->changes.begin());
-    }
-    return next;
-  };
   LogLine(LogLevel::kInfo, "change_submitted").Field("change", description).Field("nonce", nonce);
-  m_parts.head->Submit(now, description, guarded,
+  m_parts.head->Submit(now, description,
+                       RecordedEdit(ChangeIdentity{nonce, fingerprint}, std::move(edit), repeated),
                        [this, exchange, repeated, what = std::string(description)](
                            TimePoint at, const ChangeResult& result) {
                          LogLine(LogLevel::kInfo, "change_answered")
@@ -313,22 +289,8 @@
       approvers.emplace(name, *key);
     }
   }
-  const int required = m_parts.settings->approvals_required;
   Submit(now, exchange, fmt::format("bundle version {}", bundle->version),
-         [bundle = *bundle, approvers, required](const Fleet& current,
-                                                 std::string* last_reason) -> std::optional<Fleet> {
-           BundleVerifier verifier(approvers, required);
-           if (!verifier.Verify(bundle, BundleVersionOf(current))) {
-             *last_reason = verifier.last_reason();
-             return std::nullopt;
-           }
-           BundleApplication application;
-           auto next = application.Apply(bundle, current);
-           if (!next) {
-             *last_reason = application.last_reason();
-           }
-           return next;
-         });
+         SubmitBundleEdit(*bundle, approvers, m_parts.settings->approvals_required));
 }
 
 void AdminApi::GrantKey(TimePoint now, const Exchange& exchange) {
@@ -343,21 +305,7 @@
     return;
   }
   grant.digest.hex = LowerCase(grant.digest.hex);
-  Submit(now, exchange, fmt::format("grant a key to team {}", grant.team),
-         [grant](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
-           const auto known = current.keys.find(grant.digest.hex);
-           if (!current.teams.contains(grant.team)) {
-             *last_reason = fmt::format("team {} is unknown", grant.team);
-             return std::nullopt;
-           }
-           if (known != current.keys.end() && known->second.team != grant.team) {
-             *last_reason = "the key is granted to another team";
-             return std::nullopt;
-           }
-           Fleet next = current;
-           next.keys[grant.digest.hex] = grant;
-           return next;
-         });
+  Submit(now, exchange, fmt::format("grant a key to team {}", grant.team), GrantKeyEdit(grant));
 }
 
 void AdminApi::WithdrawKey(TimePoint now, const Exchange& exchange, const std::string& name) {
@@ -395,12 +343,7 @@
     exchange->Reply(Error(422, "share_weight must be above 0 and upper_limit at least 1"));
     return;
   }
-  Submit(now, exchange, fmt::format("set team {}", name),
-         [team](const Fleet& current, std::string* /*last_reason*/) -> std::optional<Fleet> {
-           Fleet next = current;
-           next.teams[team.name] = team;
-           return next;
-         });
+  Submit(now, exchange, fmt::format("set team {}", name), SetTeamEdit(team));
 }
 
 void AdminApi::AddVm(TimePoint now, const Exchange& exchange) {
@@ -414,40 +357,12 @@
     exchange->Reply(Error(400, reason));
     return;
   }
-  Submit(now, exchange, fmt::format("add VM {}", vm->id),
-         [vm = *vm](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
-           if (!current.pools.contains(vm.pool)) {
-             *last_reason = fmt::format("pool {} is unknown", vm.pool);
-             return std::nullopt;
-           }
-           if (current.vms.contains(vm.id) || vm.slots < 1) {
-             *last_reason = current.vms.contains(vm.id) ? "the id is in use" : "slots below 1";
-             return std::nullopt;
-           }
-           Fleet next = current;
-           next.vms[vm.id] = vm;
-           return next;
-         });
+  Submit(now, exchange, fmt::format("add VM {}", vm->id), AddVmEdit(*vm));
 }
 
 void AdminApi::RemoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
   Submit(now, exchange, fmt::format("remove VM {}", id),
-         [this, id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
-           const auto vm = current.vms.find(id);
-           if (vm == current.vms.end()) {
-             *last_reason = fmt::format("VM {} is unknown", id);
-             return std::nullopt;
-           }
-           const bool drained =
-               vm->second.state == VmState::kEmpty && vm->second.target_pool.empty();
-           if (!drained && !m_parts.vm_list->IsGone(id)) {
-             *last_reason = "the VM is neither drained and empty nor gone from the VM list";
-             return std::nullopt;
-           }
-           Fleet next = current;
-           next.vms.erase(id);
-           return next;
-         });
+         RemoveVmEdit(id, [this, id] { return m_parts.vm_list->IsGone(id); }));
 }
 
 void AdminApi::DrainVm(TimePoint now, const Exchange& exchange, const std::string& id) {
--- a/packages/daemon/src/admin_reads.cc
+++ b/packages/daemon/src/admin_reads.cc
@@ -90,8 +90,9 @@
   json list = json::array();
   for (const auto& [name, team] : fleet.teams) {
     const Load load = LoadOf("", name);
-    const auto keys = std::count_if(fleet.keys.begin(), fleet.keys.end(),
-                                    [&](const auto& key) { return key.second.team == name; });
+    const auto keys = std::count_if(
+        fleet.keys.begin(), fleet.keys.end(),
+        [&team_name = team.name](const auto& key) { return key.second.team == team_name; });
     list.push_back(json{{"name", name},
                         {"share_weight", team.contract.share_weight},
                         {"upper_limit", team.contract.upper_limit},
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -76,7 +76,10 @@
 
 std::string_view ApiRequest::Header(std::string_view name) const {
   const auto header = headers.find(name);
-  return header == headers.end() ? std::string_view() : std::string_view(header->second);
+  if (header == headers.end()) {
+    return {};
+  }
+  return header->second;
 }
 
 ApiExchange::ApiExchange(evhttp_request* raw, ApiRequest request)
@@ -174,7 +177,7 @@
   auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
   auto* server = static_cast<ApiServer*>(self);
   server->m_open.push_back(exchange);
-  server->m_handler(Clock::now(), std::move(exchange));
+  server->m_handler(Clock::now(), exchange);
 }
 
 }  // namespace cranberryplank
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -192,9 +192,10 @@
       admin_api(AdminParts{&settings, &head, &mover, &maintenance, &router, &vm_list}),
       shutdown(ShutdownParts{&head, &slots, &router}, settings.shutdown_grace),
       status_api(StatusParts{&head, &slots, &router, &links, &vm_list, &shutdown, &metrics}),
-      server(
-          base.get(), LimitsOf(settings),
-          [this](TimePoint now, std::shared_ptr<ApiExchange> exchange) { Handle(now, exchange); }),
+      server(base.get(), LimitsOf(settings),
+             [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+               Handle(now, exchange);
+             }),
       tick(event_new(base.get(), -1, EV_PERSIST, &Parts::OnTick, this)),
       terminate(evsignal_new(base.get(), SIGTERM, &Parts::OnSignal, this)),
       interrupt(evsignal_new(base.get(), SIGINT, &Parts::OnSignal, this)) {
--- a/packages/daemon/src/demand_board.cc
+++ b/packages/daemon/src/demand_board.cc
@@ -19,9 +19,9 @@
 }
 
 const std::vector<std::string>& DemandBoard::QueuesOf(std::string_view pool) const {
-  static const std::vector<std::string> kNone;
+  static const std::vector<std::string> none;
   const auto found = m_queues_by_pool.find(pool);
-  return found == m_queues_by_pool.end() ? kNone : found->second;
+  return found == m_queues_by_pool.end() ? none : found->second;
 }
 
 std::vector<TeamDemand> DemandBoard::Own() const {
@@ -102,6 +102,32 @@
   return local;
 }
 
+void DemandBoard::CountLost(std::string_view queue) {
+  const auto found = m_head->fleet().queues.find(queue);
+  if (found != m_head->fleet().queues.end()) {
+    ++m_lost[found->second.pool];
+  }
+}
+
+std::uint64_t DemandBoard::LostIn(std::string_view pool) const {
+  const auto lost = m_lost.find(pool);
+  return lost == m_lost.end() ? 0 : lost->second;
+}
+
+Duration DemandBoard::ExpectedRunTimeIn(std::string_view pool) const {
+  constexpr Duration kWithoutDemand{1'000};
+  Duration sum{0};
+  int kinds = 0;
+  for (const std::string& name : QueuesOf(pool)) {
+    const Queue& queue = m_head->fleet().queues.at(name);
+    for (const std::string& team : m_queue->Teams(std::span(&name, 1))) {
+      sum += m_runner->ExpectedRunTime(team, queue);
+      ++kinds;
+    }
+  }
+  return kinds == 0 ? kWithoutDemand : sum / kinds;
+}
+
 FreeCapacity DemandBoard::Free(TimePoint now, const std::string& pool) {
   FreeCapacity free;
   free.slots = CapacityEstimator::Estimate(now, pool, m_runner->workers().Views(now, pool),
--- a/packages/daemon/src/move_scheduler.cc
+++ b/packages/daemon/src/move_scheduler.cc
@@ -47,8 +47,8 @@
     load.running += demand.running;
     load.waiting += demand.waiting;
   }
-  load.lost = m_parts.router->LostIn(pool.name);
-  load.run_time = m_parts.router->ExpectedRunTimeIn(pool.name);
+  load.lost = m_parts.router->demand().LostIn(pool.name);
+  load.run_time = m_parts.router->demand().ExpectedRunTimeIn(pool.name);
   TaskRunner& runner = m_parts.router->runner();
   for (const WorkerView& view : runner.workers().Views(now, pool.name)) {
     MovableVm vm;
--- a/packages/daemon/src/pending_requests.cc
+++ b/packages/daemon/src/pending_requests.cc
@@ -13,9 +13,10 @@
     : m_tickets(tickets), m_metrics(metrics) {}
 
 void PendingRequests::Keep(PendingRequest pending) {
-  std::string task_id = pending.request.task_id;
-  const bool added = m_requests.try_emplace(std::move(task_id), std::move(pending)).second;
-  CP_INVARIANT(added, "two requests without a reply have the same task id");
+  CP_INVARIANT(!m_requests.contains(pending.request.task_id),
+               "two requests without a reply have the task id {}", pending.request.task_id);
+  PendingRequest& kept = m_requests[pending.request.task_id];
+  kept = std::move(pending);
 }
 
 std::optional<PendingRequest> PendingRequests::Take(std::string_view task_id) {
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -15,9 +15,6 @@
 
 constexpr Duration kShareInterval{200};
 
-/// A daemon that is not fresh for this long refuses what waits, so that callers can go elsewhere.
-constexpr Duration kStalePatience{1'000};
-
 /// Time for which the fate of an unanswered start is looked up before the caller is told that it
 /// may have run. Longer than the start-by deadline, after which a worker can tell that it did not.
 constexpr Duration kFatePatience{3'000};
@@ -51,7 +48,11 @@
           },
           [this](TimePoint now, CallerRequest request, ReplyCallback done) {
             Accept(now, std::move(request), std::move(done));
-          }) {
+          }),
+      m_sweeper(parts.head, &m_admission, &m_queue, &m_pending, &m_demand,
+                [this](TimePoint now, std::string* last_reason) {
+                  return DispatchUntil(now, last_reason);
+                }) {
   m_parts.head->signal_changed().connect(sigc::mem_fun(*this, &RequestRouter::OnConfiguration));
 }
 
@@ -159,12 +160,12 @@
     m_pending.Refuse(now, pending, 404, "unknown queue");
     return;
   }
-  DropExpired(now);
+  m_sweeper.RefuseExpired(now);
   switch (Push(now, pending, queue->second.max_waiting)) {
     case PushResult::kQueued:
       break;
     case PushResult::kFull:
-      CountLost(request.queue);
+      m_demand.CountLost(request.queue);
       m_pending.Refuse(now, pending, 429, "queue full", RetryAfterFor(request, queue->second));
       return;
     case PushResult::kDuplicate:
@@ -467,9 +468,7 @@
 
 void RequestRouter::Tick(TimePoint now, std::uint64_t rotation) {
   m_peers.Tick(now);
-  DropExpired(now);
-  DropStale(now);
-  AnswerUnresolved(now);
+  m_sweeper.Tick(now);
   m_runner.Tick(now);
   if (now - m_shares_updated >= kShareInterval) {
     m_shares_updated = now;
@@ -479,69 +478,6 @@
   m_forwarder.Tick(now);
 }
 
-void RequestRouter::CountLost(const std::string& queue) {
-  const auto found = m_parts.head->fleet().queues.find(queue);
-  if (found != m_parts.head->fleet().queues.end()) {
-    ++m_lost[found->second.pool];
-  }
-}
-
-std::uint64_t RequestRouter::LostIn(std::string_view pool) const {
-  const auto lost = m_lost.find(pool);
-  return lost == m_lost.end() ? 0 : lost->second;
-}
-
-Duration RequestRouter::ExpectedRunTimeIn(std::string_view pool) const {
-  constexpr Duration kWithoutDemand{1'000};
-  Duration sum{0};
-  int kinds = 0;
-  for (const std::string& name : m_demand.QueuesOf(pool)) {
-    const Queue& queue = m_parts.head->fleet().queues.at(name);
-    for (const std::string& team : m_queue.Teams(std::span(&name, 1))) {
-      sum += m_runner.ExpectedRunTime(team, queue);
-      ++kinds;
-    }
-  }
-  return kinds == 0 ? kWithoutDemand : sum / kinds;
-}
-
-void RequestRouter::DropExpired(TimePoint now) {
-  for (const WaitingRequest& waiting : m_queue.TakeExpired(now)) {
-    if (const auto pending = m_pending.Take(waiting.task_id)) {
-      CountLost(waiting.queue);
-      m_pending.Refuse(now, *pending, 503, "deadline passed while waiting");
-    }
-  }
-}
-
-void RequestRouter::DropStale(TimePoint now) {
-  std::string reason;
-  if (DispatchUntil(now, &reason)) {
-    m_stale_since.reset();
-    return;
-  }
-  if (!m_stale_since) {
-    m_stale_since = now;
-  }
-  if (now - *m_stale_since < kStalePatience) {
-    return;
-  }
-  for (const WaitingRequest& waiting : m_queue.TakeAll()) {
-    if (const auto pending = m_pending.Take(waiting.task_id)) {
-      m_pending.Refuse(now, *pending, 503, reason, kStalePatience);
-    }
-  }
-}
-
-void RequestRouter::AnswerUnresolved(TimePoint now) {
-  const auto due = m_pending.Select([&](const PendingRequest& pending) {
-    return pending.answer_by && *pending.answer_by <= now;
-  });
-  for (const std::string& task_id : due) {
-    m_pending.AnswerMayHaveRun(now, *m_pending.Take(task_id), "the worker did not answer");
-  }
-}
-
 void RequestRouter::OnConfiguration(TimePoint now) {
   const Fleet& fleet = m_parts.head->fleet();
   m_runner.workers().SetFleet(fleet);
@@ -552,26 +488,7 @@
       .Field("queues", fleet.queues.size())
       .Field("teams", fleet.teams.size())
       .Field("daemons", m_parts.head->head().daemons.size());
-  DropNotAdmitted(now);
-}
-
-void RequestRouter::DropNotAdmitted(TimePoint now) {
-  const auto refusal_of = [&](const PendingRequest& pending) {
-    std::string team;
-    return m_admission.Check(m_parts.head->fleet(), pending.request.queue,
-                             pending.request.key_digest, &team);
-  };
-  const auto dropped = m_pending.Select(
-      [&](const PendingRequest& pending) { return refusal_of(pending).has_value(); });
-  for (const std::string& task_id : dropped) {
-    // Only what waits can be dropped; what was sent to a worker or a peer goes on.
-    if (!m_queue.Take(task_id)) {
-      continue;
-    }
-    const PendingRequest pending = *m_pending.Take(task_id);
-    const auto refusal = refusal_of(pending);
-    m_pending.Refuse(now, pending, refusal->status, refusal->reason);
-  }
+  m_sweeper.RefuseNotAdmitted(now);
 }
 
 void RequestRouter::SetLeaving(std::set<std::string, std::less<>> leaving) {
@@ -609,11 +526,7 @@
 // --- Shutdown ---
 
 void RequestRouter::EndWaiting(TimePoint now) {
-  for (const WaitingRequest& waiting : m_queue.TakeAll()) {
-    if (const auto pending = m_pending.Take(waiting.task_id)) {
-      m_pending.Refuse(now, *pending, 503, "this daemon is shutting down", kStalePatience);
-    }
-  }
+  m_sweeper.RefuseAll(now, "this daemon is shutting down");
   m_runner.CheckpointVm("", "this daemon is shutting down");
 }
 
--- a/packages/daemon/src/uncertain_tasks.cc
+++ b/packages/daemon/src/uncertain_tasks.cc
@@ -56,11 +56,10 @@
   if (!report) {
     return;
   }
-  if (report->boot_id != task.boot_id) {
-    // A reboot ended whatever ran, and the new boot refuses the old start; whether the task ran
-    // before the reboot cannot be told any more.
-    Resolve(now, task_id, TaskFate::kEnded);
-  } else if (report->state == TaskState::kFinished) {
+  // A reboot ended whatever ran, and the new boot refuses the old start; whether the task ran
+  // before the reboot cannot be told any more.
+  const bool rebooted = report->boot_id != task.boot_id;
+  if (rebooted || report->state == TaskState::kFinished) {
     Resolve(now, task_id, TaskFate::kEnded);
   } else if (report->state == TaskState::kUnknown && report->worker_clock > task.start_by) {
     Resolve(now, task_id, TaskFate::kNeverRan);
--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -88,7 +88,7 @@
       : m_base(event_base_new(), &event_base_free),
         m_api(&m_settings, m_router.node(0).router.get()),
         m_server(m_base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
-                 [this](TimePoint, std::shared_ptr<ApiExchange> exchange) {
+                 [this](TimePoint, const std::shared_ptr<ApiExchange>& exchange) {
                    // The router lives on the fake clock of its fixture.
                    if (!m_api.Handle(m_router.queue().Now(), exchange)) {
                      exchange->Reply(ApiResponse{404, "text/plain", "", {}});
--- a/packages/daemon/tests/parts_test.cc
+++ b/packages/daemon/tests/parts_test.cc
@@ -11,7 +11,7 @@
 namespace cranberryplank {
 namespace {
 
-const TimePoint kStart{std::chrono::hours(1)};
+constexpr TimePoint kStart{std::chrono::hours(1)};
 
 Fleet FleetOf(int vms) {
   Fleet fleet;
@@ -73,6 +73,7 @@
 
 std::vector<VmListing> Listing(int vms, int leaving = 0) {
   std::vector<VmListing> listings;
+  listings.reserve(static_cast<std::size_t>(vms));
   for (int i = 0; i < vms; ++i) {
     listings.push_back(VmListing{"vm-" + std::to_string(i), i < leaving});
   }
--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -250,6 +250,7 @@
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
   std::vector<std::shared_ptr<std::optional<CallerReply>>> replies;
+  replies.reserve(RouterFixture::kMaxWaiting + 1);
   for (int i = 0; i < RouterFixture::kMaxWaiting + 1; ++i) {
     replies.push_back(fixture.Send(0, RouterFixture::Request(kQuick)));
   }
--- a/packages/daemon/tests/settings_test.cc
+++ b/packages/daemon/tests/settings_test.cc
@@ -6,7 +6,7 @@
 namespace cranberryplank {
 namespace {
 
-const std::string kValid = R"([daemon]
+constexpr const char* kValid = R"([daemon]
 id = "entry-1"
 zone = "az-1"
 
@@ -65,7 +65,7 @@
             .find("at most the number of approvers") != std::string::npos);
   CHECK(ReasonFor(Replace(kValid, "bbbb", "xyzw")).find("64 lower-case hexadecimal") !=
         std::string::npos);
-  CHECK(ReasonFor(kValid + "\n[surprise]\na = 1\n").find("surprise: unknown key") !=
+  CHECK(ReasonFor(std::string(kValid) + "\n[surprise]\na = 1\n").find("surprise: unknown key") !=
         std::string::npos);
 }
 
