Run the membership simulation on the shared event queue and key table

Simulation kept its own event queue, versioned keys and watches. It now uses EventQueue and KeyTable of tests/support, which control_test links.

EventQueue::NextTime is added, since a run stops before the first event after its end. StoreFaults and SimulatedProcess of these tests are renamed to StoreCallFaults and DaemonProcess, because tests/support has classes of the same names.

--- a/packages/control/tests/fault_matrix_test.cc
+++ b/packages/control/tests/fault_matrix_test.cc
@@ -130,13 +130,13 @@
                       const FlowStep& step) { run->Kill(run->NumberOf(*step.target(run))); }},
           {"pause",
            [](SimulatedRun* run, const FlowStep& step) {
-             SimulatedProcess* process = &step.target(run)->process;
+             DaemonProcess* process = &step.target(run)->process;
              process->paused = true;
              run->clock.After(kFaultTime, [process] { process->Resume(); });
            }},
           {"partition from the store",
            [](SimulatedRun* run, const FlowStep& step) {
-             SimulatedProcess* process = &step.target(run)->process;
+             DaemonProcess* process = &step.target(run)->process;
              process->store_cut = true;
              run->clock.After(kFaultTime, [process] { process->store_cut = false; });
            }},
--- a/packages/control/tests/membership_random_test.cc
+++ b/packages/control/tests/membership_random_test.cc
@@ -90,16 +90,16 @@
     const Duration length(300 + Below(8'000));
     switch (Below(11)) {
       case 0:
-        StoreFault(length, "down", [](StoreFaults& faults) { faults.down = true; });
+        StoreFault(length, "down", [](StoreCallFaults& faults) { faults.down = true; });
         break;
       case 1:
-        StoreFault(length, "slow", [](StoreFaults& faults) { faults.slow = true; });
+        StoreFault(length, "slow", [](StoreCallFaults& faults) { faults.slow = true; });
         break;
       case 2:
-        StoreFault(length, "lost", [](StoreFaults& faults) { faults.reply_lost = 0.5; });
+        StoreFault(length, "lost", [](StoreCallFaults& faults) { faults.reply_lost = 0.5; });
         break;
       case 3:
-        StoreFault(length, "late", [](StoreFaults& faults) { faults.arrives_late = 0.5; });
+        StoreFault(length, "late", [](StoreCallFaults& faults) { faults.arrives_late = 0.5; });
         break;
       case 4:
       case 5:
@@ -132,7 +132,7 @@
     if (Below(2) == 0) {
       m_simulation.Trace(fmt::format("store {} for all, {} ms", name, length.count()));
       set(m_simulation.store_faults);
-      m_simulation.After(length, [this] { m_simulation.store_faults = StoreFaults(); });
+      m_simulation.After(length, [this] { m_simulation.store_faults = StoreCallFaults(); });
       return;
     }
     for (const std::string& incarnation : m_simulation.Live()) {
--- a/packages/control/tests/randomised_test.cc
+++ b/packages/control/tests/randomised_test.cc
@@ -145,13 +145,13 @@
         break;
       case 4:
       case 5: {
-        SimulatedProcess* process = &run.At(AnyDaemon()).process;
+        DaemonProcess* process = &run.At(AnyDaemon()).process;
         process->paused = true;
         After(Between(100, 15'000), [process] { process->Resume(); });
         break;
       }
       case 6: {
-        SimulatedProcess* process = &run.At(AnyDaemon()).process;
+        DaemonProcess* process = &run.At(AnyDaemon()).process;
         process->store_cut = true;
         process->peers_cut = Chance(50);
         After(Between(500, 10'000), [process] { process->store_cut = process->peers_cut = false; });
--- a/packages/control/tests/simulated_fleet.h
+++ b/packages/control/tests/simulated_fleet.h
@@ -63,7 +63,7 @@
 
 /// One process of a daemon as the network sees it. Answers to a paused process wait until it
 /// resumes; those to a killed one are dropped.
-struct SimulatedProcess {
+struct DaemonProcess {
   std::string id;
   std::string incarnation;
   bool alive = true;
@@ -135,7 +135,7 @@
 /// One process's access to the store.
 class SimulatedStoreClient : public Store {
  public:
-  SimulatedStoreClient(SimulatedStore* store, SimulatedProcess* process)
+  SimulatedStoreClient(SimulatedStore* store, DaemonProcess* process)
       : m_store(store), m_process(process) {}
 
   void Read(std::string_view key, ReadCallback done) override {
@@ -203,7 +203,7 @@
   }
 
   SimulatedStore* m_store;
-  SimulatedProcess* m_process;
+  DaemonProcess* m_process;
 };
 
 /// The newest head, its history and which process has applied what. Stands in for the membership
@@ -300,7 +300,7 @@
 /// One process's view of the head.
 class SimulatedHeadControl : public HeadControl {
  public:
-  SimulatedHeadControl(SimulatedHead* shared, SimulatedProcess* process)
+  SimulatedHeadControl(SimulatedHead* shared, DaemonProcess* process)
       : m_shared(shared), m_process(process) {}
 
   const Head& head() const override { return m_shared->revisions[m_applied].head; }
@@ -366,7 +366,7 @@
 
  private:
   SimulatedHead* m_shared;
-  SimulatedProcess* m_process;
+  DaemonProcess* m_process;
   std::uint64_t m_applied = 0;
   std::optional<TimePoint> m_confirmed;
 };
@@ -457,7 +457,7 @@
 /// One process's access to the workers and to the VM list.
 class SimulatedWorkerClient : public WorkerClient, public VmDirectory {
  public:
-  SimulatedWorkerClient(SimulatedWorkers* shared, SimulatedProcess* process)
+  SimulatedWorkerClient(SimulatedWorkers* shared, DaemonProcess* process)
       : m_shared(shared), m_process(process) {}
 
   void GetStatus(const WorkerAddress& address, StatusCallback done) override {
@@ -531,7 +531,7 @@
   }
 
   SimulatedWorkers* m_shared;
-  SimulatedProcess* m_process;
+  DaemonProcess* m_process;
 };
 
 }  // namespace cranberryplank
--- a/packages/control/tests/simulated_run.h
+++ b/packages/control/tests/simulated_run.h
@@ -28,7 +28,7 @@
 
 /// One daemon: the real state machines over simulated interfaces.
 struct SimulatedDaemon {
-  SimulatedProcess process;
+  DaemonProcess process;
   SeededRandom random;
   SimulatedHeadControl head;
   SimulatedStoreClient store;
@@ -351,7 +351,7 @@
   void Membership() {
     clock.After(Duration(500), [this] { Membership(); });
     for (const auto& daemon : daemons) {
-      const SimulatedProcess& process = daemon->process;
+      const DaemonProcess& process = daemon->process;
       const bool silent =
           !process.alive || process.paused || (process.store_cut && process.peers_cut);
       daemon->silent_since =
--- a/packages/control/tests/simulation.h
+++ b/packages/control/tests/simulation.h
@@ -15,11 +15,13 @@
 
 #include "cranberryplank/control/head_keeper.h"
 #include "cranberryplank/model/random.h"
+#include "cranberryplank/support/event_queue.h"
+#include "cranberryplank/support/key_table.h"
 
 namespace cranberryplank {
 
 /// Faults of one daemon's calls to the store, or of all calls.
-struct StoreFaults {
+struct StoreCallFaults {
   bool down = false;
   bool slow = false;        ///< Each call takes 2 s.
   double reply_lost = 0;    ///< Share of writes whose answer is lost after they took effect.
@@ -55,7 +57,7 @@
     void Watch(std::string_view key, std::uint64_t watch_index, Duration wait,
                ReadCallback done) override {
       m_simulation.StoreWatch(m_node.incarnation, std::string(key), watch_index,
-                              m_simulation.m_now + wait, done);
+                              m_simulation.Now() + wait, done);
     }
     void CompareAndSwap(std::string_view key, std::string_view value, std::uint64_t index,
                         WriteCallback done) override {
@@ -162,7 +164,7 @@
     Node& node = *m_nodes.at(incarnation);
     std::string reason;
     node.paused = true;
-    node.dispatch_until = node.keeper.FreshUntil(m_now + node.offset, &reason);
+    node.dispatch_until = node.keeper.FreshUntil(Now() + node.offset, &reason);
   }
 
   void Resume(const std::string& incarnation) {
@@ -176,7 +178,7 @@
     backlog.swap(node->backlog);
     for (const auto& call : backlog) {
       if ((node = Find(incarnation)) != nullptr) {
-        call(m_now + node->offset);
+        call(Now() + node->offset);
         CheckNode(*node);
       }
     }
@@ -184,26 +186,24 @@
   }
 
   void At(TimePoint when, std::function<void()> call) {
-    m_events.emplace(std::make_pair(std::max(when, m_now), ++m_sequence), std::move(call));
+    m_events.Schedule(when, [call = std::move(call)](TimePoint) { call(); });
   }
-  void After(Duration delay, std::function<void()> call) { At(m_now + delay, std::move(call)); }
+  void After(Duration delay, std::function<void()> call) { At(Now() + delay, std::move(call)); }
 
   /// Runs events for `time`, or until `done` holds or a rule is broken.
   /// @return whether `done` holds.
   bool Run(
       Duration time, const std::function<bool()>& done = [] { return false; }) {
-    const TimePoint end = m_now + time;
+    const TimePoint end = Now() + time;
     while (m_violation.empty() && !done()) {
-      if (m_events.empty() || m_events.begin()->first.first > end) {
-        m_now = end;
+      if (m_events.NextTime() > end) {
+        m_events.RunUntil(end);
         return done();
       }
-      auto event = m_events.extract(m_events.begin());
-      m_now = event.key().first;
+      m_events.RunNext();
       ++m_event_count;
-      event.mapped()();
-      if (m_now >= m_next_sweep) {
-        m_next_sweep = m_now + Duration(100);
+      if (Now() >= m_next_sweep) {
+        m_next_sweep = Now() + Duration(100);
         CheckMayStillDispatch();
       }
     }
@@ -219,7 +219,7 @@
     const int seen =
         team == node.keeper.fleet().teams.end() ? 0 : team->second.contract.upper_limit;
     node.keeper.Submit(
-        m_now + node.offset, "test",
+        Now() + node.offset, "test",
         [tag, contended, seen](const Fleet& current,
                                std::string* last_reason) -> std::optional<Fleet> {
           Fleet fleet = current;
@@ -255,7 +255,7 @@
 
   /// Ends all faults.
   void Heal() {
-    store_faults = StoreFaults();
+    store_faults = StoreCallFaults();
     node_faults.clear();
     cuts.clear();
     list_lag = Duration(0);
@@ -306,7 +306,7 @@
   }
   HeadKeeper& Keeper(const std::string& incarnation) { return m_nodes.at(incarnation)->keeper; }
   TimePoint LocalNow(const std::string& incarnation) {
-    return m_now + m_nodes.at(incarnation)->offset;
+    return Now() + m_nodes.at(incarnation)->offset;
   }
   std::vector<std::string> Live() const {
     std::vector<std::string> live;
@@ -318,7 +318,7 @@
   bool Fresh(const std::string& incarnation) {
     Node& node = *m_nodes.at(incarnation);
     std::string reason;
-    return !node.paused && node.keeper.FreshUntil(m_now + node.offset, &reason).has_value();
+    return !node.paused && node.keeper.FreshUntil(Now() + node.offset, &reason).has_value();
   }
   bool AllFresh() {
     return std::all_of(m_nodes.begin(), m_nodes.end(),
@@ -345,8 +345,9 @@
       m_violation = fmt::format("{} ms: {}", NowMs(), violation);
     }
   }
+  TimePoint Now() const { return m_events.Now(); }
   std::int64_t NowMs() const {
-    return std::chrono::duration_cast<Duration>(m_now.time_since_epoch()).count();
+    return std::chrono::duration_cast<Duration>(Now().time_since_epoch()).count();
   }
   /// Adds a line to the trace that is printed when a rule is broken.
   void Trace(const std::string& line) { m_trace += fmt::format("{} ms {}\n", NowMs(), line); }
@@ -369,12 +370,12 @@
     head.writer = "test";
     head.parts[name] = Sha256(text);
     Apply("test", PartKey(head.parts[name]), text, 0);
-    Apply("test", std::string(kHeadKey), EncodeHead(head), m_values[std::string(kHeadKey)].index);
+    Apply("test", std::string(kHeadKey), EncodeHead(head), m_table.Get(kHeadKey).index);
   }
   std::uint64_t store_calls() const { return m_store_calls; }
 
-  StoreFaults store_faults;                        ///< Of all calls.
-  std::map<std::string, StoreFaults> node_faults;  ///< Of one daemon's calls, by incarnation.
+  StoreCallFaults store_faults;                        ///< Of all calls.
+  std::map<std::string, StoreCallFaults> node_faults;  ///< Of one daemon's calls, by incarnation.
   std::map<int, Cut> cuts;
   bool late_messages = false;  ///< Some blocked messages arrive seconds later instead of never.
   Duration list_lag{0};
@@ -383,17 +384,6 @@
   WriteHook write_hook;
 
  private:
-  struct Value {
-    std::string text;
-    std::uint64_t index = 0;
-  };
-  struct Watcher {
-    std::string incarnation;
-    std::string key;
-    std::uint64_t index = 0;
-    Store::ReadCallback done;
-  };
-
   static constexpr Duration kCallTimeout{1'000};
   static constexpr Duration kSlowHalf{1'000};
 
@@ -406,7 +396,7 @@
       node->backlog.push_back(std::move(call));
       return;
     }
-    call(m_now + node->offset);
+    call(Now() + node->offset);
     if ((node = Find(incarnation)) != nullptr) {
       CheckNode(*node);
     }
@@ -418,7 +408,7 @@
       if (node == nullptr || node->paused) {
         return;
       }
-      node->keeper.Tick(m_now + node->offset);
+      node->keeper.Tick(Now() + node->offset);
       if (Find(incarnation) != nullptr) {
         CheckNode(*node);
         ScheduleTick(incarnation);
@@ -428,10 +418,10 @@
 
   bool CanDispatch(Node& node) {
     if (node.paused) {
-      return node.dispatch_until && m_now + node.offset < *node.dispatch_until;
+      return node.dispatch_until && Now() + node.offset < *node.dispatch_until;
     }
     std::string reason;
-    return node.keeper.FreshUntil(m_now + node.offset, &reason).has_value();
+    return node.keeper.FreshUntil(Now() + node.offset, &reason).has_value();
   }
 
   void CheckDispatch(Node& node) {
@@ -467,15 +457,15 @@
         continue;
       }
       for (const auto& [incarnation, node] : m_nodes) {
-        Check(node->paused || node->keeper.MayStillDispatch(registered, m_now + node->offset),
+        Check(node->paused || node->keeper.MayStillDispatch(registered, Now() + node->offset),
               fmt::format("{} believes that {} cannot dispatch", incarnation, registered));
       }
     }
   }
 
-  StoreFaults FaultsOf(const std::string& incarnation) const {
+  StoreCallFaults FaultsOf(const std::string& incarnation) const {
     const auto found = node_faults.find(incarnation);
-    StoreFaults faults = found == node_faults.end() ? StoreFaults() : found->second;
+    StoreCallFaults faults = found == node_faults.end() ? StoreCallFaults() : found->second;
     faults.down = faults.down || store_faults.down;
     faults.slow = faults.slow || store_faults.slow;
     faults.reply_lost = std::max(faults.reply_lost, store_faults.reply_lost);
@@ -487,18 +477,8 @@
     return FaultsOf(incarnation).slow ? kSlowHalf : Duration(1 + m_random.Below(4));
   }
 
-  StoreReadReply Answer(const std::string& key) const {
-    StoreReadReply reply;
-    reply.status = StoreStatus::kOk;
-    reply.watch_index = 1;
-    const auto found = m_values.find(key);
-    if (found != m_values.end()) {
-      reply.found = true;
-      reply.value = found->second.text;
-      reply.index = found->second.index;
-      reply.watch_index = found->second.index;
-    }
-    return reply;
+  static StoreReadReply ReplyOf(const KeyEntry& entry) {
+    return {StoreStatus::kOk, entry.found, entry.value, entry.index, entry.watch_index, ""};
   }
 
   void StoreRead(const std::string& incarnation, const std::string& key, Store::ReadCallback done) {
@@ -509,7 +489,7 @@
         return;
       }
       ReplyLater(incarnation, HalfCall(incarnation),
-                 [done, reply = Answer(key)](TimePoint now) { done(now, reply); });
+                 [done, reply = ReplyOf(m_table.Get(key))](TimePoint now) { done(now, reply); });
     });
   }
 
@@ -519,29 +499,27 @@
     After(HalfCall(incarnation), [this, incarnation, key, index, deadline, done] {
       if (FaultsOf(incarnation).down) {
         ReplyLater(incarnation, kCallTimeout, [done](TimePoint now) { done(now, Unreachable()); });
-      } else if (Answer(key).watch_index != index) {
+      } else if (m_table.Get(key).watch_index != index) {
         ReplyLater(incarnation, HalfCall(incarnation),
-                   [done, reply = Answer(key)](TimePoint now) { done(now, reply); });
+                   [done, reply = ReplyOf(m_table.Get(key))](TimePoint now) { done(now, reply); });
       } else {
-        const std::uint64_t id = ++m_sequence;
-        m_watchers[id] = Watcher{incarnation, key, index, done};
-        At(deadline, [this, id] { AnswerWatcher(id); });
+        const auto answer = [this, incarnation, done](const KeyEntry& entry) {
+          const bool down = FaultsOf(incarnation).down;
+          ReplyLater(incarnation, HalfCall(incarnation),
+                     [done, reply = down ? Unreachable() : ReplyOf(entry)](TimePoint now) {
+                       done(now, reply);
+                     });
+        };
+        const std::uint64_t id = m_table.Watch(key, answer);
+        At(deadline, [this, key, id, answer] {
+          if (m_table.Unwatch(id)) {
+            answer(m_table.Get(key));
+          }
+        });
       }
     });
   }
 
-  void AnswerWatcher(std::uint64_t id) {
-    const auto watcher = m_watchers.extract(id);
-    if (watcher.empty()) {
-      return;
-    }
-    const bool down = FaultsOf(watcher.mapped().incarnation).down;
-    ReplyLater(
-        watcher.mapped().incarnation, HalfCall(watcher.mapped().incarnation),
-        [done = watcher.mapped().done, reply = down ? Unreachable() : Answer(watcher.mapped().key)](
-            TimePoint now) { done(now, reply); });
-  }
-
   static StoreReadReply Unreachable() {
     StoreReadReply reply;
     reply.reason = "unreachable";
@@ -560,7 +538,7 @@
       if (write_hook) {
         write_hook(key == kHeadKey ? Write::kSwap : Write::kPart, incarnation);
       }
-      const StoreFaults faults = FaultsOf(incarnation);
+      const StoreCallFaults faults = FaultsOf(incarnation);
       if (faults.down) {
         answer(m_random.Below(2) == 0 ? StoreStatus::kRefused : StoreStatus::kUnknown,
                kCallTimeout);
@@ -583,27 +561,17 @@
 
   bool Apply(const std::string& incarnation, const std::string& key, const std::string& value,
              std::uint64_t index) {
-    const auto found = m_values.find(key);
-    if ((found == m_values.end() ? 0 : found->second.index) != index) {
+    if (m_table.Get(key).index != index) {
       return false;
     }
-    m_values[key] = Value{value, ++m_index};
+    // The hook comes before the answers to watches, so that a fault it starts affects them.
     if (key == kHeadKey) {
       NoteHead(value);
       if (write_hook) {
         write_hook(Write::kRecorded, incarnation);
       }
     }
-    std::vector<std::uint64_t> due;
-    for (const auto& [id, watcher] : m_watchers) {
-      if (watcher.key == key) {
-        due.push_back(id);
-      }
-    }
-    for (const std::uint64_t id : due) {
-      AnswerWatcher(id);
-    }
-    return true;
+    return m_table.CompareAndSwap(key, value, index);
   }
 
   void NoteHead(const std::string& text) {
@@ -623,12 +591,12 @@
                     [&](const std::string& incarnation) { return Find(incarnation) == nullptr; });
     }
     for (const auto& [name, digest] : head.parts) {
-      Check(m_values.contains(PartKey(digest)), "a recorded head names a missing part");
+      Check(m_table.Get(PartKey(digest)).found, "a recorded head names a missing part");
     }
     const auto teams = head.parts.find("teams");
     if (teams != head.parts.end()) {
       Fleet fleet;
-      DecodePart("teams", m_values[PartKey(teams->second)].text, &fleet, &reason);
+      DecodePart("teams", m_table.Get(PartKey(teams->second)).value, &fleet, &reason);
       std::set<int> tags;
       for (const auto& [name, team] : fleet.teams) {
         tags.insert(team.contract.upper_limit);
@@ -661,7 +629,7 @@
       delay = Duration(m_random.Below(6'000));
     }
     TimePoint& last = m_last_delivery[{sender, target}];
-    last = std::max(last, m_now + delay);
+    last = std::max(last, Now() + delay);
     At(last, [this, sender, target, message] {
       Deliver(target, [this, sender, target, message](TimePoint now) {
         m_nodes.at(target)->links.signal_message().emit(now, sender, message);
@@ -691,10 +659,10 @@
     return receiver;
   }
 
-  void NoteVms() { m_vm_history.emplace_back(m_now, m_vms); }
+  void NoteVms() { m_vm_history.emplace_back(Now(), m_vms); }
 
   void ListVms(const std::string& incarnation, VmDirectory::ListCallback done) {
-    const TimePoint as_of = m_now - list_lag;
+    const TimePoint as_of = Now() - list_lag;
     std::set<std::string> vms = m_vm_history.front().second;
     for (const auto& [since, set] : m_vm_history) {
       if (since <= as_of) {
@@ -715,18 +683,14 @@
 
   SeededRandom m_random;
   MembershipRules m_rules;
-  TimePoint m_now{Duration(0)};
-  std::uint64_t m_sequence = 0;
+  EventQueue m_events{TimePoint(Duration(0))};
   std::uint64_t m_event_count = 0;
   std::uint64_t m_store_calls = 0;
-  std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_events;
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
   std::set<std::string> m_vms;
   std::vector<std::pair<TimePoint, std::set<std::string>>> m_vm_history;
   int m_started = 0;
-  std::map<std::string, Value> m_values;
-  std::uint64_t m_index = 1;
-  std::map<std::uint64_t, Watcher> m_watchers;
+  KeyTable m_table;
   std::map<std::pair<std::string, std::string>, TimePoint> m_last_delivery;
   Head m_head;
   std::set<std::string> m_ever_registered;
--- a/tests/support/include/cranberryplank/support/event_queue.h
+++ b/tests/support/include/cranberryplank/support/event_queue.h
@@ -28,6 +28,11 @@
   /// Runs the next event. @return false if there is none.
   bool RunNext();
 
+  /// Time of the next event; the latest time there is without one.
+  TimePoint NextTime() const {
+    return m_events.empty() ? TimePoint::max() : m_events.begin()->first;
+  }
+
   /// Number of events that have not run.
   std::size_t size() const { return m_events.size(); }
 
