Run the control simulation on the shared event queue and key table

SimulatedClock is now an EventQueue that checks the invariants after every event, and the simulated store keeps its values in a KeyTable, both of tests/support.

The random runs differ from before in one point: the watch index of an absent key is 1, as in Consul, where it was 0, so the first watch of a document answers at once.

--- a/packages/control/tests/fault_matrix_test.cc
+++ b/packages/control/tests/fault_matrix_test.cc
@@ -29,7 +29,7 @@
 const Vm& MovedVm(SimulatedRun* run) { return run->head.newest().fleet.vms.at("vm03"); }
 
 void StartMove(SimulatedRun* run, int daemon, std::string_view pool) {
-  run->At(daemon).mover.Start(run->clock.now(), "vm03", pool,
+  run->At(daemon).mover.Start(run->clock.Now(), "vm03", pool,
                               [](TimePoint, const ChangeResult&) {});
 }
 
@@ -41,14 +41,14 @@
                   [](SimulatedRun* run) {
                     StartMove(run, 1, "hallmark");
                     StartMove(run, 2, "tone");
-                    run->At(3).mover.Cancel(run->clock.now(), "vm03",
+                    run->At(3).mover.Cancel(run->clock.Now(), "vm03",
                                             [](TimePoint, const ChangeResult&) {});
                   },
                   [](SimulatedRun* run) { return MovedVm(run).state == VmState::kServing; }};
 }
 
 void StartWave(SimulatedRun* run, int daemon) {
-  run->At(daemon).maintenance.Start(run->clock.now(), "tone", {},
+  run->At(daemon).maintenance.Start(run->clock.Now(), "tone", {},
                                     [](TimePoint, const WaveResult&) {});
 }
 
--- a/packages/control/tests/maintenance_coordinator_test.cc
+++ b/packages/control/tests/maintenance_coordinator_test.cc
@@ -12,7 +12,7 @@
                                     std::vector<std::string> vms = {}) {
   auto result = std::make_shared<std::optional<WaveResult>>();
   run->At(daemon).maintenance.Start(
-      run->clock.now(), pool, vms,
+      run->clock.Now(), pool, vms,
       [result](TimePoint, const WaveResult& answer) { *result = answer; });
   run->RunUntil(Duration(10'000), [&] { return result->has_value(); });
   return *result;
@@ -51,7 +51,7 @@
   std::vector<WaveResult> results;
   for (int i = 0; i < 2; ++i) {
     run.At(i).maintenance.Start(
-        run.clock.now(), "tone", {},
+        run.clock.Now(), "tone", {},
         [&](TimePoint, const WaveResult& answer) { results.push_back(answer); });
   }
   REQUIRE(run.RunUntil(Duration(10'000), [&] { return results.size() == 2; }));
@@ -68,7 +68,7 @@
   REQUIRE(run.RunUntil(Duration(20'000), [&] {
     return run.waves.at("tone").vms.at("vm00").state == MaintenanceState::kRebooting;
   }));
-  run.At(1).maintenance.Stop(run.clock.now(), "tone", [](TimePoint, const WaveResult&) {});
+  run.At(1).maintenance.Stop(run.clock.Now(), "tone", [](TimePoint, const WaveResult&) {});
   REQUIRE(run.RunUntil(Duration(60'000), [&] { return WaveEnded(run, "tone"); }));
   CHECK(run.finished <= 3);
   CHECK(run.workers.workers.at("vm07").boot == 1);
--- a/packages/control/tests/randomised_test.cc
+++ b/packages/control/tests/randomised_test.cc
@@ -77,7 +77,7 @@
     const auto kind = m_random.Below(5);
     const std::string vm = AnyVm();
     const std::string pool = AnyPool();
-    const TimePoint now = run.clock.now();
+    const TimePoint now = run.clock.Now();
     const auto ignore_change = [](TimePoint, const ChangeResult&) {};
     const auto ignore_wave = [](TimePoint, const WaveResult&) {};
     for (int i = Chance(40) ? 2 : 1; i > 0; --i) {
@@ -104,7 +104,7 @@
     const std::string team = Chance(50) ? "smiths" : "clerks";
     const int limit = static_cast<int>(m_random.Below(15));
     daemon->head.Submit(
-        run.clock.now(), "change a limit",
+        run.clock.Now(), "change a limit",
         [team, limit](const Fleet& current, std::string*) {
           Fleet next = current;
           next.teams[team] = Team{team, Contract{1.0, limit}};
@@ -175,7 +175,7 @@
   void StopGracefully(int number) {
     SimulatedDaemon* daemon = &run.At(number);
     if (daemon->process.alive && !daemon->process.paused) {
-      daemon->ledger.BeginHandOver(run.clock.now());
+      daemon->ledger.BeginHandOver(run.clock.Now());
       EndWhenHandedOver(number, daemon);
     }
   }
--- a/packages/control/tests/simulated_fleet.h
+++ b/packages/control/tests/simulated_fleet.h
@@ -20,6 +20,8 @@
 #include "cranberryplank/platform/store.h"
 #include "cranberryplank/platform/vm_directory.h"
 #include "cranberryplank/platform/worker_client.h"
+#include "cranberryplank/support/event_queue.h"
+#include "cranberryplank/support/key_table.h"
 
 namespace cranberryplank {
 
@@ -28,37 +30,26 @@
   using std::runtime_error::runtime_error;
 };
 
-/// Event queue with a fake clock. `after_event` runs after every event.
-class SimulatedClock {
+/// Event queue that calls `after_event` after every event.
+class SimulatedClock : public EventQueue {
  public:
-  TimePoint now() const { return m_now; }
-  Duration Elapsed() const { return std::chrono::duration_cast<Duration>(m_now - TimePoint{}); }
-  std::uint64_t events() const { return m_events; }
+  Duration Elapsed() const { return std::chrono::duration_cast<Duration>(Now() - TimePoint{}); }
+  std::uint64_t events() const { return m_event_count; }
 
   void After(Duration delay, std::function<void()> action) {
-    m_queue.emplace(m_now + delay, std::move(action));
-  }
-
-  void RunFor(Duration time) {
-    const TimePoint end = m_now + time;
-    while (!m_queue.empty() && m_queue.begin()->first <= end) {
-      auto event = m_queue.extract(m_queue.begin());
-      m_now = event.key();
-      ++m_events;
-      event.mapped()();
+    Schedule(Now() + delay, [this, action = std::move(action)](TimePoint) {
+      ++m_event_count;
+      action();
       if (after_event) {
         after_event();
       }
-    }
-    m_now = end;
+    });
   }
 
   std::function<void()> after_event;
 
  private:
-  TimePoint m_now{std::chrono::hours(1)};
-  std::multimap<TimePoint, std::function<void()>> m_queue;
-  std::uint64_t m_events = 0;
+  std::uint64_t m_event_count = 0;
 };
 
 /// One process of a daemon as the network sees it. Answers to a paused process wait until it
@@ -93,16 +84,9 @@
 
 /// The store's content and faults.
 struct SimulatedStore {
-  struct Value {
-    std::string text;
-    std::uint64_t index = 0;
-  };
-
   SimulatedClock* clock;
   RandomSource* random;
-  std::map<std::string, Value, std::less<>> values{};
-  std::uint64_t last_index = 0;
-  std::uint64_t writes = 0;
+  KeyTable table{};
   bool down = false;
   Duration latency{4};
   int lost_percent = 0;  ///< Writes that take effect while the answer is lost.
@@ -119,16 +103,11 @@
   }
 
   bool Apply(std::string_view key, std::string_view text, std::uint64_t index, TimePoint sent) {
-    Value& value = values[std::string(key)];
-    if (value.index != index) {
-      return false;
+    const KeyEntry entry = table.Get(key);
+    if (entry.index == index && on_write) {
+      on_write(key, entry.value, std::string(text), sent);
     }
-    ++writes;
-    if (on_write) {
-      on_write(key, value.text, std::string(text), sent);
-    }
-    value = Value{std::string(text), ++last_index};
-    return true;
+    return table.CompareAndSwap(key, text, index);
   }
 };
 
@@ -142,23 +121,16 @@
     m_store->clock->After(m_store->Delay(), [this, key = std::string(key), done] {
       StoreReadReply reply;
       if (Reachable()) {
-        const auto value = m_store->values.find(key);
-        reply.status = StoreStatus::kOk;
-        reply.found = value != m_store->values.end() && value->second.index != 0;
-        if (reply.found) {
-          reply.value = value->second.text;
-          reply.index = reply.watch_index = value->second.index;
-        }
+        const KeyEntry entry = m_store->table.Get(key);
+        reply = {StoreStatus::kOk, entry.found, entry.value, entry.index, entry.watch_index, ""};
       }
-      Answer([this, done, reply] { done(m_store->clock->now(), reply); });
+      Answer([this, done, reply] { done(m_store->clock->Now(), reply); });
     });
   }
 
   void Watch(std::string_view key, std::uint64_t watch_index, Duration wait,
              ReadCallback done) override {
-    const auto value = m_store->values.find(key);
-    const std::uint64_t index = value == m_store->values.end() ? 0 : value->second.index;
-    if (index != watch_index || wait <= kWatchStep || !Reachable()) {
+    if (m_store->table.Get(key).watch_index != watch_index || wait <= kWatchStep || !Reachable()) {
       Read(key, std::move(done));
       return;
     }
@@ -169,7 +141,7 @@
 
   void CompareAndSwap(std::string_view key, std::string_view value, std::uint64_t index,
                       WriteCallback done) override {
-    const TimePoint sent = m_store->clock->now();
+    const TimePoint sent = m_store->clock->Now();
     m_store->clock->After(m_store->Delay(), [this, key = std::string(key),
                                              value = std::string(value), index, done, sent] {
       StoreWriteReply reply;
@@ -189,7 +161,7 @@
           reply.status = StoreStatus::kUnknown;
         }
       }
-      Answer([this, done, reply] { done(m_store->clock->now(), reply); });
+      Answer([this, done, reply] { done(m_store->clock->Now(), reply); });
     });
   }
 
@@ -266,7 +238,7 @@
       return CountAcknowledged(revision, set) * 2 >= size;
     };
     if (!revisions[revision].majority_at && enough(revision) && enough(revision - 1)) {
-      revisions[revision].majority_at = clock->now();
+      revisions[revision].majority_at = clock->Now();
     }
   }
 
@@ -333,7 +305,7 @@
       const bool lost = store->lose_next > 0 && result.outcome == ChangeOutcome::kRecorded;
       store->lose_next -= lost ? 1 : 0;
       store->clock->After(store->Delay() + Duration(lost ? 2'000 : 0), [this, done, result] {
-        m_process->Deliver([this, done, result] { done(m_shared->clock->now(), result); });
+        m_process->Deliver([this, done, result] { done(m_shared->clock->Now(), result); });
       });
     });
   }
@@ -416,7 +388,7 @@
     worker->up = false;
     worker->lost = lost;
     worker->draining = false;
-    worker->down_since = worker->down_since.value_or(clock->now());
+    worker->down_since = worker->down_since.value_or(clock->Now());
     worker->tasks.clear();
   }
 
@@ -437,7 +409,7 @@
         ended(false);
         return;
       }
-      if (worker.draining || worker.BootId() != boot || clock->now() > start_by) {
+      if (worker.draining || worker.BootId() != boot || clock->Now() > start_by) {
         ended(true);
         return;
       }
@@ -467,7 +439,7 @@
         status = WorkerStatus{worker->BootId(), m_shared->clock->Elapsed(), 4,
                               static_cast<int>(worker->tasks.size()), worker->draining};
       }
-      return [this, done, status] { done(m_shared->clock->now(), status, "no answer"); };
+      return [this, done, status] { done(m_shared->clock->Now(), status, "no answer"); };
     });
   }
 
@@ -509,7 +481,7 @@
     m_shared->clock->After(m_shared->Delay(), [this, done] {
       const std::vector<VmListing> listings =
           m_shared->stale_list ? *m_shared->stale_list : m_shared->Listings();
-      m_process->Deliver([this, done, listings] { done(m_shared->clock->now(), listings, ""); });
+      m_process->Deliver([this, done, listings] { done(m_shared->clock->Now(), listings, ""); });
     });
   }
 
@@ -527,7 +499,7 @@
   }
 
   std::function<void()> Done(const DoneCallback& done, bool ok) {
-    return [this, done, ok] { done(m_shared->clock->now(), ok, ok ? "" : "failed"); };
+    return [this, done, ok] { done(m_shared->clock->Now(), ok, ok ? "" : "failed"); };
   }
 
   SimulatedWorkers* m_shared;
--- a/packages/control/tests/simulated_run.h
+++ b/packages/control/tests/simulated_run.h
@@ -247,9 +247,9 @@
     if (!daemon->process.paused) {
       ConfirmHead(daemon);
       SendDemand(daemon);
-      daemon->ledger.Tick(clock.now());
-      daemon->mover.Tick(clock.now());
-      daemon->maintenance.Tick(clock.now());
+      daemon->ledger.Tick(clock.Now());
+      daemon->mover.Tick(clock.Now());
+      daemon->maintenance.Tick(clock.Now());
       ProbeWorkers(daemon);
       Dispatch(daemon);
     }
@@ -279,15 +279,15 @@
         return;
       }
     }
-    daemon->head.Confirm(clock.now(), newest);
+    daemon->head.Confirm(clock.Now(), newest);
   }
 
   /// Stands in for the probes of the request path.
   void ProbeWorkers(SimulatedDaemon* daemon) {
-    if (clock.now() - daemon->probed < Duration(1'000)) {
+    if (clock.Now() - daemon->probed < Duration(1'000)) {
       return;
     }
-    daemon->probed = clock.now();
+    daemon->probed = clock.Now();
     for (const auto& [id, worker] : workers.workers) {
       daemon->workers.GetStatus(WorkerAddress{id, 0},
                                 [daemon, id = id](TimePoint now, const auto& status, auto) {
@@ -305,7 +305,7 @@
     }
     for (const auto& peer : daemons) {
       if (peer.get() != daemon && Linked(*daemon, *peer)) {
-        peer->ledger.SetPeerDemand(clock.now(), daemon->process.incarnation, demand);
+        peer->ledger.SetPeerDemand(clock.Now(), daemon->process.incarnation, demand);
       }
     }
   }
@@ -315,20 +315,20 @@
       for (int i = 0; i < 3 && waiting > 0 && StartTask(daemon, team); ++i) {
         --waiting;
       }
-      daemon->ledger.SetWaiting(clock.now(), team, waiting);
+      daemon->ledger.SetWaiting(clock.Now(), team, waiting);
     }
   }
 
   bool StartTask(SimulatedDaemon* daemon, const std::string& team) {
     std::string reason;
-    const std::optional<TimePoint> fresh = daemon->head.FreshUntil(clock.now(), &reason);
+    const std::optional<TimePoint> fresh = daemon->head.FreshUntil(clock.Now(), &reason);
     std::vector<const Vm*> serving;
     for (const auto& [id, vm] : daemon->head.fleet().vms) {
       if (vm.state == VmState::kServing) {
         serving.push_back(&vm);
       }
     }
-    if (!fresh || serving.empty() || !daemon->ledger.Acquire(clock.now(), team)) {
+    if (!fresh || serving.empty() || !daemon->ledger.Acquire(clock.Now(), team)) {
       return false;
     }
     const Vm& vm = *serving[random.Below(serving.size())];
@@ -344,7 +344,7 @@
   }
 
   void EndTask(SimulatedDaemon* daemon, const std::string& team) {
-    daemon->process.Deliver([this, daemon, team] { daemon->ledger.Release(clock.now(), team); });
+    daemon->process.Deliver([this, daemon, team] { daemon->ledger.Release(clock.Now(), team); });
   }
 
   /// Removes silent daemons from the head and registers running ones, one change at a time.
@@ -355,9 +355,9 @@
       const bool silent =
           !process.alive || process.paused || (process.store_cut && process.peers_cut);
       daemon->silent_since =
-          silent ? std::optional(daemon->silent_since.value_or(clock.now())) : std::nullopt;
+          silent ? std::optional(daemon->silent_since.value_or(clock.Now())) : std::nullopt;
     }
-    if (store.down || !head.InEffect(head.newest().head.registration_revision, clock.now())) {
+    if (store.down || !head.InEffect(head.newest().head.registration_revision, clock.Now())) {
       return;
     }
     std::vector<DaemonRecord> records = head.newest().head.daemons;
@@ -365,7 +365,7 @@
       return std::none_of(daemons.begin(), daemons.end(), [&](const auto& daemon) {
         return daemon->process.incarnation == record.incarnation &&
                (!daemon->silent_since ||
-                clock.now() - *daemon->silent_since < options.remove_after);
+                clock.Now() - *daemon->silent_since < options.remove_after);
       });
     });
     const auto added = std::find_if(daemons.begin(), daemons.end(), [&](const auto& daemon) {
@@ -392,7 +392,7 @@
         continue;
       }
       if (old->second.state != VmState::kServing) {
-        last_moving[id] = clock.now();
+        last_moving[id] = clock.Now();
       }
       if (old->second.pool == vm.pool) {
         continue;
@@ -477,7 +477,7 @@
     const Vm& vm = head.newest().fleet.vms.at(worker.vm);
     const bool moved =
         vm.state != VmState::kServing ||
-        (last_moving.contains(vm.id) && clock.now() - last_moving[vm.id] < SimulatedHead::kFresh);
+        (last_moving.contains(vm.id) && clock.Now() - last_moving[vm.id] < SimulatedHead::kFresh);
     const MaintenanceState state = WaveStateOf(vm);
     if (!moved && state != MaintenanceState::kDraining && state != MaintenanceState::kRebooting) {
       throw Violation(
@@ -525,7 +525,7 @@
     }
     std::string reason;
     for (const auto& daemon : daemons) {
-      if (!daemon->process.alive || !daemon->head.FreshUntil(clock.now(), &reason)) {
+      if (!daemon->process.alive || !daemon->head.FreshUntil(clock.Now(), &reason)) {
         continue;
       }
       for (const auto& [team, limit] : options.limits) {
--- a/packages/control/tests/slot_ledger_test.cc
+++ b/packages/control/tests/slot_ledger_test.cc
@@ -28,9 +28,9 @@
   }
   CHECK(usable == 10);
   // Guards against slots that travel, or documents that are rewritten, without a reason.
-  const std::uint64_t writes = run.store.writes;
+  const std::uint64_t writes = run.store.table.writes();
   run.clock.RunFor(Duration(60'000));
-  CHECK(run.store.writes == writes);
+  CHECK(run.store.table.writes() == writes);
 }
 
 TEST_CASE("Slots travel to where requests wait") {
@@ -38,12 +38,12 @@
   run.clock.RunFor(Duration(20'000));
   run.At(0).waiting[smiths] = 1'000'000;
   CHECK(run.RunUntil(Duration(10'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
-  const std::uint64_t writes = run.store.writes;
+  const std::uint64_t writes = run.store.table.writes();
   run.At(1).waiting[smiths] = 1'000'000;
   CHECK(run.RunUntil(Duration(15'000), [&] { return run.At(1).ledger.Usable(smiths) >= 4; }));
   run.clock.RunFor(Duration(60'000));
   // Guards against slots that swing back and forth between two daemons with equal demand.
-  CHECK(run.store.writes - writes < 20);
+  CHECK(run.store.table.writes() - writes < 20);
 }
 
 TEST_CASE("A lost answer to a write that took effect leaves the right count") {
@@ -66,7 +66,7 @@
   run.At(0).process.alive = false;
   const std::string incarnation = run.At(0).process.incarnation;
   REQUIRE(run.RunUntil(Duration(10'000), [&] {
-    return !run.At(1).head.MayStillDispatch(incarnation, run.clock.now());
+    return !run.At(1).head.MayStillDispatch(incarnation, run.clock.Now());
   }));
   const auto held = [&] {
     return run.ledgers.at(LedgerKey(LedgerShardOf(smiths))).teams.at(smiths).HeldBy(incarnation);
@@ -102,12 +102,12 @@
   SimulatedRun run(OneTeam(10));
   run.clock.RunFor(Duration(20'000));
   SlotLedger& ledger = run.At(0).ledger;
-  REQUIRE(ledger.Acquire(run.clock.now(), smiths));
-  ledger.BeginHandOver(run.clock.now());
+  REQUIRE(ledger.Acquire(run.clock.Now(), smiths));
+  ledger.BeginHandOver(run.clock.Now());
   run.clock.RunFor(Duration(5'000));
   CHECK_FALSE(ledger.HandedOver());
-  CHECK_FALSE(ledger.Acquire(run.clock.now(), smiths));
-  ledger.Release(run.clock.now(), smiths);
+  CHECK_FALSE(ledger.Acquire(run.clock.Now(), smiths));
+  ledger.Release(run.clock.Now(), smiths);
   CHECK(run.RunUntil(Duration(5'000), [&] { return ledger.HandedOver(); }));
   run.Kill(0);
   run.clock.RunFor(Duration(3'500));
@@ -121,7 +121,7 @@
   run.clock.RunFor(Duration(60'000));
   CHECK(run.At(0).ledger.Usable(smiths) > 0);
   // Guards against use of slots that went to others during the pause.
-  CHECK_FALSE(run.At(0).ledger.Acquire(run.clock.now(), smiths));
+  CHECK_FALSE(run.At(0).ledger.Acquire(run.clock.Now(), smiths));
   run.At(0).process.Resume();
   run.At(0).waiting[smiths] = 1'000'000;
   CHECK(run.RunUntil(Duration(30'000), [&] { return run.At(0).ledger.Usable(smiths) == 10; }));
@@ -135,7 +135,7 @@
   options.daemons = 1;
   SimulatedRun run(options);
   run.clock.RunFor(Duration(5'000));
-  CHECK(run.store.writes <= 4 + 5 * 4);
+  CHECK(run.store.table.writes() <= 4 + 5 * 4);
   run.clock.RunFor(Duration(10'000));
   CHECK(run.At(0).ledger.Usable("team7") == 8);
 }
--- a/packages/control/tests/vm_mover_test.cc
+++ b/packages/control/tests/vm_mover_test.cc
@@ -12,7 +12,7 @@
                        const std::string& pool) {
   ChangeResult result;
   bool answered = false;
-  run->At(daemon).mover.Start(run->clock.now(), vm, pool,
+  run->At(daemon).mover.Start(run->clock.Now(), vm, pool,
                               [&](TimePoint, const ChangeResult& answer) {
                                 result = answer;
                                 answered = true;
@@ -54,7 +54,7 @@
   run.clock.RunFor(Duration(200));
   CHECK(StartMove(&run, 1, "vm00", "hallmark").reason == "VM vm00 already moves to pool hallmark");
   const std::vector<std::string> vms{"vm01"};
-  run.At(0).maintenance.Start(run.clock.now(), "tone", vms, [](TimePoint, const WaveResult&) {});
+  run.At(0).maintenance.Start(run.clock.Now(), "tone", vms, [](TimePoint, const WaveResult&) {});
   REQUIRE(run.RunUntil(Duration(10'000), [&] {
     return run.waves.contains("tone") && run.waves.at("tone").HasPermit("vm01");
   }));
@@ -66,7 +66,7 @@
   run.clock.RunFor(Duration(2'000));
   CHECK(StartMove(&run, 0, "vm00", "hallmark").outcome == ChangeOutcome::kRecorded);
   REQUIRE(run.RunUntil(Duration(10'000), [&] { return run.workers.workers["vm00"].draining; }));
-  run.At(2).mover.Cancel(run.clock.now(), "vm00", [](TimePoint, const ChangeResult&) {});
+  run.At(2).mover.Cancel(run.clock.Now(), "vm00", [](TimePoint, const ChangeResult&) {});
   run.clock.RunFor(Duration(10'000));
   CHECK(RecordOf(run, "vm00").pool == "tone");
   CHECK(run.Unfinished().empty());
@@ -95,7 +95,7 @@
   run.At(0).process.store_cut = run.At(0).process.peers_cut = true;
   const auto move_all = [&] {
     for (int i = 0; i < 8; ++i) {
-      run.At(1).mover.Start(run.clock.now(), fmt::format("vm{:02}", i), "hallmark",
+      run.At(1).mover.Start(run.clock.Now(), fmt::format("vm{:02}", i), "hallmark",
                             [](TimePoint, const ChangeResult&) {});
     }
     run.clock.RunFor(Duration(20'000));
