--- a/packages/control/tests/randomised_test.cc
+++ b/packages/control/tests/randomised_test.cc
@@ -77,7 +77,7 @@
     const auto kind = m_random.Below(5);
     const std::string vm = AnyVm();
     const std::string pool = AnyPool();
-    const TimePoint now = run.clock.now();
+    const TimePoint now = run.clock.Now();
     const auto ignore_change = [](TimePoint, const ChangeResult&) {};
     const auto ignore_wave = [](TimePoint, const WaveResult&) {};
     for (int i = Chance(40) ? 2 : 1; i > 0; --i) {
@@ -104,7 +104,7 @@
     const std::string team = Chance(50) ? "smiths" : "clerks";
     const int limit = static_cast<int>(m_random.Below(15));
     daemon->head.Submit(
-        run.clock.now(), "change a limit",
+        run.clock.Now(), "change a limit",
         [team, limit](const Fleet& current, std::string*) {
           Fleet next = current;
           next.teams[team] = Team{team, Contract{1.0, limit}};
@@ -145,13 +145,13 @@
         break;
       case 4:
       case 5: {
-        SimulatedProcess* process = &run.At(AnyDaemon()).process;
+        DaemonProcess* process = &run.At(AnyDaemon()).process;
         process->paused = true;
         After(Between(100, 15'000), [process] { process->Resume(); });
         break;
       }
       case 6: {
-        SimulatedProcess* process = &run.At(AnyDaemon()).process;
+        DaemonProcess* process = &run.At(AnyDaemon()).process;
         process->store_cut = true;
         process->peers_cut = Chance(50);
         After(Between(500, 10'000), [process] { process->store_cut = process->peers_cut = false; });
@@ -175,7 +175,7 @@
   void StopGracefully(int number) {
     SimulatedDaemon* daemon = &run.At(number);
     if (daemon->process.alive && !daemon->process.paused) {
-      daemon->ledger.BeginHandOver(run.clock.now());
+      daemon->ledger.BeginHandOver(run.clock.Now());
       EndWhenHandedOver(number, daemon);
     }
   }
