Refuse settings with characters other than ASCII; probe workers less often

The new fuzz target found undefined behaviour inside the TOML library on a Unicode character after a bare key. Ruled out: a fault of the reader itself, as the trace ends in the library's generated Unicode tables. The settings hold names, addresses and hexadecimal digits only, so other characters are refused with their line.

Looking for due worker probes visited every known worker 50 times a second.

--- a/bench/idle.sh
+++ b/bench/idle.sh
@@ -6,8 +6,8 @@
 source "$(dirname "${BASH_SOURCE[0]}")/../tests/process/cluster.sh"
 
 SECONDS_MEASURED=${SECONDS_MEASURED:-15}
-DAEMONS=(3 6 9)
-WORKERS=(50 500 2000)
+read -r -a DAEMONS <<<"${DAEMONS:-3 6 9}"
+read -r -a WORKERS <<<"${WORKERS:-50 500 2000}"
 
 # spent PID: prints processor ticks, bytes read and written, and resident kilobytes.
 spent() {
--- a/packages/control/tests/slot_ledger_test.cc
+++ b/packages/control/tests/slot_ledger_test.cc
@@ -98,7 +98,7 @@
   CHECK(run.RunUntil(Duration(20'000), [&] { return run.Held(smiths) == 0; }));
 }
 
-TEST_CASE("A planned stop hands over all slots; a new incarnation adopts none") {
+TEST_CASE("A planned stop hands over all slots and a new incarnation adopts none") {
   SimulatedRun run(OneTeam(10));
   run.clock.RunFor(Duration(20'000));
   SlotLedger& ledger = run.At(0).ledger;
--- a/packages/daemon/include/cranberryplank/daemon/task_runner.h
+++ b/packages/daemon/include/cranberryplank/daemon/task_runner.h
@@ -124,6 +124,7 @@
   UncertainTasks m_uncertain;
   std::unordered_map<std::string, RunningTask> m_running;  ///< By attempt id.
   std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_counts;
+  TimePoint m_next_probe;
   StatusSignal m_status;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
 };
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -16,6 +17,7 @@
 constexpr std::int64_t kMaxPort = 65'535;
 constexpr std::int64_t kDayMs = 86'400'000;
 constexpr std::size_t kDigestHexLength = 64;
+constexpr unsigned char kLastAscii = 0x7f;
 
 /// Collects problems with their place in the file.
 class ProblemList {
@@ -316,6 +318,17 @@
   }
 }
 
+/// Returns the line of the first character that is not ASCII, or nothing. The TOML library has
+/// undefined behaviour on some of them outside of strings, which a fuzz run found.
+std::optional<std::size_t> LineOfFirstNonAscii(std::string_view text) {
+  const auto found = std::find_if(
+      text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) > kLastAscii; });
+  if (found == text.end()) {
+    return std::nullopt;
+  }
+  return 1 + static_cast<std::size_t>(std::count(text.begin(), found, '\n'));
+}
+
 }  // namespace
 
 std::optional<Settings> SettingsReader::ReadFile(const std::string& path) {
@@ -331,6 +344,10 @@
 
 std::optional<Settings> SettingsReader::ReadText(std::string_view text, std::string_view path) {
   m_last_reason.clear();
+  if (const auto line = LineOfFirstNonAscii(text)) {
+    m_last_reason = fmt::format("{}:{}: expected ASCII characters only\n", path, *line);
+    return std::nullopt;
+  }
   toml::table root;
   try {
     root = toml::parse(text, path);
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr int kProbesPerTick = 32;
+/// Looking for due probes visits every known worker, so it is not done at every tick.
+constexpr Duration kProbeInterval{200};
+constexpr int kProbesPerInterval = 64;
 
 /// Added to lease and start-by deadline for differences between clocks.
 constexpr Duration kLeaseMargin{1'000};
@@ -192,7 +194,11 @@
 }
 
 void TaskRunner::Probe(TimePoint now) {
-  for (const std::string& vm : m_workers.DueProbes(now, kProbesPerTick)) {
+  if (now < m_next_probe) {
+    return;
+  }
+  m_next_probe = now + kProbeInterval;
+  for (const std::string& vm : m_workers.DueProbes(now, kProbesPerInterval)) {
     m_client->GetStatus(
         *m_workers.AddressOf(vm),
         [this, alive = std::weak_ptr<bool>(m_alive), vm](
--- a/packages/daemon/tests/settings_test.cc
+++ b/packages/daemon/tests/settings_test.cc
@@ -73,6 +73,13 @@
   CHECK(ReasonFor("[daemon\nid = 1").find("x.toml:1:") == 0);
 }
 
+// Guards against input on which the TOML library has undefined behaviour (found by fuzzing).
+TEST_CASE("text with characters other than ASCII is refused with its line") {
+  CHECK(ReasonFor("Q\xef\xb3\xbf") == "x.toml:1: expected ASCII characters only\n");
+  CHECK(ReasonFor(std::string(kValid) + "# caf\xc3\xa9\n").find("expected ASCII") !=
+        std::string::npos);
+}
+
 TEST_CASE("every problem is reported, not only the first") {
   const std::string reason =
       ReasonFor(Replace(Replace(kValid, "zone = \"az-1\"\n", ""), "approvals_required = 1",
