--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -56,8 +56,6 @@
   m_parts.head->signal_changed().connect(sigc::mem_fun(*this, &RequestRouter::OnConfiguration));
 }
 
-// --- Accepting ---
-
 std::string RequestRouter::Accept(TimePoint now, CallerRequest request, ReplyCallback done) {
   if (request.task_id.empty()) {
     request.task_id = m_parts.random->Nonce();
@@ -74,7 +72,8 @@
 void RequestRouter::Admit(TimePoint now, PendingRequest pending) {
   CallerRequest& request = pending.request;
   if (m_pending.Find(request.task_id) != nullptr) {
-    m_pending.Refuse(now, pending, 409, "a request with this task id is under way");
+    // Only another daemon names task ids; what became of the earlier request is not known here.
+    m_pending.AnswerMayHaveRun(now, pending, "a request with this task id is under way");
     return;
   }
   const auto refusal =
@@ -169,7 +168,7 @@
       m_pending.Refuse(now, pending, 429, "queue full", RetryAfterFor(request, queue->second));
       return;
     case PushResult::kDuplicate:
-      m_pending.Refuse(now, pending, 409, "a request with this task id waits");
+      m_pending.AnswerMayHaveRun(now, pending, "a request with this task id waits");
       return;
     case PushResult::kExpired:
       m_pending.Refuse(now, pending, 503, "deadline passed");
@@ -192,8 +191,6 @@
   return !pending->may_have_run;
 }
 
-// --- Replying ---
-
 Duration RequestRouter::RetryAfterFor(const CallerRequest& request, const Queue& queue) {
   RefusalState state;
   state.waiting = m_queue.Waiting(m_demand.QueuesOf(queue.pool), request.team);
@@ -202,8 +199,6 @@
   return RetryAfter::Compute(state, *m_parts.random);
 }
 
-// --- Dispatching ---
-
 std::optional<TimePoint> RequestRouter::DispatchUntil(TimePoint now,
                                                       std::string* last_reason) const {
   if (!m_options.rules.check_freshness) {
@@ -464,8 +459,6 @@
   return m_queue.Push(now, std::move(waiting), max_waiting);
 }
 
-// --- Time passing ---
-
 void RequestRouter::Tick(TimePoint now, std::uint64_t rotation) {
   m_peers.Tick(now);
   m_sweeper.Tick(now);
@@ -495,8 +488,6 @@
   m_leaving = std::move(leaving);
 }
 
-// --- Shares ---
-
 void RequestRouter::UpdateShares(TimePoint now, std::uint64_t rotation) {
   auto leaving = m_leaving;
   leaving.merge(m_peers.Leaving());
@@ -523,8 +514,6 @@
   beat->leaving_vms.insert(beat->leaving_vms.end(), m_leaving.begin(), m_leaving.end());
 }
 
-// --- Shutdown ---
-
 void RequestRouter::EndWaiting(TimePoint now) {
   m_sweeper.RefuseAll(now, "this daemon is shutting down");
   m_runner.CheckpointVm("", "this daemon is shutting down");
--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -271,6 +271,20 @@
   CHECK(fixture.workers().Starts(fixture.last_task()) == 0);
 }
 
+// Guards against "not run" said of a forwarded request that came twice and runs.
+TEST_CASE("a second request with a task id under way may have run") {
+  RouterFixture fixture;
+  CallerRequest request = RouterFixture::Request(kSlow);
+  request.task_id = "forwarded";
+  const auto first = fixture.Send(0, request);
+  const auto second = fixture.Send(0, request);
+  REQUIRE(second->has_value());
+  CHECK((*second)->verdict == Verdict::kMayHaveRun);
+  fixture.queue().RunFor(Duration(4'000));
+  CHECK((*first)->verdict == Verdict::kCompleted);
+  CHECK(fixture.workers().Starts("forwarded") == 1);
+}
+
 // Guards against a team being held below its limit because its slots lie with another daemon.
 TEST_CASE("a request is forwarded to a daemon that holds a free slot") {
   RouterFixture fixture(2);
