Take the ports of process tests from below the local port range

A fake worker whose port was taken ended at once, and the load then waited out the 8 s deadline of each request.

After: the ports are taken from 20000 to 31999, and a fake that does not listen fails the test within 20 s with its log.

Process tests for a slow store, a nearly empty VM list, the loss of a zone, a store outage during which a daemon dies, and a stop during a store outage are added.

--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -13,7 +13,8 @@
 cluster_init() {
   CLUSTER_WORKERS=$1
   CLUSTER_DIR=$(mktemp -d)
-  CLUSTER_BASE=$((20000 + ($$ % 400) * 100))
+  # Below 32768, where Linux takes the local ports of outgoing connections from by default.
+  CLUSTER_BASE=$((20000 + ($$ % 120) * 100))
   CLUSTER_TOKEN=$CLUSTER_DIR/token
   CLUSTER_STORE=127.0.0.1:$CLUSTER_BASE
   CLUSTER_VM_LIST=127.0.0.1:$((CLUSTER_BASE + 1))
@@ -41,8 +42,17 @@
   cluster_spawn vm_list "$CLUSTER_SUPPORT/fake_vm_list" --port $((CLUSTER_BASE + 1)) "${vms[@]}"
   cluster_spawn workers "$CLUSTER_SUPPORT/fake_worker" --port "$CLUSTER_WORKER_PORT" \
     --count "$CLUSTER_WORKERS" --slots 8 --reboot-ms 1000
+  cluster_wait 20 cluster_listening store 1 && cluster_wait 20 cluster_listening vm_list 1 &&
+    cluster_wait 20 cluster_listening workers "$CLUSTER_WORKERS" && return
+  # Without this check a load would wait out the deadline of each request.
+  echo "a fake does not listen:" "$CLUSTER_DIR"/*.log
+  cat "$CLUSTER_DIR"/{store,vm_list,workers}.log
+  return 1
 }
 
+# cluster_listening NAME COUNT: the fakes of one process listen on that many ports.
+cluster_listening() { [ "$(grep -c event=listening "$CLUSTER_DIR/$1.log")" = "$2" ]; }
+
 cluster_api() { echo "127.0.0.1:$((CLUSTER_BASE + 10 + $1))"; }
 
 # cluster_start_daemon NUMBER
@@ -136,6 +146,18 @@
 # cluster_field FILE NAME: prints a number of a report.
 cluster_field() { sed -n "s/.*\"$2\": *\([0-9.]*\).*/\1/p" "$1" | head -1; }
 
+# cluster_fault PORT JSON: injects a fault into the fake that listens on the port.
+cluster_fault() { curl -sf -m 5 -X POST "http://127.0.0.1:$1/fault" -d "$2" >/dev/null; }
+
+# cluster_worker_port NUMBER: port of the worker vm-NUMBER.
+cluster_worker_port() { echo $((CLUSTER_WORKER_PORT + $1 - 1)); }
+
+# cluster_remove_vm ID: removes a daemon's VM from the platform's list.
+cluster_remove_vm() {
+  curl -sf -m 5 -X POST "http://$CLUSTER_VM_LIST/vms" -d \
+    "{\"service\":\"cranberryplankd\",\"id\":\"$1\",\"action\":\"remove\"}" >/dev/null
+}
+
 # cluster_signal NAME SIGNAL
 cluster_signal() { kill "-$2" "${CLUSTER_PIDS[$1]}"; }
 
--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/cluster.sh"
 
-CASE=${1:?usage: faults.sh kill|pause|store_outage|rolling_replacement}
+CASE=${1:?usage: faults.sh CASE, a name of the list below}
 REPORT=report.json
 
 fail() {
@@ -49,23 +49,41 @@
   ! grep -h invariant_violated "$CLUSTER_DIR"/entry-*.log || fail "an invariant was violated"
 }
 
+# try_request DAEMON: sends one request with the clerks' key; prints the status.
+try_request() {
+  curl -s -m 10 -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
+    -H "Authorization: Bearer $(cluster_key clerks)" \
+    "http://$(cluster_api "$1")/v1/queues/counter-requests/requests"
+}
+
+# removed: entry-3 is no longer registered.
+removed() {
+  local status
+  status=$(cluster_cli status) && ! grep -q '^entry-3 ' <<<"$status"
+}
+
+# end_daemon NUMBER: kills a daemon, whose VM stays in the platform's list.
+end_daemon() {
+  cluster_signal "entry-$1" KILL
+  unset "CLUSTER_PIDS[entry-$1]"
+}
+
 cluster_init 6
 cluster_start_platform
 for i in 1 2 3; do cluster_start_daemon "$i"; done
 for i in 1 2 3; do cluster_wait 30 cluster_ready "$i" || fail "entry-$i is not ready"; done
+echo "$CASE: the daemons are ready after $SECONDS s"
 cluster_configure
+echo "$CASE: configured after $SECONDS s"
 
 case $CASE in
   # A daemon that dies loses what it held, and nothing else.
   kill)
     start_load 1500
     sleep 2
-    cluster_signal entry-3 KILL
-    unset "CLUSTER_PIDS[entry-3]"
-    curl -sf -X POST "http://$CLUSTER_VM_LIST/vms" -d \
-      '{"service":"cranberryplankd","id":"entry-3","action":"remove"}' >/dev/null
+    end_daemon 3
+    cluster_remove_vm entry-3
     end_load 800 15
-    removed() { ! cluster_cli status | grep -q '^entry-3 '; }
     cluster_wait 20 removed || fail "entry-3 is still registered"
     ;;
 
@@ -81,9 +99,7 @@
     cluster_signal entry-3 CONT
     end_load 500
     cluster_wait 20 cluster_ready 3 || fail "entry-3 did not recover"
-    status=$(curl -s -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
-      -H "Authorization: Bearer $(cluster_key clerks)" \
-      "http://$(cluster_api 3)/v1/queues/counter-requests/requests")
+    status=$(try_request 3)
     [ "$status" = 401 ] || fail "a withdrawn key was answered with $status"
     ;;
 
@@ -96,9 +112,7 @@
     CLUSTER_ASK=1 cluster_cli key withdraw --key-file "$CLUSTER_DIR/key.clerks" >"$CLUSTER_DIR/withdraw.txt" && true
     grep -q "not yet recorded" "$CLUSTER_DIR/withdraw.txt" || fail "$(cat "$CLUSTER_DIR/withdraw.txt")"
     sleep 2
-    status=$(curl -s -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
-      -H "Authorization: Bearer $(cluster_key clerks)" \
-      "http://$(cluster_api 2)/v1/queues/counter-requests/requests")
+    status=$(try_request 2)
     [ "$status" = 401 ] || fail "a withdrawn key was answered with $status during the outage"
     sleep "${STORE_OUTAGE_SECONDS:-20}"
     cluster_signal store CONT
@@ -119,6 +133,65 @@
     CLUSTER_ASK="4 5 6" cluster_cli status | grep -q '^entry-1 ' && fail "entry-1 is still registered"
     ;;
 
+  # Every answer of the store takes 2 s, as long as a daemon's state stays fresh. The daemons keep
+  # each other fresh, and a change still takes effect.
+  store_slow)
+    cluster_fault "$CLUSTER_BASE" '{"fault":"delay","ms":2000,"count":0}'
+    start_load 2500
+    cluster_cli team set clerks --share-weight 1 --upper-limit 9 --wait 20 >/dev/null ||
+      fail "a change did not take effect"
+    end_load 2400
+    ;;
+
+  # A list of VMs that loses most of its entries is not believed, neither for workers nor daemons.
+  vm_list_nearly_empty)
+    start_load 2000
+    sleep 1
+    cluster_fault $((CLUSTER_BASE + 1)) '{"fault":"nearly_empty"}'
+    end_load 1990
+    for i in 1 2 3; do cluster_ready "$i" || fail "entry-$i is not ready"; done
+    ;;
+
+  # A zone is lost at once: entry-3 and the workers vm-3 and vm-6, which stay in the list of VMs.
+  # Requests that were running there end as "may have run"; all others go on in other zones.
+  zone_loss)
+    start_load 2500
+    sleep 2
+    end_daemon 3
+    for i in 3 6; do
+      cluster_fault "$(cluster_worker_port "$i")" '{"fault":"unreachable","ms":6000}'
+    done
+    end_load 1200 15
+    ;;
+
+  # The store is away when a daemon dies: the other two are a majority and go on. The dead
+  # daemon's slots come back after the outage.
+  store_outage_and_kill)
+    start_load 2500
+    sleep 1
+    cluster_signal store STOP
+    sleep 1
+    end_daemon 3
+    cluster_remove_vm entry-3
+    sleep 8
+    [ "$(try_request 1)" = 200 ] || fail "a request was not served during the outage"
+    cluster_signal store CONT
+    end_load 1200 15
+    cluster_wait 30 removed || fail "entry-3 is still registered"
+    ;;
+
+  # A daemon that is stopped while the store is away finishes what it accepted and ends in time.
+  stop_in_store_outage)
+    start_load 2500
+    sleep 1
+    cluster_signal store STOP
+    sleep 1
+    cluster_end entry-3 30 || fail "entry-3 did not stop"
+    [ "$(try_request 1)" = 200 ] || fail "a request was not served during the outage"
+    cluster_signal store CONT
+    end_load 1200
+    ;;
+
   *) fail "unknown case" ;;
 esac
 echo "$CASE: passed"
