Wait 6 s for the store's answers

Cause: with 2 s for each call of the store (`process: store_slow`) every write of a change ended with "a part was not written: the write had no answer", since HttpStore gave up after 1 s. No change was ever recorded, and slots did not move, so that requests ran into their deadlines.

Ruled out: freshness, which the daemons kept through each other.

Before: 0 changes recorded in 20 s, requests refused with "deadline passed while waiting".

--- a/packages/platform/include/cranberryplank/platform/http_store.h
+++ b/packages/platform/include/cranberryplank/platform/http_store.h
@@ -11,10 +11,14 @@
 /// Store behind Consul's KV HTTP API.
 class HttpStore : public Store {
  public:
+  /// A slow store takes 2 s and more for each call. With a shorter limit none of its answers would
+  /// arrive in time, and no change could be recorded.
+  static constexpr Duration kCallTimeout{6'000};
+
   /// @param client must outlive the store
   /// @param timeout limit of a read or write; a watch has it on top of its wait
   HttpStore(HttpClient* client, std::string host, std::uint16_t port,
-            Duration timeout = Duration(1'000));
+            Duration timeout = kCallTimeout);
 
   void Read(std::string_view key, ReadCallback done) override;
   void Watch(std::string_view key, std::uint64_t watch_index, Duration wait,
