Add the bundle candidate to the fleet's parts

Cause: a bundle takes effect on all daemons with the change that submits it, so a daemon that cannot read or verify it has no way to say so before.

Ruled out: the bundle's text as a part of the head named "candidate". A daemon applies a head only once it has read all of its parts; a candidate with a changed byte would keep every daemon from the newest configuration and so from dispatching. The part holds a small record that names the text by digest.

The bound on the size of a part moves to the model, since a candidate must fit into a part when it is activated.

Before: 6 single parts and the VM shards. After: 7, the new one absent until a bundle is submitted.

Conclusion: the record survives encoding (model: "a fleet survives encoding and decoding part by part").

--- a/packages/control/src/head_writer.cc
+++ b/packages/control/src/head_writer.cc
@@ -16,9 +16,6 @@
 /// Swaps lost to other writers before a change is reported as a conflict.
 constexpr int kMostLostRaces = 8;
 
-/// Larger parts would exceed the store's limit of 1 MB per value or the peers' frame limit.
-constexpr std::size_t kMostPartBytes = 900'000;
-
 /// Write records of former daemons kept in the head, newest first. A writer that is removed while
 /// its outcome is open finds the outcome until this many other former daemons have written.
 constexpr std::size_t kFormerWritersKept = 8;
--- a/packages/model/include/cranberryplank/model/fleet.h
+++ b/packages/model/include/cranberryplank/model/fleet.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cranberryplank/model/digest.h"
 #include "cranberryplank/model/pool.h"
 #include "cranberryplank/model/queue.h"
 #include "cranberryplank/model/team.h"
@@ -21,6 +22,7 @@
 inline constexpr std::string_view kQueuesPart = "queues";
 inline constexpr std::string_view kBundlePart = "bundle";
 inline constexpr std::string_view kChangesPart = "changes";
+inline constexpr std::string_view kCandidatePart = "candidate";
 
 /// Changes whose nonces are kept, so that a repeated change is recognised.
 inline constexpr std::size_t kRememberedChanges = 64;
@@ -40,6 +42,18 @@
   bool operator==(const ChangeRecord&) const = default;
 };
 
+/// Newest bundle that was submitted. Its text is stored under `PartKey(digest)`, but is no part of
+/// the head until the bundle is activated: a daemon applies a head only when it has read all of its
+/// parts, so a damaged candidate would keep it from the newest configuration.
+struct BundleCandidate {
+  std::uint64_t version = 0;
+  Digest digest;
+  std::uint64_t revision = 0;   ///< Revision that recorded the candidate.
+  std::uint64_t activated = 0;  ///< Revision that made it the bundle in force; 0 before.
+
+  bool operator==(const BundleCandidate&) const = default;
+};
+
 /// Configuration of the whole fleet as named by one head revision.
 struct Fleet {
   std::uint64_t revision = 0;
@@ -50,6 +64,7 @@
   std::map<std::string, Vm, std::less<>> vms;
   std::vector<ChangeRecord> changes;  ///< Newest last, at most `kRememberedChanges`.
   std::string bundle;                 ///< Text of the bundle in force; read by package `bundle`.
+  std::optional<BundleCandidate> candidate;
 
   bool operator==(const Fleet&) const = default;
 };
--- a/packages/model/include/cranberryplank/model/head.h
+++ b/packages/model/include/cranberryplank/model/head.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_MODEL_HEAD_H_
 #define CRANBERRYPLANK_MODEL_HEAD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,9 @@
 /// Store key of the head document.
 inline constexpr std::string_view kHeadKey = "cranberryplank/head";
 
+/// Larger parts would exceed the store's limit of 1 MB per value or the peers' frame limit.
+inline constexpr std::size_t kMostPartBytes = 900'000;
+
 /// Store key of the immutable part with digest `digest`.
 std::string PartKey(const Digest& digest);
 
--- a/packages/model/src/fleet.cc
+++ b/packages/model/src/fleet.cc
@@ -149,6 +149,26 @@
   return changes;
 }
 
+json EncodeCandidate(const BundleCandidate& candidate) {
+  return json::array({json{{"version", candidate.version},
+                           {"digest", candidate.digest.hex},
+                           {"revision", candidate.revision},
+                           {"activated", candidate.activated}}});
+}
+
+std::optional<BundleCandidate> DecodeCandidate(const json& list) {
+  if (list.empty()) {
+    return std::nullopt;
+  }
+  const json& value = list.at(0);
+  BundleCandidate candidate;
+  value.at("version").get_to(candidate.version);
+  value.at("digest").get_to(candidate.digest.hex);
+  value.at("revision").get_to(candidate.revision);
+  value.at("activated").get_to(candidate.activated);
+  return candidate;
+}
+
 template <typename Map, typename Encode>
 std::string EncodeAll(const Map& items, Encode encode) {
   json list = json::array();
@@ -200,6 +220,8 @@
     }
   } else if (part == kChangesPart) {
     fleet->changes = DecodeChanges(list);
+  } else if (part == kCandidatePart) {
+    fleet->candidate = DecodeCandidate(list);
   } else if (part.starts_with(kVmPartPrefix)) {
     DecodeVms(part, list, fleet);
   } else {
@@ -223,6 +245,9 @@
   if (!fleet.bundle.empty()) {
     parts.emplace(kBundlePart, fleet.bundle);
   }
+  if (fleet.candidate) {
+    parts.emplace(kCandidatePart, EncodeCandidate(*fleet.candidate).dump());
+  }
   std::map<std::string, std::map<std::string, Vm>> shards;
   for (const auto& [id, vm] : fleet.vms) {
     shards[VmPartName(vm.rack)][id] = vm;
--- a/packages/model/tests/fleet_test.cc
+++ b/packages/model/tests/fleet_test.cc
@@ -30,6 +30,7 @@
   fleet.vms[vm.id] = vm;
   fleet.changes.push_back(ChangeRecord{"nonce", "fingerprint", 3});
   fleet.bundle = "{}";
+  fleet.candidate = BundleCandidate{2, Digest{"cd34"}, 4, 5};
   return fleet;
 }
 
