Roll bundles out in stages

Cause: a submitted bundle was put in force at once; a daemon that could not read it stopped serving.

A submission writes the bundle's text and records it as the candidate. Each daemon reads and verifies it as a submission is and reports the result in one compare-and-swap document. The activation is the same atomic change as before and is refused if the candidate was replaced or its version is not above the one in force.

Ruled out: - Acknowledgements of the head instead of reports: they show that a daemon holds the head, not that it could read and verify the candidate, which also depends on each daemon's approver settings. - A field in the heartbeat: it changes the Thrift file and is lost with the daemon; the document is read only while a candidate is pending. - ActingDaemon over all registered daemons: one that died stays registered while its VM is listed, and the rollout stopped. Only daemons in contact are considered now. - A lower version replacing a pending candidate: of two racing submissions the newer would be dropped silently.

--- a/packages/daemon/include/cranberryplank/daemon/admin_parts.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_parts.h
@@ -4,6 +4,7 @@
 #include "cranberryplank/control/head_keeper.h"
 #include "cranberryplank/control/maintenance_coordinator.h"
 #include "cranberryplank/control/vm_mover.h"
+#include "cranberryplank/daemon/bundle_rollout.h"
 #include "cranberryplank/daemon/request_router.h"
 #include "cranberryplank/daemon/settings.h"
 #include "cranberryplank/daemon/vm_list_tracker.h"
@@ -18,6 +19,7 @@
   MaintenanceCoordinator* maintenance = nullptr;
   RequestRouter* router = nullptr;
   const VmListTracker* vm_list = nullptr;
+  BundleRollout* rollout = nullptr;
 };
 
 }  // namespace cranberryplank
--- a/packages/daemon/include/cranberryplank/daemon/admin_reads.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_reads.h
@@ -27,6 +27,7 @@
   nlohmann::json Vms(std::string_view pool) const;
 
   nlohmann::json Bundle() const;
+  nlohmann::json Rollout() const;
   nlohmann::json Maintenance() const;
 
  private:
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -8,8 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryplank/bundle/bundle_checker.h"
 #include "cranberryplank/bundle/bundle_parser.h"
-#include "cranberryplank/bundle/bundle_verifier.h"
 #include "cranberryplank/daemon/admin_edits.h"
 #include "cranberryplank/daemon/admin_reads.h"
 #include "cranberryplank/daemon/caller_api.h"
@@ -23,10 +23,10 @@
 using nlohmann::json;
 
 constexpr std::string_view kPrefix = "/v1/admin/";
+constexpr std::string_view kBundlePath = "/v1/admin/bundle";
 constexpr std::string_view kNonceHeader = "change-nonce";
 constexpr std::size_t kNonceLength = 32;
 constexpr std::size_t kDigestLength = 64;
-constexpr std::size_t kMaxNameLength = 64;
 constexpr std::int64_t kMaxWaitMs = 10'000;
 
 /// Time for which a withdrawal waits to be recorded before it is answered as not yet recorded.
@@ -43,17 +43,15 @@
   return Json(status, json{{"reason", reason}, {"processed", status == 502 || status == 504}});
 }
 
+json RevisionBody(std::uint64_t revision, const EffectStatus& status) {
+  return {{"revision", revision}, {"in_effect", status.in_effect}, {"pending", status.pending}};
+}
+
 bool IsHex(std::string_view text, std::size_t length) {
   return text.size() == length &&
          text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") ==
-             std::string_view::npos;
-}
-
 /// Hexadecimal digits are compared as text.
 std::string LowerCase(std::string_view text) {
   std::string lower(text);
@@ -100,8 +98,8 @@
                         GetField(body, "slots", &vm.slots) && GetField(body, "cores", &vm.cores) &&
                         GetField(body, "memory_gb", &vm.memory_gb) &&
                         GetField(body, "accelerators", &vm.accelerators);
-  if (!complete || !IsName(vm.id) || !IsName(vm.zone) || !IsName(vm.rack) || !IsName(vm.pool) ||
-      port < 1 || port > UINT16_MAX || vm.host.empty()) {
+  if (!complete || !IsValidName(vm.id) || !IsValidName(vm.zone) || !IsValidName(vm.rack) ||
+      !IsValidName(vm.pool) || port < 1 || port > UINT16_MAX || vm.host.empty()) {
     *last_reason = "a field of the VM is missing or not valid";
     return std::nullopt;
   }
@@ -159,6 +157,8 @@
     exchange->Reply(Json(200, reads.Vms(filtered ? pool->second : "")));
   } else if (path == "bundle") {
     exchange->Reply(Json(200, reads.Bundle()));
+  } else if (path == "rollout") {
+    exchange->Reply(Json(200, reads.Rollout()));
   } else if (path == "maintenance") {
     exchange->Reply(Json(200, reads.Maintenance()));
   } else {
@@ -247,10 +247,11 @@
 
 void AdminApi::ReplyRecorded(TimePoint now, const Exchange& exchange,
                              std::uint64_t revision) const {
-  const EffectStatus status = m_parts.head->StatusOf(revision, now);
-  exchange->Reply(Json(
-      202,
-      json{{"revision", revision}, {"in_effect", status.in_effect}, {"pending", status.pending}}));
+  const ApiRequest& request = exchange->request();
+  const EffectStatus status = request.path == kBundlePath
+                                  ? m_parts.rollout->StatusOf(Sha256(request.body), now)
+                                  : m_parts.head->StatusOf(revision, now);
+  exchange->Reply(Json(202, RevisionBody(revision, status)));
 }
 
 void AdminApi::ReplyChange(TimePoint now, const Exchange& exchange,
@@ -283,14 +284,13 @@
     exchange->Reply(Error(422, parser.last_reason()));
     return;
   }
-  ApproverKeys approvers;
-  for (const auto& [name, hex] : m_parts.settings->approvers) {
-    if (const auto key = PublicKey::FromHex(hex)) {
-      approvers.emplace(name, *key);
+  m_parts.rollout->Prepare(now, *bundle, [=, this](TimePoint at, const PreparedBundle& prepared) {
+    if (prepared.unavailable.empty()) {
+      Submit(at, exchange, prepared.description, prepared.edit);
+    } else {
+      exchange->Reply(Error(503, prepared.unavailable));
     }
-  }
-  Submit(now, exchange, fmt::format("bundle version {}", bundle->version),
-         SubmitBundleEdit(*bundle, approvers, m_parts.settings->approvals_required));
+  });
 }
 
 void AdminApi::GrantKey(TimePoint now, const Exchange& exchange) {
@@ -333,7 +333,7 @@
   }
   Team team;
   team.name = name;
-  if (!IsName(name) || !GetField(*body, "share_weight", &team.contract.share_weight) ||
+  if (!IsValidName(name) || !GetField(*body, "share_weight", &team.contract.share_weight) ||
       !GetField(*body, "upper_limit", &team.contract.upper_limit)) {
     exchange->Reply(Error(400, "expected a valid name, share_weight and upper_limit"));
     return;
@@ -434,9 +434,7 @@
     if (!status.in_effect && now < waiter.until) {
       return false;
     }
-    waiter.exchange->Reply(Json(200, json{{"revision", waiter.revision},
-                                          {"in_effect", status.in_effect},
-                                          {"pending", status.pending}}));
+    waiter.exchange->Reply(Json(200, RevisionBody(waiter.revision, status)));
     return true;
   }
   const auto denial = m_parts.head->DenialOf(Digest{waiter.denied_key});
--- a/packages/daemon/src/admin_edits.cc
+++ b/packages/daemon/src/admin_edits.cc
@@ -87,6 +87,28 @@
   };
 }
 
+HeadControl::FleetEdit RecordCandidateEdit(const Bundle& bundle, HeadControl::FleetEdit apply) {
+  return [version = bundle.version, digest = Sha256(bundle.text), apply = std::move(apply)](
+             const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+    if (!apply(current, last_reason)) {
+      return std::nullopt;
+    }
+    const auto& candidate = current.candidate;
+    const bool pending = candidate && candidate->activated == 0;
+    if (pending && version < candidate->version) {
+      // Replacing it would silently drop the newer of two racing submissions.
+      *last_reason = fmt::format("version {} is below version {}, which is being rolled out",
+                                 version, candidate->version);
+      return std::nullopt;
+    }
+    Fleet next = current;
+    if (!pending || candidate->digest != digest) {
+      next.candidate = BundleCandidate{version, digest, current.revision + 1, 0};
+    }
+    return next;
+  };
+}
+
 HeadControl::FleetEdit RecordedEdit(const ChangeIdentity& identity, HeadControl::FleetEdit edit,
                                     std::shared_ptr<std::optional<std::uint64_t>> recorded_at) {
   return [identity, recorded_at = std::move(recorded_at), edit = std::move(edit)](
--- a/packages/daemon/src/admin_reads.cc
+++ b/packages/daemon/src/admin_reads.cc
@@ -170,7 +170,30 @@
   return json{{"revision", fleet.revision},
               {"version", bundle ? bundle->version : 0},
               {"bundle", fleet.bundle},
-              {"approvals", approvals}};
+              {"approvals", approvals},
+              {"rollout", Rollout()}};
+}
+
+json AdminReads::Rollout() const {
+  const RolloutStatus status = m_parts.rollout->Status(m_now);
+  json daemons = json::array();
+  for (const RolloutDaemon& daemon : status.daemons) {
+    const std::string_view report = !daemon.report            ? "none"
+                                    : daemon.report->prepared ? "prepared"
+                                                              : "rejected";
+    daemons.push_back(json{{"id", daemon.id},
+                           {"revision", daemon.revision},
+                           {"acknowledged", daemon.acknowledged},
+                           {"report", report},
+                           {"reason", daemon.report ? daemon.report->reason : ""}});
+  }
+  return json{{"stage", ToString(status.stage)},
+              {"version", status.version},
+              {"digest", status.digest.hex},
+              {"revision", status.revision},
+              {"head_revision", m_parts.head->head().revision},
+              {"waiting_for", status.waiting_for},
+              {"daemons", daemons}};
 }
 
 json AdminReads::Maintenance() const {
--- /dev/null
+++ b/packages/daemon/src/bundle_rollout.cc
@@ -0,0 +1,356 @@
+#include "cranberryplank/daemon/bundle_rollout.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/bundle/bundle_parser.h"
+#include "cranberryplank/control/acting_daemon.h"
+#include "cranberryplank/control/head_keeper.h"
+#include "cranberryplank/daemon/admin_edits.h"
+#include "cranberryplank/daemon/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr std::string_view kSubject = "bundle-rollout";
+
+/// Like the time that a change of the head may take to reach the store.
+constexpr Duration kUploadTimeout{5'000};
+constexpr Duration kRetryInterval{300};
+
+/// Between attempts at reading or verifying a candidate. A content that was refused may become
+/// acceptable when the configuration changes, for example when a pool loses its last VM.
+constexpr Duration kCheckInterval{1'000};
+
+/// Reports are read often while a rollout is expected to go on, and seldom while it is held up.
+constexpr Duration kActingPoll{100};
+constexpr Duration kIdlePoll{1'000};
+constexpr Duration kExpectedRollout{5'000};
+
+/// A daemon in contact that has not reported, for example because only it cannot reach the store,
+/// holds up the activation for this long after the candidate's revision took effect.
+constexpr Duration kReportPatience = kFreshness + kEffectMargin;
+
+HeadControl::FleetEdit Refusal(const std::string& reason) {
+  return [reason](const Fleet&, std::string* last_reason) -> std::optional<Fleet> {
+    *last_reason = reason;
+    return std::nullopt;
+  };
+}
+
+}  // namespace
+
+std::string_view ToString(RolloutStage stage) {
+  switch (stage) {
+    case RolloutStage::kNone:
+      return "none";
+    case RolloutStage::kDistributing:
+      return "distributing";
+    case RolloutStage::kActivating:
+      return "activating";
+    case RolloutStage::kInEffect:
+      return "in_effect";
+  }
+  return "";
+}
+
+BundleRollout::BundleRollout(const BundleRolloutParts& parts, ApproverKeys approvers, int required)
+    : m_parts(parts),
+      m_approvers(std::move(approvers)),
+      m_required(required),
+      m_reports(parts.store, parts.random, std::string(parts.head->incarnation())) {}
+
+void BundleRollout::Prepare(TimePoint now, const Bundle& bundle, PreparedCallback done) {
+  // What does not depend on the configuration is checked first, so that a bundle which can never
+  // be accepted is not written. The edit judges a repeated submission, so it runs in any case.
+  BundleVerifier verifier(m_approvers, m_required);
+  PreparedBundle prepared{fmt::format("bundle version {}", bundle.version), nullptr, ""};
+  if (!verifier.Verify(bundle, 0)) {
+    prepared.edit = Refusal(verifier.last_reason());
+  } else if (bundle.text.size() > kMostPartBytes) {
+    prepared.edit = Refusal(fmt::format("the bundle has {} bytes; at most {} are allowed",
+                                        bundle.text.size(), kMostPartBytes));
+  }
+  if (prepared.edit) {
+    done(now, prepared);
+    return;
+  }
+  prepared.edit = RecordCandidateEdit(bundle, SubmitBundleEdit(bundle, m_approvers, m_required));
+  auto upload = std::make_shared<Upload>();
+  upload->text = bundle.text;
+  upload->digest = Sha256(bundle.text);
+  upload->until = now + kUploadTimeout;
+  upload->next_attempt = now;
+  upload->prepared = std::move(prepared);
+  upload->done = std::move(done);
+  m_uploads.push_back(std::move(upload));
+  TickUploads(now);
+}
+
+void BundleRollout::TickUploads(TimePoint now) {
+  for (const std::shared_ptr<Upload>& upload : m_uploads) {
+    if (upload->calling || now < upload->next_attempt) {
+      continue;
+    }
+    upload->calling = true;
+    m_parts.store->CompareAndSwap(PartKey(upload->digest), upload->text, 0,
+                                  [this, upload, alive = std::weak_ptr<bool>(m_alive)](
+                                      TimePoint answered, const StoreWriteReply& reply) {
+                                    if (!alive.expired()) {
+                                      OnUploaded(answered, upload, reply);
+                                    }
+                                  });
+  }
+}
+
+void BundleRollout::OnUploaded(TimePoint now, const std::shared_ptr<Upload>& upload,
+                               const StoreWriteReply& reply) {
+  // A conflict means that the text is there; a repetition of a write that took effect ends so.
+  const bool stored = reply.status == StoreStatus::kOk || reply.status == StoreStatus::kConflict;
+  if (!stored && now < upload->until) {
+    upload->calling = false;
+    upload->next_attempt = now + kRetryInterval;
+    return;
+  }
+  std::erase(m_uploads, upload);
+  if (!stored) {
+    upload->prepared.unavailable = fmt::format("the store gave no answer: {}", reply.reason);
+  }
+  upload->done(now, upload->prepared);
+}
+
+const BundleCandidate* BundleRollout::Pending() const {
+  const auto& candidate = m_parts.head->fleet().candidate;
+  return candidate && candidate->activated == 0 ? &*candidate : nullptr;
+}
+
+EffectStatus BundleRollout::StatusOf(const Digest& bundle, TimePoint now) const {
+  const auto& newest = m_parts.head->fleet().candidate;
+  if (!newest || newest->digest != bundle) {
+    return EffectStatus();
+  }
+  const bool activated = newest->activated != 0;
+  EffectStatus status =
+      m_parts.head->StatusOf(activated ? newest->activated : newest->revision, now);
+  status.in_effect = status.in_effect && activated;
+  return status;
+}
+
+RolloutStatus BundleRollout::Status(TimePoint now) const {
+  RolloutStatus status;
+  const auto& newest = m_parts.head->fleet().candidate;
+  if (!newest) {
+    return status;
+  }
+  status.version = newest->version;
+  status.digest = newest->digest;
+  status.revision = newest->activated != 0 ? newest->activated : newest->revision;
+  const EffectStatus effect = m_parts.head->StatusOf(status.revision, now);
+  if (newest->activated == 0) {
+    status.stage = RolloutStage::kDistributing;
+    const std::string hindrance = Hindrance(now);
+    status.waiting_for = !hindrance.empty()   ? hindrance
+                         : !m_refusal.empty() ? m_refusal
+                                              : "the acting daemon's activation";
+  } else if (effect.in_effect) {
+    status.stage = RolloutStage::kInEffect;
+  } else {
+    status.stage = RolloutStage::kActivating;
+    status.waiting_for = fmt::format("revision {} to be in effect", status.revision);
+  }
+  for (const DaemonRecord& daemon : m_parts.head->head().daemons) {
+    RolloutDaemon entry{daemon.id, 0, false, std::nullopt};
+    const auto beat = m_parts.peers->LastBeatOf(daemon.incarnation);
+    const bool self = daemon.incarnation == m_parts.head->incarnation();
+    entry.revision = self ? m_parts.head->head().revision : beat ? beat->revision : 0;
+    entry.acknowledged = entry.revision >= status.revision;
+    if (m_candidate.revision == newest->revision) {
+      const CandidateReport* report = m_reports.Of(daemon.incarnation);
+      // The own report may not have reached the store.
+      entry.report = self && m_report    ? m_report
+                     : report != nullptr ? std::optional(*report)
+                                         : std::nullopt;
+    }
+    status.daemons.push_back(std::move(entry));
+  }
+  return status;
+}
+
+void BundleRollout::Tick(TimePoint now) {
+  TickUploads(now);
+  const BundleCandidate* candidate = Pending();
+  if (candidate == nullptr ||
+      m_parts.head->head().FindIncarnation(m_parts.head->incarnation()) == nullptr) {
+    return;
+  }
+  if (m_candidate != *candidate) {
+    Begin(now, *candidate);
+  }
+  if (!m_effect && m_parts.head->StatusOf(candidate->revision, now).in_effect) {
+    m_effect = now;
+  }
+  if (now >= m_next_attempt && !m_fetching && !(m_report && m_report->prepared)) {
+    if (m_bundle) {
+      Verify(now);
+    } else {
+      Fetch(now);
+    }
+  }
+  const bool acting = IsActing();
+  const bool expected = now < m_begun + kExpectedRollout;
+  m_reports.Tick(now, candidate->revision, m_report, acting && expected ? kActingPoll : kIdlePoll);
+  if (acting && !m_activating && now >= m_next_activation && Hindrance(now).empty()) {
+    Activate(now);
+  }
+}
+
+void BundleRollout::Begin(TimePoint now, const BundleCandidate& candidate) {
+  m_candidate = candidate;
+  m_bundle.reset();
+  m_report.reset();
+  m_effect.reset();
+  m_refusal.clear();
+  m_begun = now;
+  m_next_attempt = now;
+  m_next_activation = now;
+}
+
+void BundleRollout::Fetch(TimePoint now) {
+  m_fetching = true;
+  m_next_attempt = now + kCheckInterval;
+  m_parts.store->Read(PartKey(m_candidate.digest),
+                      [this, digest = m_candidate.digest, alive = std::weak_ptr<bool>(m_alive)](
+                          TimePoint answered, const StoreReadReply& reply) {
+                        if (!alive.expired()) {
+                          OnFetched(answered, digest, reply);
+                        }
+                      });
+}
+
+void BundleRollout::OnFetched(TimePoint now, const Digest& digest, const StoreReadReply& reply) {
+  m_fetching = false;
+  if (digest != m_candidate.digest) {
+    return;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    SetReport({false, fmt::format("the store gave no answer: {}", reply.reason)});
+    return;
+  }
+  if (!reply.found || Sha256(reply.value) != digest) {
+    SetReport({false, fmt::format("part {} in the store {}", digest.hex,
+                                  reply.found ? "does not match its digest" : "is missing")});
+    return;
+  }
+  BundleParser parser;
+  m_bundle = parser.Parse(reply.value);
+  if (!m_bundle) {
+    SetReport({false, parser.last_reason()});
+    return;
+  }
+  Verify(now);
+}
+
+void BundleRollout::Verify(TimePoint now) {
+  m_next_attempt = now + kCheckInterval;
+  std::string reason;
+  const bool accepted =
+      SubmitBundleEdit(*m_bundle, m_approvers, m_required)(m_parts.head->fleet(), &reason)
+          .has_value();
+  SetReport({accepted, reason});
+}
+
+void BundleRollout::SetReport(const CandidateReport& report) {
+  if (m_report == report) {
+    return;
+  }
+  m_report = report;
+  LogLine(report.prepared ? LogLevel::kInfo : LogLevel::kWarning, "bundle_candidate")
+      .Field("version", m_candidate.version)
+      .Field("digest", m_candidate.digest.hex)
+      .Field("prepared", report.prepared)
+      .Field("reason", report.reason);
+}
+
+bool BundleRollout::InContact(const DaemonRecord& daemon) const {
+  return daemon.incarnation == m_parts.head->incarnation() ||
+         m_parts.peers->LastBeatOf(daemon.incarnation).has_value();
+}
+
+bool BundleRollout::IsActing() const {
+  // A daemon that has died stays registered until the VM list lacks it, so only daemons in contact
+  // are considered.
+  Head reachable;
+  for (const DaemonRecord& daemon : m_parts.head->head().daemons) {
+    if (InContact(daemon)) {
+      reachable.daemons.push_back(daemon);
+    }
+  }
+  const DaemonRecord* acting = ActingDaemon(reachable, kSubject);
+  return acting != nullptr && acting->incarnation == m_parts.head->incarnation();
+}
+
+std::string BundleRollout::Hindrance(TimePoint now) const {
+  if (!m_effect) {
+    return fmt::format("revision {} to be in effect", m_candidate.revision);
+  }
+  if (m_reports.ConfirmedAt() < m_effect) {
+    return "the daemons' reports to be read from the store";
+  }
+  for (const DaemonRecord& daemon : m_parts.head->head().daemons) {
+    const bool self = daemon.incarnation == m_parts.head->incarnation();
+    const CandidateReport* report =
+        self ? (m_report ? &*m_report : nullptr) : m_reports.Of(daemon.incarnation);
+    if (!InContact(daemon)) {
+      continue;
+    }
+    if (report != nullptr && !report->prepared) {
+      return fmt::format("{}, which rejects it: {}", daemon.id, report->reason);
+    }
+    if (report == nullptr && (self || now < *m_effect + kReportPatience)) {
+      return fmt::format("the report of {}", daemon.id);
+    }
+  }
+  return "";
+}
+
+HeadControl::FleetEdit BundleRollout::ActivateEdit() const {
+  return [candidate = m_candidate, apply = SubmitBundleEdit(*m_bundle, m_approvers, m_required)](
+             const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
+    if (current.candidate != candidate) {
+      *last_reason = "the candidate was replaced or activated before";
+      return std::nullopt;
+    }
+    auto next = apply(current, last_reason);
+    if (next) {
+      next->candidate->activated = current.revision + 1;
+    }
+    return next;
+  };
+}
+
+void BundleRollout::Activate(TimePoint now) {
+  m_activating = true;
+  m_parts.head->Submit(now, fmt::format("activate bundle version {}", m_candidate.version),
+                       ActivateEdit(),
+                       [this, candidate = m_candidate, alive = std::weak_ptr<bool>(m_alive)](
+                           TimePoint answered, const ChangeResult& result) {
+                         if (alive.expired()) {
+                           return;
+                         }
+                         LogLine(LogLevel::kInfo, "bundle_activation")
+                             .Field("version", candidate.version)
+                             .Field("recorded", result.outcome == ChangeOutcome::kRecorded)
+                             .Field("revision", result.revision)
+                             .Field("reason", result.reason);
+                         m_activating = false;
+                         if (candidate == m_candidate) {
+                           m_next_activation = answered + kCheckInterval;
+                           m_refusal = result.reason;
+                         }
+                       });
+}
+
+}  // namespace cranberryplank
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -16,6 +16,7 @@
 #include "cranberryplank/control/vm_mover.h"
 #include "cranberryplank/daemon/admin_api.h"
 #include "cranberryplank/daemon/api_server.h"
+#include "cranberryplank/daemon/bundle_rollout.h"
 #include "cranberryplank/daemon/caller_api.h"
 #include "cranberryplank/daemon/log.h"
 #include "cranberryplank/daemon/metrics.h"
@@ -104,6 +105,16 @@
   return options;
 }
 
+ApproverKeys ApproversOf(const Settings& settings) {
+  ApproverKeys approvers;
+  for (const auto& [name, hex] : settings.approvers) {
+    if (const auto key = PublicKey::FromHex(hex)) {
+      approvers.emplace(name, *key);
+    }
+  }
+  return approvers;
+}
+
 void LogDecision(TimePoint /*now*/, const std::string& line) {
   LogLine(LogLevel::kInfo, "control").Field("decision", line);
 }
@@ -157,6 +168,7 @@
   VmListTracker vm_list;
   ShortageMovePlanner move_planner;
   MoveScheduler moves;
+  BundleRollout rollout;
   CallerApi caller_api;
   AdminApi admin_api;
   Shutdown shutdown;
@@ -188,8 +200,10 @@
       vm_list(&directory, settings.vm_list_poll),
       move_planner(ShortageMoveSettings{}),
       moves(MoveParts{&head, &mover, &router, &vm_list, &move_planner}),
+      rollout(BundleRolloutParts{&head, &store, &random, &router.peers()}, ApproversOf(settings),
+              settings.approvals_required),
       caller_api(&settings, &router),
-      admin_api(AdminParts{&settings, &head, &mover, &maintenance, &router, &vm_list}),
+      admin_api(AdminParts{&settings, &head, &mover, &maintenance, &router, &vm_list, &rollout}),
       shutdown(ShutdownParts{&head, &slots, &router}, settings.shutdown_grace),
       status_api(StatusParts{&head, &slots, &router, &links, &vm_list, &shutdown, &metrics}),
       server(base.get(), LimitsOf(settings),
@@ -275,6 +289,7 @@
     moves.Tick(now);
   }
   maintenance.Tick(now);
+  rollout.Tick(now);
   admin_api.Tick(now);
   if (now - callers_checked >= kCallerCheckInterval) {
     callers_checked = now;
--- /dev/null
+++ b/packages/daemon/tests/bundle_rollout_test.cc
@@ -0,0 +1,229 @@
+#include "cranberryplank/daemon/bundle_rollout.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "../../control/tests/simulation.h"
+#include "cranberryplank/bundle/bundle_parser.h"
+#include "cranberryplank/bundle/bundle_signer.h"
+#include "cranberryplank/control/acting_daemon.h"
+#include "cranberryplank/daemon/admin_edits.h"
+
+namespace cranberryplank {
+namespace {
+
+constexpr Duration kTarget{3'000};
+
+const SigningKey& Ana() {
+  static const SigningKey key = SigningKey::Generate();
+  return key;
+}
+
+Bundle Signed(int version, const std::string& pool = "tone") {
+  const std::string text = fmt::format(
+      R"({{"version":{},"configuration":{{"teams":[],"pools":[{{"name":"{}","spare":false,)"
+      R"("budget_per_pool":2,"budget_per_rack":1,"budget_per_zone":2}}],"queues":[]}},)"
+      R"("runbooks":[],"inventory":[],"mappings":[]}})",
+      version, pool);
+  BundleSigner signer;
+  BundleParser parser;
+  return *parser.Parse(*signer.Approve(text, "ana", Ana()));
+}
+
+/// Store whose answers to reads of one key have a changed byte.
+class DamagedStore : public Store {
+ public:
+  explicit DamagedStore(Store* store) : m_store(store) {}
+  void Read(std::string_view key, ReadCallback done) override {
+    m_store->Read(key, [damaged = key == damaged_key, done = std::move(done)](
+                           TimePoint now, StoreReadReply reply) {
+      if (damaged && reply.found) {
+        reply.value[0] ^= 1;
+      }
+      done(now, reply);
+    });
+  }
+  void Watch(std::string_view key, std::uint64_t index, Duration wait, ReadCallback done) override {
+    m_store->Watch(key, index, wait, std::move(done));
+  }
+  void CompareAndSwap(std::string_view key, std::string_view value, std::uint64_t index,
+                      WriteCallback done) override {
+    m_store->CompareAndSwap(key, value, index, std::move(done));
+  }
+  std::string damaged_key;
+
+ private:
+  Store* m_store;
+};
+
+class BundleRolloutTest {
+ public:
+  BundleRolloutTest() {
+    m_simulation.check_registrations = true;
+    m_fleet = m_simulation.StartFleet(4);
+    for (const std::string& incarnation : m_fleet) {
+      m_daemons[incarnation] = std::make_unique<Daemon>(m_simulation.Find(incarnation));
+    }
+  }
+  ~BundleRolloutTest() { CHECK_THAT(m_simulation.violation(), Catch::Equals("")); }
+
+  void Run(Duration time, const std::function<bool()>& done) {
+    const TimePoint end = m_simulation.Now() + time;
+    while (m_simulation.Now() < end && !done()) {
+      m_simulation.Run(Duration(20));
+      for (const auto& [incarnation, daemon] : m_daemons) {
+        const TimePoint now = m_simulation.LocalNow(incarnation);
+        daemon->peers.Tick(now);
+        daemon->rollout.Tick(now);
+      }
+    }
+  }
+  void Submit(const std::string& incarnation, const Bundle& bundle, const std::string& nonce) {
+    m_daemons.at(incarnation)
+        ->rollout.Prepare(
+            m_simulation.LocalNow(incarnation), bundle,
+            [=, this](TimePoint now, const PreparedBundle& prepared) {
+              if (!prepared.unavailable.empty()) {
+                m_results[nonce] = {ChangeOutcome::kUnavailable, 0, prepared.unavailable};
+                return;
+              }
+              m_simulation.Keeper(incarnation)
+                  .Submit(now, "", RecordedEdit({nonce, bundle.text}, prepared.edit, m_repeated),
+                          [=, this](TimePoint, const ChangeResult& r) { m_results[nonce] = r; });
+            });
+  }
+  bool Answered(const std::string& nonce) const { return m_results.contains(nonce); }
+  void Kill(const std::string& incarnation) {
+    m_daemons.erase(incarnation);
+    m_simulation.Crash(incarnation);
+  }
+  RolloutStatus StatusAt(const std::string& incarnation) {
+    return m_daemons.at(incarnation)->rollout.Status(m_simulation.LocalNow(incarnation));
+  }
+  /// Whether all living daemons know this bundle to be in effect.
+  bool InEffect(const Bundle& bundle) {
+    return std::all_of(m_daemons.begin(), m_daemons.end(), [&](const auto& entry) {
+      const RolloutStatus status = StatusAt(entry.first);
+      return status.stage == RolloutStage::kInEffect && status.digest == Sha256(bundle.text) &&
+             m_simulation.Keeper(entry.first).fleet().bundle == bundle.text;
+    });
+  }
+  std::string ActingDaemonId() {
+    return std::string(ActingDaemon(m_simulation.recorded_head(), "bundle-rollout")->incarnation);
+  }
+
+ protected:
+  struct Daemon : public sigc::trackable {
+    explicit Daemon(Simulation::Node* node)
+        : store(&node->store),
+          rollout({&node->keeper, &store, &node->random, &peers}, {{"ana", Ana().Public()}}, 1) {
+      node->keeper.signal_beat().connect(sigc::mem_fun(peers, &PeerTable::OnBeat));
+    }
+    DamagedStore store;
+    PeerTable peers;
+    BundleRollout rollout;
+  };
+
+  Simulation m_simulation{11};
+  std::vector<std::string> m_fleet;
+  std::map<std::string, std::unique_ptr<Daemon>> m_daemons;
+  std::map<std::string, ChangeResult> m_results;
+  std::shared_ptr<std::optional<std::uint64_t>> m_repeated =
+      std::make_shared<std::optional<std::uint64_t>>();
+};
+
+// Guards against a rollout over the 3 s target, and against a repetition, in any stage, that is
+// carried out again and so fails on its own version.
+TEST_CASE_METHOD(BundleRolloutTest, "a bundle is rolled out and its repetition is recognised") {
+  const Bundle bundle = Signed(1);
+  const TimePoint start = m_simulation.Now();
+  Submit(m_fleet[0], bundle, "a");
+  Run(kTarget, [&] { return Answered("a"); });
+  REQUIRE(m_results["a"].outcome == ChangeOutcome::kRecorded);
+  CHECK(StatusAt(m_fleet[0]).stage == RolloutStage::kDistributing);
+  Submit(m_fleet[0], bundle, "a");
+  Run(kTarget, [&] { return m_repeated->has_value(); });
+  CHECK(*m_repeated == m_results["a"].revision);
+  Run(kTarget, [&] { return InEffect(bundle); });
+  CHECK(InEffect(bundle));
+  CHECK(m_simulation.Now() - start <= kTarget);
+  m_repeated->reset();
+  Submit(m_fleet[1], bundle, "a");
+  Run(kTarget, [&] { return m_repeated->has_value(); });
+  CHECK(m_repeated->has_value());
+  Submit(m_fleet[1], bundle, "b");
+  Run(kTarget, [&] { return Answered("b"); });
+  CHECK(m_results["b"].outcome == ChangeOutcome::kRejected);
+}
+
+// Guards against a rollout that stops when the submitter or the acting daemon dies: before the
+// candidate is in effect, once it is, and after the activation is recorded. Their VMs stay listed.
+TEST_CASE_METHOD(BundleRolloutTest, "a daemon that dies does not stop the rollout") {
+  const Bundle bundle = Signed(1);
+  const auto stage = GENERATE(0, 1, 2);
+  const std::string acting = ActingDaemonId();
+  const std::string victim = GENERATE(true, false) ? acting : "submitter";
+  const std::string submitter = acting == m_fleet[0] ? m_fleet[1] : m_fleet[0];
+  Submit(submitter, bundle, "a");
+  Run(kTarget, [&] {
+    const auto& candidate = m_simulation.Keeper(submitter).fleet().candidate;
+    return candidate && (stage == 0 || (stage == 1 && m_simulation.AllInEffect()) ||
+                         (stage == 2 && candidate->activated != 0));
+  });
+  Kill(victim == acting ? acting : submitter);
+  Run(Duration(10'000), [&] { return InEffect(bundle); });
+  INFO("stage " << stage << ", victim " << victim);
+  CHECK(InEffect(bundle));
+}
+
+// Guards against an activation that a daemon could not follow, and against a daemon that stops
+// serving because of a candidate that it cannot read.
+TEST_CASE_METHOD(BundleRolloutTest, "a candidate with a changed byte is not activated") {
+  const Bundle bundle = Signed(1);
+  DamagedStore& store = m_daemons.at(m_fleet[2])->store;
+  store.damaged_key = PartKey(Sha256(bundle.text));
+  Submit(m_fleet[0], bundle, "a");
+  Run(Duration(8'000), [&] { return false; });
+  CHECK(m_simulation.Keeper(m_fleet[0]).fleet().bundle.empty());
+  CHECK(m_simulation.AllFresh());
+  const RolloutStatus status = StatusAt(m_fleet[0]);
+  CHECK(status.stage == RolloutStage::kDistributing);
+  CHECK(status.waiting_for.find("does not match its digest") != std::string::npos);
+  store.damaged_key.clear();
+  Run(kTarget, [&] { return InEffect(bundle); });
+  CHECK(InEffect(bundle));
+}
+
+// Guards against a rollout that is forgotten, or half done, in a store outage between its stages.
+TEST_CASE_METHOD(BundleRolloutTest, "a rollout goes on after a store outage") {
+  const Bundle bundle = Signed(1);
+  Submit(m_fleet[0], bundle, "a");
+  Run(kTarget, [&] { return Answered("a"); });
+  m_simulation.store_faults.down = true;
+  Submit(m_fleet[1], Signed(2), "b");
+  Run(Duration(12'000), [&] { return false; });
+  CHECK(m_results["b"].outcome == ChangeOutcome::kUnavailable);
+  CHECK(m_simulation.Keeper(m_fleet[0]).fleet().bundle.empty());
+  CHECK(m_simulation.AllFresh());
+  m_simulation.Heal();
+  Run(Duration(6'000), [&] { return InEffect(bundle); });
+  CHECK(InEffect(bundle));
+}
+
+// Guards against two racing submissions that both or neither take effect, and against the older
+// version replacing the newer one.
+TEST_CASE_METHOD(BundleRolloutTest, "of two racing submissions the higher version stays") {
+  const Bundle older = Signed(1);
+  const Bundle newer = Signed(2, "hallmarks");
+  m_simulation.store_faults.slow = GENERATE(true, false);
+  Submit(m_fleet[0], older, "a");
+  Submit(m_fleet[1], newer, "b");
+  Run(Duration(20'000), [&] { return Answered("a") && Answered("b"); });
+  CHECK(m_results["b"].outcome == ChangeOutcome::kRecorded);
+  m_simulation.Heal();
+  Run(Duration(6'000), [&] { return InEffect(newer); });
+  CHECK(InEffect(newer));
+}
+
+}  // namespace
+}  // namespace cranberryplank
