--- a/packages/cli/include/cranberryplank/cli/program.h
+++ b/packages/cli/include/cranberryplank/cli/program.h
@@ -10,6 +10,7 @@
 #include "cranberryplank/cli/admin_client.h"
 #include "cranberryplank/cli/exit_code.h"
 #include "cranberryplank/cli/options.h"
+#include "cranberryplank/model/digest.h"
 
 namespace cranberryplank {
 
@@ -33,6 +34,9 @@
   ExitCode BundleRetire();
   ExitCode BundleSubmit();
   ExitCode BundleStatus();
+  /// Waits until the bundle with this digest is in effect, not only recorded as the candidate.
+  AdminReply WaitForBundle(AdminClient* client, const Digest& digest, AdminReply reply);
+  ExitCode PrintChange(const AdminReply& reply);
   ExitCode RunbookCheck();
   ExitCode RunbookRun();
   ExitCode RunStep(const Bundle& bundle, const RunbookStep& step);
--- a/packages/cli/src/bundle_commands.cc
+++ b/packages/cli/src/bundle_commands.cc
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <ostream>
+#include <thread>
 #include <utility>
 
 #include "cranberryplank/bundle/bundle_checker.h"
@@ -11,9 +12,27 @@
 #include "cranberryplank/bundle/bundle_verifier.h"
 #include "cranberryplank/bundle/key_files.h"
 #include "cranberryplank/cli/program.h"
+#include "report.h"
 
 namespace cranberryplank {
 
+namespace {
+
+constexpr Duration kPollPause{100};
+
+/// Returns the ids of the daemons that have not acknowledged the revision of the present stage.
+nlohmann::json PendingOf(const nlohmann::json& rollout) {
+  nlohmann::json pending = nlohmann::json::array();
+  for (const nlohmann::json& daemon : rollout.value("daemons", nlohmann::json::array())) {
+    if (!daemon.value("acknowledged", false)) {
+      pending.push_back(daemon.value("id", ""));
+    }
+  }
+  return pending;
+}
+
+}  // namespace
+
 ExitCode Program::RunBundle(std::string_view verb) {
   if (verb == "keygen") {
     return BundleKeygen();
@@ -155,7 +174,47 @@
   if (!checker.Check(*bundle)) {
     return Fail(ExitCode::kRefused, checker.last_reason());
   }
-  return RunChange({"POST", "bundle", bundle->text});
+  auto client = Connect();
+  if (!client) {
+    return ExitCode::kUsage;
+  }
+  AdminReply reply = client->Change({"POST", "bundle", bundle->text}, m_options.nonce, {});
+  if (reply.code == ExitCode::kDone && m_options.wait) {
+    reply = WaitForBundle(&*client, Sha256(bundle->text), std::move(reply));
+  }
+  return PrintChange(reply);
+}
+
+AdminReply Program::WaitForBundle(AdminClient* client, const Digest& digest, AdminReply reply) {
+  const std::uint64_t recorded = reply.body["revision"].get<std::uint64_t>();
+  const TimePoint end = Clock::now() + *m_options.wait;
+  std::string waiting_for = "the daemons";
+  while (reply.body["in_effect"] != nlohmann::json(true)) {
+    if (Clock::now() >= end) {
+      reply.code = ExitCode::kNotYetInEffect;
+      reply.reason = fmt::format("not in effect after {} ms: waits for {}", m_options.wait->count(),
+                                 waiting_for);
+      return reply;
+    }
+    std::this_thread::sleep_for(kPollPause);
+    const AdminReply next = client->Read("rollout");
+    // A daemon that has not applied the candidate yet tells nothing about it.
+    if (next.code != ExitCode::kDone ||
+        next.body.value("head_revision", std::uint64_t{0}) < recorded) {
+      continue;
+    }
+    if (next.body.value("digest", "") != digest.hex) {
+      reply.code = ExitCode::kNotYetInEffect;
+      reply.reason = fmt::format("replaced by version {}",
+                                 next.body.value("version", nlohmann::json()).dump());
+      return reply;
+    }
+    waiting_for = next.body.value("waiting_for", "");
+    reply.body["revision"] = next.body.value("revision", recorded);
+    reply.body["in_effect"] = next.body.value("stage", "") == "in_effect";
+    reply.body["pending"] = PendingOf(next.body);
+  }
+  return reply;
 }
 
 ExitCode Program::BundleStatus() {
@@ -178,6 +237,10 @@
   fmt::print(*m_out, "version {}, approvals {}, head revision {}\n",
              reply.body.value("version", nlohmann::json()).dump(), approvals.dump(),
              reply.body.value("revision", nlohmann::json()).dump());
+  const nlohmann::json rollout = reply.body.value("rollout", nlohmann::json::object());
+  if (rollout.value("stage", "none") != "none") {
+    fmt::print(*m_out, "\nrollout:\n{}", FormatAnswer(rollout));
+  }
   return ExitCode::kDone;
 }
 
--- a/packages/cli/src/program.cc
+++ b/packages/cli/src/program.cc
@@ -158,7 +158,10 @@
   if (!client) {
     return ExitCode::kUsage;
   }
-  const AdminReply reply = client->Change(request, m_options.nonce, m_options.wait);
+  return PrintChange(client->Change(request, m_options.nonce, m_options.wait));
+}
+
+ExitCode Program::PrintChange(const AdminReply& reply) {
   if (reply.code == ExitCode::kDone || reply.code == ExitCode::kNotYetInEffect) {
     fmt::print(*m_out, "{}",
                m_options.json ? reply.body.dump(kJsonIndent) + "\n" : FormatChange(reply.body));
--- a/packages/cli/tests/program_test.cc
+++ b/packages/cli/tests/program_test.cc
@@ -275,5 +275,42 @@
   }
 }
 
+// Guards against a wait that ends when only the candidate is in effect, that trusts a daemon which
+// has not applied it yet, or that goes on for a bundle which was replaced.
+TEST_CASE("bundle submit --wait waits for the bundle itself") {
+  Fixture f;
+  json document = json::parse(kBundle);
+  document["runbooks"] = document["inventory"] = document["mappings"] = json::array();
+  f.Write("bundle", document.dump());
+  const auto rollout = [&](const char* stage, int head, const std::string& digest) {
+    f.http.Answer(200, json{{"stage", stage},
+                            {"version", 2},
+                            {"digest", digest},
+                            {"revision", head},
+                            {"head_revision", head},
+                            {"waiting_for", "the report of entry-2"},
+                            {"daemons", json::array()}}
+                           .dump());
+  };
+  const std::string digest = Sha256(document.dump()).hex;
+  const std::vector<std::string> submit = {"bundle", "submit", f.Path("bundle"), "--wait", "1"};
+  f.http.Answer(202, R"({"revision":7,"in_effect":false,"pending":[]})");
+  rollout("in_effect", 6, "older");
+  rollout("distributing", 7, digest);
+  rollout("in_effect", 8, digest);
+  CHECK(f.Run(submit) == ExitCode::kDone);
+  CHECK(f.out() == "revision 8: in effect\n");
+  f.http.replies.clear();
+  f.http.Answer(202, R"({"revision":7,"in_effect":false,"pending":[]})");
+  rollout("distributing", 8, "newer");
+  CHECK(f.Run(submit) == ExitCode::kNotYetInEffect);
+  CHECK(f.err().find("replaced by version 2") != std::string::npos);
+  f.http.replies.clear();
+  f.http.Answer(202, R"({"revision":7,"in_effect":false,"pending":[]})");
+  rollout("distributing", 7, digest);
+  CHECK(f.Run(submit) == ExitCode::kNotYetInEffect);
+  CHECK(f.err().find("waits for the report of entry-2") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace cranberryplank
