Test the rollout of bundles against separate processes

The case damages a bundle's text in the store, then replaces that candidate by a newer one whose submitter is killed and which meets a store outage of 3 s before it is activated, all under load.

Ruled out: killing at each stage here, since the stages last a few hundred milliseconds; the tests in one process cover each stage with a fake clock.

Conclusion: the damaged bundle stopped no daemon and was not activated; the newer one took effect.

--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -192,6 +192,35 @@
     end_load 1200
     ;;
 
+  # A bundle whose text is damaged in the store must not stop the daemons from serving, nor be
+  # activated; a newer one replaces it. That one must not be lost when the daemon that took it dies
+  # and the store is away before it is activated.
+  bundle_rollout)
+    start_load 3000
+    for version in 2 3; do
+      sed -E "s/\"version\": *[0-9]+/\"version\": $version/" "$CLUSTER_BUNDLE" >"$CLUSTER_DIR/next.json"
+      cluster_cli bundle sign "$CLUSTER_DIR/next.json" --as imane \
+        --key-file "$CLUSTER_DIR/imane.key" --output "$CLUSTER_DIR/v$version.json"
+    done
+    digest=$(sha256sum "$CLUSTER_DIR/v2.json" | cut -d' ' -f1)
+    curl -sf -m 5 -X PUT "http://$CLUSTER_STORE/v1/kv/cranberryplank/part/$digest" -d x >/dev/null
+    cluster_cli bundle submit "$CLUSTER_DIR/v2.json" --wait 5 && fail "a damaged bundle was activated"
+    cluster_cli bundle status | grep -q "rejects it: part .* does not match" ||
+      fail "the status names no rejection: $(cluster_cli bundle status)"
+    for i in 1 2 3; do cluster_ready "$i" >/dev/null || fail "entry-$i is not ready"; done
+    # The paused daemon keeps the candidate from being activated until the submitter is dead.
+    cluster_signal entry-2 STOP
+    CLUSTER_ASK=3 cluster_cli bundle submit "$CLUSTER_DIR/v3.json"
+    end_daemon 3
+    cluster_signal store STOP
+    sleep 3
+    cluster_signal entry-2 CONT
+    cluster_signal store CONT
+    in_effect() { [ "$(CLUSTER_ASK="1 2" cluster_cli bundle status | grep -c -e '^version 3,' -e 'stage: in_effect')" = 2 ]; }
+    cluster_wait 20 in_effect || fail "$(CLUSTER_ASK=1 cluster_cli bundle status)"
+    end_load 1000 15
+    ;;
+
   *) fail "unknown case" ;;
 esac
 echo "$CASE: passed"
