Recognise every repeated change by its nonce

Cause: the check of Change-Nonce sat in AdminApi::Submit, so moves, drains, withdrawals of keys and waves were judged anew when an operator repeated them after a lost answer: a recorded move was refused, a wave that had ended was started a second time.

The check is now made where a change is recorded. SubmitRecorded serves the configuration edits and VmMover, which records the nonce with the same head change. The nonce of a withdrawal travels in the denial's nonce, so that the daemon which records it for a lost one records the change, too. A maintenance document holds the last 16 starts and stops of its pool, also those of earlier waves.

Ruled out: a wave id made from the nonce, since it would not recognise a stop or a start that a later wave has followed; a second head change beside the denial, since a daemon lost between the two would leave the nonce unrecorded; one document for all nonces, since a wave could then not be written in one step.

A nonce of another document is refused from what the asked daemon has read. Stopping a wave that already stops writes its nonce instead of being answered at once, so that a later repetition is recognised.

Seen before: the repetition of a recorded move was refused with "already moves", as docs/API.md said.

--- a/packages/control/include/cranberryplank/control/head_keeper.h
+++ b/packages/control/include/cranberryplank/control/head_keeper.h
@@ -105,7 +105,8 @@
 
   /// Refuses a key from now on, tells the other daemons and records the withdrawal as soon as
   /// the store permits.
-  void DenyKey(TimePoint now, const Digest& key);
+  /// @param change_nonce nonce of the operator's change, recorded with it; may be empty
+  void DenyKey(TimePoint now, const Digest& key, std::string_view change_nonce = {});
 
   /// Tells whether a key is refused although the held configuration may still list it.
   bool IsDenied(const Digest& key) const;
--- a/packages/control/include/cranberryplank/control/maintenance_coordinator.h
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -74,11 +74,14 @@
 
   /// Starts a wave over `vms`, or over all VMs of `pool` if `vms` is empty. `done` runs once the
   /// outcome is certain. Refused if the pool or a VM is unknown or a wave runs on the pool.
+  /// @param identity recorded with the wave; a change that is recorded already is answered as
+  ///   before
   void Start(TimePoint now, std::string_view pool, std::span<const std::string> vms,
-             ResultCallback done);
+             ResultCallback done, const ChangeIdentity& identity = {});
 
   /// Stops the wave of `pool`: what is drained is finished, nothing new is started.
-  void Stop(TimePoint now, std::string_view pool, ResultCallback done);
+  void Stop(TimePoint now, std::string_view pool, ResultCallback done,
+            const ChangeIdentity& identity = {});
 
   /// Wave of `pool` as last read, or nothing if it was not read yet.
   std::optional<MaintenanceWave> Status(std::string_view pool) const;
@@ -106,7 +109,7 @@
   struct Request {
     TimePoint at;
     bool start = true;
-    std::string wave;  ///< Id of the wave to be started.
+    ChangeIdentity identity;  ///< Tells in the document whether the request was recorded.
     std::vector<std::string> vms;
     ResultCallback done;
   };
--- a/packages/control/include/cranberryplank/control/maintenance_wave.h
+++ b/packages/control/include/cranberryplank/control/maintenance_wave.h
@@ -1,10 +1,14 @@
 #ifndef CRANBERRYPLANK_CONTROL_MAINTENANCE_WAVE_H_
 #define CRANBERRYPLANK_CONTROL_MAINTENANCE_WAVE_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "cranberryplank/control/recorded_change.h"
 
 namespace cranberryplank {
 
@@ -32,11 +36,23 @@
   bool operator==(const MaintenanceEntry&) const = default;
 };
 
+/// Operators' changes whose nonces a maintenance document keeps.
+inline constexpr std::size_t kRememberedWaveChanges = 16;
+
+/// Start or stop of a wave that was recorded.
+struct WaveChange {
+  ChangeIdentity identity;
+  std::string wave;  ///< Id of the wave started or stopped.
+
+  bool operator==(const WaveChange&) const = default;
+};
+
 /// Content of a pool's maintenance document.
 struct MaintenanceWave {
   std::string id;  ///< Empty if the pool never had a wave.
   bool stopping = false;
   std::map<std::string, MaintenanceEntry, std::less<>> vms;
+  std::vector<WaveChange> changes;  ///< Newest last; also those of earlier waves.
 
   /// True while a VM waits or holds a permit.
   bool Active() const;
@@ -44,6 +60,12 @@
   /// Tells whether `vm` holds a permit.
   bool HasPermit(std::string_view vm) const;
 
+  /// Returns the change recorded under `nonce`, or nullptr.
+  const WaveChange* FindChange(std::string_view nonce) const;
+
+  /// Records a change to wave `id`, and drops the oldest beyond `kRememberedWaveChanges`.
+  void AddChange(const ChangeIdentity& identity);
+
   bool operator==(const MaintenanceWave&) const = default;
 };
 
--- a/packages/control/include/cranberryplank/control/vm_mover.h
+++ b/packages/control/include/cranberryplank/control/vm_mover.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cranberryplank/control/head_control.h"
+#include "cranberryplank/control/recorded_change.h"
 #include "cranberryplank/model/random.h"
 #include "cranberryplank/platform/store.h"
 #include "cranberryplank/platform/worker_client.h"
@@ -48,11 +49,14 @@
 
   /// Starts the move of `vm` to `pool`. Refused if the VM is unknown, moves already, is under
   /// maintenance or in `pool`, or if `pool` is unknown. `done` may run before the return.
+  /// @param identity recorded with the change; a change that is recorded already is answered as
+  ///   before
   void Start(TimePoint now, std::string_view vm, std::string_view pool,
-             HeadControl::ChangeCallback done);
+             HeadControl::ChangeCallback done, const ChangeIdentity& identity = {});
 
   /// Cancels the move of `vm`, which serves its old pool again.
-  void Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done);
+  void Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done,
+              const ChangeIdentity& identity = {});
 
   /// Takes note of a worker's status, from any probe. A serving worker that was left drained
   /// takes work again.
@@ -78,16 +82,22 @@
     TimePoint seen;  ///< When this daemon first saw the state.
     std::string step;
   };
+  /// Move that was asked for.
+  struct Request {
+    std::string vm;
+    std::string from;
+    std::string to;
+    ChangeIdentity identity;
+    HeadControl::ChangeCallback done;
+  };
   struct Step {
     Vm from;  ///< Record the step was decided on.
     Vm to;
   };
 
-  void StartChecked(TimePoint now, const std::string& id, const std::string& from,
-                    const std::string& to, std::optional<bool> under_maintenance,
-                    const HeadControl::ChangeCallback& done);
-  void Refuse(TimePoint now, std::string_view vm, std::string_view reason, ChangeOutcome outcome,
-              const HeadControl::ChangeCallback& done);
+  void StartChecked(TimePoint now, const Request& request, std::optional<bool> under_maintenance);
+  void Refuse(TimePoint now, const Request& request, std::string_view reason,
+              ChangeOutcome outcome);
   HeadControl::ChangeCallback Reporting(std::string_view event, const std::string& vm,
                                         HeadControl::ChangeCallback done);
   void Advance(TimePoint now, const Vm& vm);
--- a/packages/control/src/denied_keys.cc
+++ b/packages/control/src/denied_keys.cc
@@ -18,6 +18,9 @@
 constexpr Duration kOwnersTurn{3'000};
 constexpr Duration kRetryInterval{1'000};
 
+/// Hexadecimal digits of an operator's nonce; a denial's own number has 16.
+constexpr std::size_t kChangeNonceLength = 32;
+
 /// Reads the revision that a nonce starts with; nothing if the nonce has another form.
 std::optional<std::uint64_t> RevisionOf(std::string_view nonce) {
   std::uint64_t revision = 0;
@@ -29,6 +32,14 @@
   return revision;
 }
 
+/// Returns the nonce of the operator's change that a denial's nonce ends with, or an empty view if
+/// the denial has a number of its own. It travels in the denial's nonce, so that whichever daemon
+/// records the withdrawal records the change.
+std::string_view ChangeNonceOf(std::string_view nonce) {
+  const std::string_view rest = nonce.substr(nonce.find('-') + 1);
+  return rest.size() == kChangeNonceLength ? rest : std::string_view();
+}
+
 }  // namespace
 
 std::string DenialStatus::ToString() const {
@@ -42,14 +53,20 @@
 DeniedKeys::DeniedKeys(std::string incarnation, RandomSource& random)
     : m_incarnation(std::move(incarnation)), m_random(random) {}
 
-void DeniedKeys::Deny(TimePoint now, const Digest& key, std::uint64_t newest) {
-  const auto same_key = [&](const auto& entry) { return entry.second.key == key; };
-  if (std::any_of(m_denials.begin(), m_denials.end(), same_key)) {
+void DeniedKeys::Deny(TimePoint now, const Digest& key, std::uint64_t newest,
+                      std::string_view change_nonce) {
+  const auto same = [&](const auto& entry) {
+    return entry.second.key == key &&
+           (change_nonce.empty() || ChangeNonceOf(entry.first) == change_nonce);
+  };
+  if (std::any_of(m_denials.begin(), m_denials.end(), same)) {
     return;
   }
   // The revision tells a daemon that lags behind from one whose configuration records the
   // withdrawal: both may hold a configuration without the key.
-  const std::string nonce = fmt::format("{}-{:016x}", newest, m_random.Next());
+  const std::string nonce = change_nonce.empty()
+                                ? fmt::format("{}-{:016x}", newest, m_random.Next())
+                                : fmt::format("{}-{}", newest, change_nonce);
   m_denials[nonce] = Denial{key, newest, true, now, false, {m_incarnation}};
 }
 
@@ -69,11 +86,17 @@
 void DeniedKeys::Applied(const Fleet& fleet) {
   for (auto entry = m_denials.begin(); entry != m_denials.end();) {
     const Denial& denial = entry->second;
-    if (fleet.revision < denial.newest || fleet.keys.contains(denial.key.hex)) {
+    // A nonce that is recorded is settled even if the key is listed: it was granted again, or the
+    // nonce belongs to another change.
+    const auto recorded =
+        FindRecorded(fleet, WithdrawalIdentity(ChangeNonceOf(entry->first), denial.key.hex));
+    const bool listed = fleet.revision < denial.newest || fleet.keys.contains(denial.key.hex);
+    if (!recorded && listed) {
       ++entry;
       continue;
     }
-    m_recorded.push_back(Recorded{entry->first, denial.key, fleet.revision, denial.refusing});
+    m_recorded.push_back(Recorded{entry->first, denial.key,
+                                  recorded ? recorded->revision : fleet.revision, denial.refusing});
     if (m_recorded.size() > kRecordedKept) {
       m_recorded.pop_front();
     }
@@ -114,23 +137,23 @@
   return denied;
 }
 
-std::vector<Digest> DeniedKeys::TakeUnrecorded(TimePoint now, bool acting) {
-  std::vector<Digest> keys;
+std::vector<DeniedKeys::Unrecorded> DeniedKeys::TakeUnrecorded(TimePoint now, bool acting) {
+  std::vector<Unrecorded> unrecorded;
   for (auto& [nonce, denial] : m_denials) {
     if (!denial.in_progress && now >= denial.next_attempt && (denial.own || acting)) {
       denial.in_progress = true;
-      keys.push_back(denial.key);
+      unrecorded.push_back(
+          Unrecorded{nonce, denial.key, WithdrawalIdentity(ChangeNonceOf(nonce), denial.key.hex)});
     }
   }
-  return keys;
+  return unrecorded;
 }
 
-void DeniedKeys::RecordingFailed(TimePoint now, const Digest& key) {
-  for (auto& [nonce, denial] : m_denials) {
-    if (denial.key == key) {
-      denial.in_progress = false;
-      denial.next_attempt = now + kRetryInterval;
-    }
+void DeniedKeys::RecordingFailed(TimePoint now, const std::string& nonce) {
+  const auto denial = m_denials.find(nonce);
+  if (denial != m_denials.end()) {
+    denial->second.in_progress = false;
+    denial->second.next_attempt = now + kRetryInterval;
   }
 }
 
--- a/packages/control/src/denied_keys.h
+++ b/packages/control/src/denied_keys.h
@@ -7,9 +7,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cranberryplank/control/head_keeper.h"
+#include "cranberryplank/control/recorded_change.h"
 #include "cranberryplank/model/digest.h"
 #include "cranberryplank/model/fleet.h"
 #include "cranberryplank/model/head.h"
@@ -26,7 +28,8 @@
 
   /// Refuses a key from now on.
   /// @param newest newest revision heard of; the withdrawal concerns grants up to it.
-  void Deny(TimePoint now, const Digest& key, std::uint64_t newest);
+  /// @param change_nonce nonce of the operator's change, or empty
+  void Deny(TimePoint now, const Digest& key, std::uint64_t newest, std::string_view change_nonce);
 
   /// Takes over the denials of a peer's beat.
   void BeatReceived(TimePoint now, const std::string& sender, const Beat& beat);
@@ -40,12 +43,19 @@
   /// Denials to send in each beat.
   std::vector<DeniedKey> ForBeat() const;
 
-  /// Returns the keys whose withdrawal is to be recorded now, and counts them as in progress.
+  /// Withdrawal that is to be recorded.
+  struct Unrecorded {
+    std::string nonce;  ///< Of the denial.
+    Digest key;
+    ChangeIdentity identity;
+  };
+
+  /// Returns the withdrawals to be recorded now, and counts them as in progress.
   /// @param acting whether this daemon also records what other daemons denied.
-  std::vector<Digest> TakeUnrecorded(TimePoint now, bool acting);
+  std::vector<Unrecorded> TakeUnrecorded(TimePoint now, bool acting);
 
   /// Notes that recording failed, so that it is tried again.
-  void RecordingFailed(TimePoint now, const Digest& key);
+  void RecordingFailed(TimePoint now, const std::string& nonce);
 
  private:
   struct Denial {
--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -208,8 +208,8 @@
   done(now);
 }
 
-void HeadKeeper::DenyKey(TimePoint now, const Digest& key) {
-  m_denied->Deny(now, key, m_reader->newest_revision());
+void HeadKeeper::DenyKey(TimePoint now, const Digest& key, std::string_view change_nonce) {
+  m_denied->Deny(now, key, m_reader->newest_revision(), change_nonce);
   RecordDenials(now);
 }
 
@@ -223,19 +223,18 @@
 
 void HeadKeeper::RecordDenials(TimePoint now) {
   const bool acting = m_registrar->IsActing(now, m_peers->gone);
-  for (const Digest& key : m_denied->TakeUnrecorded(now, acting)) {
-    m_writer->Submit(
-        now,
-        [key](const Fleet& current, std::string*) {
-          Fleet changed = current;
-          changed.keys.erase(key.hex);
-          return std::optional<Fleet>(std::move(changed));
-        },
-        [this, key](TimePoint when, const ChangeResult& result) {
-          if (result.outcome != ChangeOutcome::kRecorded) {
-            m_denied->RecordingFailed(when, key);
-          }
-        });
+  for (const DeniedKeys::Unrecorded& denial : m_denied->TakeUnrecorded(now, acting)) {
+    const auto edit = [key = denial.key](const Fleet& current, std::string*) {
+      Fleet changed = current;
+      changed.keys.erase(key.hex);
+      return std::optional<Fleet>(std::move(changed));
+    };
+    m_writer->Submit(now, RecordedEdit(denial.identity, edit),
+                     [this, nonce = denial.nonce](TimePoint when, const ChangeResult& result) {
+                       if (result.outcome != ChangeOutcome::kRecorded) {
+                         m_denied->RecordingFailed(when, nonce);
+                       }
+                     });
   }
 }
 
--- a/packages/control/src/maintenance_coordinator.cc
+++ b/packages/control/src/maintenance_coordinator.cc
@@ -65,18 +65,21 @@
       m_options(options) {}
 
 void MaintenanceCoordinator::Start(TimePoint now, std::string_view pool,
-                                   std::span<const std::string> vms, ResultCallback done) {
+                                   std::span<const std::string> vms, ResultCallback done,
+                                   const ChangeIdentity& identity) {
   Request request;
   request.at = now;
-  request.wave = m_random->Nonce();
+  request.identity = identity;
   request.vms.assign(vms.begin(), vms.end());
   request.done = std::move(done);
   Submit(now, std::string(pool), std::move(request));
 }
 
-void MaintenanceCoordinator::Stop(TimePoint now, std::string_view pool, ResultCallback done) {
+void MaintenanceCoordinator::Stop(TimePoint now, std::string_view pool, ResultCallback done,
+                                  const ChangeIdentity& identity) {
   Request request;
   request.at = now;
+  request.identity = identity;
   request.start = false;
   request.done = std::move(done);
   Submit(now, std::string(pool), std::move(request));
@@ -87,6 +90,9 @@
     request.done(now, WaveResult{false, "", fmt::format("pool {} is unknown", pool)});
     return;
   }
+  if (request.identity.nonce.empty()) {
+    request.identity.nonce = m_random->Nonce();
+  }
   StateOf(pool).requests.push_back(std::move(request));
 }
 
@@ -166,8 +172,9 @@
 std::optional<WaveResult> MaintenanceCoordinator::AnswerTo(const Request& request,
                                                            const std::string& pool,
                                                            const MaintenanceWave& wave) const {
-  if (request.start && wave.id == request.wave) {
-    return WaveResult{true, wave.id, ""};
+  if (const WaveChange* recorded = wave.FindChange(request.identity.nonce)) {
+    const bool same = recorded->identity == request.identity;
+    return WaveResult{same, recorded->wave, same ? "" : std::string(kNonceOfAnotherChange)};
   }
   if (request.start && wave.Active()) {
     return WaveResult{false, wave.id,
@@ -177,9 +184,6 @@
     const std::optional<std::string> refusal = RefuseStart(pool, request);
     return refusal ? std::optional(WaveResult{false, "", *refusal}) : std::nullopt;
   }
-  if (wave.stopping) {
-    return WaveResult{true, wave.id, ""};
-  }
   if (!wave.Active()) {
     return WaveResult{false, wave.id, fmt::format("no wave is under way on pool {}", pool)};
   }
@@ -210,7 +214,8 @@
   MaintenanceWave next = *state->wave;
   if (request.start) {
     next = MaintenanceWave{};
-    next.id = request.wave;
+    next.id = m_random->Nonce();
+    next.changes = state->wave->changes;
     for (const auto& [id, vm] : m_head->fleet().vms) {
       const bool chosen = request.vms.empty() || std::find(request.vms.begin(), request.vms.end(),
                                                            id) != request.vms.end();
@@ -225,6 +230,7 @@
              item.second.state == MaintenanceState::kPermitted;
     });
   }
+  next.AddChange(request.identity);
   state->document->Swap(now, EncodeMaintenanceWave(next));
   return true;
 }
--- a/packages/control/src/maintenance_wave.cc
+++ b/packages/control/src/maintenance_wave.cc
@@ -59,6 +59,20 @@
   return entry != vms.end() && HoldsPermit(entry->second.state);
 }
 
+const WaveChange* MaintenanceWave::FindChange(std::string_view nonce) const {
+  const auto change = std::find_if(changes.begin(), changes.end(), [&](const WaveChange& recorded) {
+    return recorded.identity.nonce == nonce;
+  });
+  return change == changes.end() ? nullptr : &*change;
+}
+
+void MaintenanceWave::AddChange(const ChangeIdentity& identity) {
+  changes.push_back(WaveChange{identity, id});
+  if (changes.size() > kRememberedWaveChanges) {
+    changes.erase(changes.begin());
+  }
+}
+
 std::string MaintenanceKey(std::string_view pool) {
   return fmt::format("cranberryplank/maintenance/{}", pool);
 }
@@ -68,7 +82,13 @@
   for (const auto& [vm, entry] : wave.vms) {
     vms[vm] = json::array({ToString(entry.state), entry.boot_id, entry.checkpoint});
   }
-  return json{{"wave", wave.id}, {"stopping", wave.stopping}, {"vms", vms}}.dump();
+  json changes = json::array();
+  for (const WaveChange& change : wave.changes) {
+    changes.push_back(
+        json::array({change.identity.nonce, change.identity.fingerprint, change.wave}));
+  }
+  return json{{"wave", wave.id}, {"stopping", wave.stopping}, {"vms", vms}, {"changes", changes}}
+      .dump();
 }
 
 std::optional<MaintenanceWave> DecodeMaintenanceWave(std::string_view text,
@@ -88,6 +108,14 @@
       item.at(2).get_to(entry.checkpoint);
       wave.vms[vm] = entry;
     }
+    // Documents written by earlier versions have no changes.
+    for (const json& item : value.value("changes", json::array())) {
+      WaveChange change;
+      item.at(0).get_to(change.identity.nonce);
+      item.at(1).get_to(change.identity.fingerprint);
+      item.at(2).get_to(change.wave);
+      wave.changes.push_back(std::move(change));
+    }
     return wave;
   } catch (const std::exception& error) {
     *last_reason = fmt::format("maintenance document is not valid: {}", error.what());
--- a/packages/control/src/vm_mover.cc
+++ b/packages/control/src/vm_mover.cc
@@ -61,37 +61,36 @@
     : m_head(head), m_store(store), m_workers(workers), m_random(random), m_options(options) {}
 
 void VmMover::Start(TimePoint now, std::string_view vm, std::string_view pool,
-                    HeadControl::ChangeCallback done) {
+                    HeadControl::ChangeCallback done, const ChangeIdentity& identity) {
   const auto record = m_head->fleet().vms.find(vm);
   const std::string from = record == m_head->fleet().vms.end() ? "" : record->second.pool;
+  const Request request{std::string(vm), from, std::string(pool), identity, std::move(done)};
   if (const auto refusal = RefuseMove(m_head->fleet(), vm, from, pool)) {
-    Refuse(now, vm, *refusal, ChangeOutcome::kRejected, done);
+    Refuse(now, request, *refusal, ChangeOutcome::kRejected);
     return;
   }
-  m_store->Read(MaintenanceKey(from),
-                [this, alive = std::weak_ptr<bool>(m_alive), id = std::string(vm), from,
-                 to = std::string(pool),
-                 done = std::move(done)](TimePoint answered, const StoreReadReply& reply) {
-                  if (!alive.expired()) {
-                    StartChecked(answered, id, from, to, UnderMaintenance(reply, id), done);
-                  }
-                });
+  m_store->Read(MaintenanceKey(from), [this, alive = std::weak_ptr<bool>(m_alive), request](
+                                          TimePoint answered, const StoreReadReply& reply) {
+    if (!alive.expired()) {
+      StartChecked(answered, request, UnderMaintenance(reply, request.vm));
+    }
+  });
 }
 
-void VmMover::StartChecked(TimePoint now, const std::string& id, const std::string& from,
-                           const std::string& to, std::optional<bool> under_maintenance,
-                           const HeadControl::ChangeCallback& done) {
+void VmMover::StartChecked(TimePoint now, const Request& request,
+                           std::optional<bool> under_maintenance) {
   if (!under_maintenance) {
-    Refuse(now, id, "the maintenance document cannot be read", ChangeOutcome::kUnavailable, done);
+    Refuse(now, request, "the maintenance document cannot be read", ChangeOutcome::kUnavailable);
     return;
   }
   if (*under_maintenance) {
-    Refuse(now, id, fmt::format("VM {} is under maintenance", id), ChangeOutcome::kRejected, done);
+    Refuse(now, request, fmt::format("VM {} is under maintenance", request.vm),
+           ChangeOutcome::kRejected);
     return;
   }
   const std::string move_id = m_random->Nonce();
-  const auto edit = [id, from, to, move_id](const Fleet& current,
-                                            std::string* last_reason) -> std::optional<Fleet> {
+  const auto edit = [id = request.vm, from = request.from, to = request.to, move_id](
+                        const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
     if (const auto refusal = RefuseMove(current, id, from, to)) {
       *last_reason = *refusal;
       return std::nullopt;
@@ -103,11 +102,13 @@
     vm.move_id = move_id;
     return next;
   };
-  m_head->Submit(now, fmt::format("move VM {} from pool {} to {}", id, from, to), edit,
-                 Reporting("start", id, done));
+  SubmitRecorded(now, m_head,
+                 fmt::format("move VM {} from pool {} to {}", request.vm, request.from, request.to),
+                 request.identity, edit, Reporting("start", request.vm, request.done));
 }
 
-void VmMover::Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done) {
+void VmMover::Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done,
+                     const ChangeIdentity& identity) {
   const std::string id(vm);
   const auto edit = [id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
     const auto found = current.vms.find(id);
@@ -123,7 +124,7 @@
     record.boot_id.clear();
     return next;
   };
-  m_head->Submit(now, fmt::format("cancel the move of VM {}", id), edit,
+  SubmitRecorded(now, m_head, fmt::format("cancel the move of VM {}", id), identity, edit,
                  Reporting("cancel", id, std::move(done)));
 }
 
@@ -140,10 +141,15 @@
   };
 }
 
-void VmMover::Refuse(TimePoint now, std::string_view vm, std::string_view reason,
-                     ChangeOutcome outcome, const HeadControl::ChangeCallback& done) {
-  m_decision.emit(now, fmt::format("move event=refused vm={} reason=\"{}\"", vm, reason));
-  done(now, ChangeResult{outcome, 0, std::string(reason)});
+void VmMover::Refuse(TimePoint now, const Request& request, std::string_view reason,
+                     ChangeOutcome outcome) {
+  // A repeated change finds the VM moving because of its first submission.
+  if (const auto recorded = FindRecorded(m_head->fleet(), request.identity)) {
+    request.done(now, *recorded);
+    return;
+  }
+  m_decision.emit(now, fmt::format("move event=refused vm={} reason=\"{}\"", request.vm, reason));
+  request.done(now, ChangeResult{outcome, 0, std::string(reason)});
 }
 
 void VmMover::ObserveWorker(TimePoint now, std::string_view vm, const WorkerStatus& status) {
--- a/packages/control/tests/head_keeper_test.cc
+++ b/packages/control/tests/head_keeper_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "cranberryplank/control/recorded_change.h"
 #include "simulation.h"
 
 namespace cranberryplank {
@@ -177,7 +178,8 @@
   m_simulation.Run(kSettle);
   REQUIRE(granted);
   m_simulation.store_faults.down = true;
-  m_simulation.Keeper(m_fleet[0]).DenyKey(m_simulation.LocalNow(m_fleet[0]), key);
+  const std::string nonce(32, 'a');
+  m_simulation.Keeper(m_fleet[0]).DenyKey(m_simulation.LocalNow(m_fleet[0]), key, nonce);
   m_simulation.Run(Duration(1'000));
   CHECK(m_simulation.Keeper(m_fleet[2]).IsDenied(key));
   CHECK(m_simulation.Keeper(m_fleet[0]).DenialOf(key)->ToString() ==
@@ -189,6 +191,9 @@
   CHECK_FALSE(m_simulation.Keeper(m_fleet[1]).fleet().keys.contains(key.hex));
   CHECK_FALSE(m_simulation.Keeper(m_fleet[1]).IsDenied(key));
   CHECK(m_simulation.Keeper(m_fleet[1]).DenialOf(key)->revision.has_value());
+  // A repetition of the withdrawal whose answer was lost with the daemon is recognised.
+  CHECK(FindRecorded(m_simulation.Keeper(m_fleet[1]).fleet(), WithdrawalIdentity(nonce, key.hex))
+            .has_value());
 }
 
 // Guards against a slow read or a peer's old head restoring older state; the revision check runs
--- a/packages/control/tests/maintenance_coordinator_test.cc
+++ b/packages/control/tests/maintenance_coordinator_test.cc
@@ -9,11 +9,12 @@
 namespace {
 
 std::optional<WaveResult> StartWave(SimulatedRun* run, int daemon, const std::string& pool,
-                                    std::vector<std::string> vms = {}) {
+                                    std::vector<std::string> vms = {},
+                                    const ChangeIdentity& identity = {}) {
   auto result = std::make_shared<std::optional<WaveResult>>();
   run->At(daemon).maintenance.Start(
       run->clock.Now(), pool, vms,
-      [result](TimePoint, const WaveResult& answer) { *result = answer; });
+      [result](TimePoint, const WaveResult& answer) { *result = answer; }, identity);
   run->RunUntil(Duration(10'000), [&] { return result->has_value(); });
   return *result;
 }
@@ -75,6 +76,32 @@
   CHECK(run.Unfinished().empty());
 }
 
+// Guards against a second wave, or a refusal, where the answer to the first request was lost.
+TEST_CASE("Repeated starts and stops of a wave are answered as before") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  const ChangeIdentity start{"nonce-1", "start tone"};
+  const WaveResult first = StartWave(&run, 0, "tone", {}, start).value();
+  REQUIRE(first.accepted);
+  CHECK(StartWave(&run, 1, "tone", {"vm00"}, {"nonce-1", "start vm00"}).value().reason ==
+        kNonceOfAnotherChange);
+  std::vector<WaveResult> stops;
+  for (int daemon : {1, 2}) {
+    run.At(daemon).maintenance.Stop(
+        run.clock.Now(), "tone",
+        [&](TimePoint, const WaveResult& answer) { stops.push_back(answer); },
+        {"nonce-2", "stop tone"});
+    REQUIRE(run.RunUntil(Duration(60'000), [&] { return WaveEnded(run, "tone"); }));
+  }
+  REQUIRE(run.RunUntil(Duration(10'000), [&] { return stops.size() == 2; }));
+  const WaveResult again = StartWave(&run, 2, "tone", {}, start).value();
+  for (const WaveResult& result : {stops[0], stops[1], again}) {
+    CHECK(result.accepted);
+    CHECK(result.wave == first.wave);
+  }
+  CHECK(WaveEnded(run, "tone"));
+}
+
 TEST_CASE("VMs that are down use up the budget") {
   SimulatedRun run({});
   run.clock.RunFor(Duration(2'000));
--- a/packages/control/tests/vm_mover_test.cc
+++ b/packages/control/tests/vm_mover_test.cc
@@ -9,14 +9,16 @@
 namespace {
 
 ChangeResult StartMove(SimulatedRun* run, int daemon, const std::string& vm,
-                       const std::string& pool) {
+                       const std::string& pool, const ChangeIdentity& identity = {}) {
   ChangeResult result;
   bool answered = false;
-  run->At(daemon).mover.Start(run->clock.Now(), vm, pool,
-                              [&](TimePoint, const ChangeResult& answer) {
-                                result = answer;
-                                answered = true;
-                              });
+  run->At(daemon).mover.Start(
+      run->clock.Now(), vm, pool,
+      [&](TimePoint, const ChangeResult& answer) {
+        result = answer;
+        answered = true;
+      },
+      identity);
   REQUIRE(run->RunUntil(Duration(10'000), [&] { return answered; }));
   return result;
 }
@@ -61,6 +63,25 @@
   CHECK(StartMove(&run, 0, "vm01", "hallmark").reason == "VM vm01 is under maintenance");
 }
 
+// Guards against a refusal, or a second move, where the answer to the first request was lost.
+TEST_CASE("A repeated move is answered as before and another one with its nonce is refused") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  const ChangeIdentity identity{"nonce", "move vm00"};
+  const ChangeResult first = StartMove(&run, 0, "vm00", "hallmark", identity);
+  const ChangeResult early = StartMove(&run, 1, "vm00", "hallmark", identity);
+  REQUIRE(run.RunUntil(Duration(20'000), [&] { return RecordOf(run, "vm00").pool == "hallmark"; }));
+  run.clock.RunFor(Duration(2'000));
+  const ChangeResult late = StartMove(&run, 1, "vm00", "hallmark", identity);
+  for (const ChangeResult& result : {first, early, late}) {
+    CHECK(result.outcome == ChangeOutcome::kRecorded);
+    CHECK(result.revision == first.revision);
+  }
+  const ChangeResult other = StartMove(&run, 1, "vm01", "hallmark", {"nonce", "move vm01"});
+  CHECK(other.reason == kNonceOfAnotherChange);
+  CHECK(RecordOf(run, "vm01").state == VmState::kServing);
+}
+
 TEST_CASE("A cancelled move leaves the VM serving its old pool") {
   SimulatedRun run({});
   run.clock.RunFor(Duration(2'000));
--- a/packages/daemon/include/cranberryplank/daemon/admin_api.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_api.h
@@ -32,7 +32,8 @@
     Exchange exchange;
     std::uint64_t revision = 0;
     TimePoint until;
-    std::string denied_key;  ///< Digest whose withdrawal is to be recorded; else empty.
+    std::string denied_key;   ///< Digest whose withdrawal is to be recorded; else empty.
+    ChangeIdentity identity;  ///< Of the withdrawal.
   };
 
   bool Authorized(const ApiRequest& request) const;
@@ -51,6 +52,10 @@
   void StartWave(TimePoint now, const Exchange& exchange, const std::string& pool);
   void StopWave(TimePoint now, const Exchange& exchange, const std::string& pool);
 
+  /// Tells whether the nonce is known to belong to a change with another content. A document can
+  /// refuse only nonces that it holds itself, so this looks at all that the daemon has read.
+  bool NonceOfAnotherChange(const ChangeIdentity& identity) const;
+
   /// Submits `edit` under the request's nonce: a nonce that is recorded already is answered as
   /// before and not carried out again.
   void Submit(TimePoint now, const Exchange& exchange, std::string_view description,
@@ -58,6 +63,7 @@
   void ReplyChange(TimePoint now, const Exchange& exchange, const ChangeResult& result) const;
   void ReplyRecorded(TimePoint now, const Exchange& exchange, std::uint64_t revision) const;
   bool Answer(TimePoint now, const Waiter& waiter);
+  HeadControl::ChangeCallback ChangeReply(const Exchange& exchange, std::string_view what) const;
   MaintenanceCoordinator::ResultCallback WaveReply(const Exchange& exchange) const;
 
   AdminParts m_parts;
--- a/packages/daemon/include/cranberryplank/daemon/admin_edits.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_edits.h
@@ -1,10 +1,7 @@
 #ifndef CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
 #define CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
 
-#include <cstdint>
 #include <functional>
-#include <memory>
-#include <optional>
 #include <string>
 
 #include "cranberryplank/bundle/bundle.h"
@@ -28,17 +25,6 @@
 HeadControl::FleetEdit SubmitBundleEdit(const Bundle& bundle, const ApproverKeys& approvers,
                                         int approvals_required);
 
-/// Nonce and content of an operator's change.
-struct ChangeIdentity {
-  std::string nonce;
-  std::string fingerprint;
-};
-
-/// Adds the change's record to what `edit` makes. A change that is recorded already is refused, and
-/// `*recorded_at` set to its revision.
-HeadControl::FleetEdit RecordedEdit(const ChangeIdentity& identity, HeadControl::FleetEdit edit,
-                                    std::shared_ptr<std::optional<std::uint64_t>> recorded_at);
-
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_DAEMON_ADMIN_EDITS_H_
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -109,6 +109,17 @@
   return vm;
 }
 
+/// Identity of a change, from its nonce and content.
+ChangeIdentity IdentityOf(const ApiRequest& request) {
+  constexpr std::string_view kKeyPath = "/v1/admin/keys/";
+  const std::string nonce = LowerCase(request.Header(kNonceHeader));
+  if (request.method == "DELETE" && request.path.starts_with(kKeyPath)) {
+    return WithdrawalIdentity(nonce, LowerCase(request.path.substr(kKeyPath.size())));
+  }
+  const std::string content = fmt::format("{} {}\n{}", request.method, request.path, request.body);
+  return ChangeIdentity{nonce, Sha256(content).hex};
+}
+
 }  // namespace
 
 bool AdminApi::Handle(TimePoint now, const Exchange& exchange) {
@@ -126,6 +137,8 @@
     Read(now, exchange, path);
   } else if (!IsHex(request.Header(kNonceHeader), kNonceLength)) {
     exchange->Reply(Error(400, "Change-Nonce must be 32 hexadecimal digits"));
+  } else if (NonceOfAnotherChange(IdentityOf(request))) {
+    exchange->Reply(Error(422, kNonceOfAnotherChange));
   } else {
     Change(now, exchange, path);
   }
@@ -182,7 +195,7 @@
     }
     wait = *parsed;
   }
-  m_waiters.push_back(Waiter{exchange, *revision, now + Duration(wait), ""});
+  m_waiters.push_back(Waiter{exchange, *revision, now + Duration(wait), "", {}});
   Tick(now);
 }
 
@@ -220,29 +233,38 @@
   }
 }
 
+bool AdminApi::NonceOfAnotherChange(const ChangeIdentity& identity) const {
+  const Fleet& fleet = m_parts.head->fleet();
+  const auto recorded = FindRecorded(fleet, identity);
+  if (recorded && recorded->outcome != ChangeOutcome::kRecorded) {
+    return true;
+  }
+  return std::any_of(fleet.pools.begin(), fleet.pools.end(), [&](const auto& item) {
+    const auto wave = m_parts.maintenance->Status(item.first);
+    const WaveChange* change = wave ? wave->FindChange(identity.nonce) : nullptr;
+    return change != nullptr && change->identity != identity;
+  });
+}
+
 void AdminApi::Submit(TimePoint now, const Exchange& exchange, std::string_view description,
                       HeadControl::FleetEdit edit) {
-  const ApiRequest& request = exchange->request();
-  const std::string nonce = LowerCase(request.Header(kNonceHeader));
-  const std::string fingerprint =
-      Sha256(fmt::format("{} {}\n{}", request.method, request.path, request.body)).hex;
-  const auto repeated = std::make_shared<std::optional<std::uint64_t>>();
-  LogLine(LogLevel::kInfo, "change_submitted").Field("change", description).Field("nonce", nonce);
-  m_parts.head->Submit(now, description,
-                       RecordedEdit(ChangeIdentity{nonce, fingerprint}, std::move(edit), repeated),
-                       [this, exchange, repeated, what = std::string(description)](
-                           TimePoint at, const ChangeResult& result) {
-                         LogLine(LogLevel::kInfo, "change_answered")
-                             .Field("change", what)
-                             .Field("recorded", result.outcome == ChangeOutcome::kRecorded)
-                             .Field("revision", result.revision)
-                             .Field("reason", result.reason);
-                         if (*repeated) {
-                           ReplyRecorded(at, exchange, **repeated);
-                         } else {
-                           ReplyChange(at, exchange, result);
-                         }
-                       });
+  SubmitRecorded(now, m_parts.head, description, IdentityOf(exchange->request()), std::move(edit),
+                 ChangeReply(exchange, description));
+}
+
+HeadControl::ChangeCallback AdminApi::ChangeReply(const Exchange& exchange,
+                                                  std::string_view what) const {
+  LogLine(LogLevel::kInfo, "change_submitted")
+      .Field("change", what)
+      .Field("nonce", exchange->request().Header(kNonceHeader));
+  return [this, exchange, change = std::string(what)](TimePoint now, const ChangeResult& result) {
+    LogLine(LogLevel::kInfo, "change_answered")
+        .Field("change", change)
+        .Field("recorded", result.outcome == ChangeOutcome::kRecorded)
+        .Field("revision", result.revision)
+        .Field("reason", result.reason);
+    ReplyChange(now, exchange, result);
+  };
 }
 
 void AdminApi::ReplyRecorded(TimePoint now, const Exchange& exchange,
@@ -314,6 +336,11 @@
     exchange->Reply(Error(400, "the digest must be 64 hexadecimal digits"));
     return;
   }
+  const ChangeIdentity identity = IdentityOf(exchange->request());
+  if (const auto recorded = FindRecorded(m_parts.head->fleet(), identity)) {
+    ReplyChange(now, exchange, *recorded);
+    return;
+  }
   const bool known = m_parts.head->fleet().keys.contains(digest) ||
                      m_parts.head->DenialOf(Digest{digest}).has_value();
   if (!known) {
@@ -321,8 +348,8 @@
     return;
   }
   LogLine(LogLevel::kInfo, "key_withdrawn").Field("digest", digest);
-  m_parts.head->DenyKey(now, Digest{digest});
-  m_waiters.push_back(Waiter{exchange, 0, now + kDenialPatience, digest});
+  m_parts.head->DenyKey(now, Digest{digest}, identity.nonce);
+  m_waiters.push_back(Waiter{exchange, 0, now + kDenialPatience, digest, identity});
   Tick(now);
 }
 
@@ -366,9 +393,8 @@
 }
 
 void AdminApi::DrainVm(TimePoint now, const Exchange& exchange, const std::string& id) {
-  m_parts.mover->Start(now, id, "", [this, exchange](TimePoint at, const ChangeResult& result) {
-    ReplyChange(at, exchange, result);
-  });
+  m_parts.mover->Start(now, id, "", ChangeReply(exchange, fmt::format("drain VM {}", id)),
+                       IdentityOf(exchange->request()));
 }
 
 void AdminApi::MoveVm(TimePoint now, const Exchange& exchange, const std::string& id) {
@@ -381,9 +407,9 @@
     exchange->Reply(Error(400, "expected pool"));
     return;
   }
-  m_parts.mover->Start(now, id, pool, [this, exchange](TimePoint at, const ChangeResult& result) {
-    ReplyChange(at, exchange, result);
-  });
+  m_parts.mover->Start(now, id, pool,
+                       ChangeReply(exchange, fmt::format("move VM {} to pool {}", id, pool)),
+                       IdentityOf(exchange->request()));
 }
 
 void AdminApi::StartWave(TimePoint now, const Exchange& exchange, const std::string& pool) {
@@ -398,11 +424,11 @@
       return;
     }
   }
-  m_parts.maintenance->Start(now, pool, vms, WaveReply(exchange));
+  m_parts.maintenance->Start(now, pool, vms, WaveReply(exchange), IdentityOf(exchange->request()));
 }
 
 void AdminApi::StopWave(TimePoint now, const Exchange& exchange, const std::string& pool) {
-  m_parts.maintenance->Stop(now, pool, WaveReply(exchange));
+  m_parts.maintenance->Stop(now, pool, WaveReply(exchange), IdentityOf(exchange->request()));
 }
 
 MaintenanceCoordinator::ResultCallback AdminApi::WaveReply(const Exchange& exchange) const {
@@ -439,6 +465,10 @@
                                           {"pending", status.pending}}));
     return true;
   }
+  if (const auto recorded = FindRecorded(m_parts.head->fleet(), waiter.identity)) {
+    ReplyChange(now, waiter.exchange, *recorded);
+    return true;
+  }
   const auto denial = m_parts.head->DenialOf(Digest{waiter.denied_key});
   if (!denial || denial->revision) {
     ReplyRecorded(now, waiter.exchange, denial ? *denial->revision : m_parts.head->head().revision);
--- a/packages/daemon/src/admin_edits.cc
+++ b/packages/daemon/src/admin_edits.cc
@@ -87,33 +87,4 @@
   };
 }
 
-HeadControl::FleetEdit RecordedEdit(const ChangeIdentity& identity, HeadControl::FleetEdit edit,
-                                    std::shared_ptr<std::optional<std::uint64_t>> recorded_at) {
-  return [identity, recorded_at = std::move(recorded_at), edit = std::move(edit)](
-             const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
-    for (const ChangeRecord& change : current.changes) {
-      if (change.nonce != identity.nonce) {
-        continue;
-      }
-      if (change.fingerprint != identity.fingerprint) {
-        *last_reason = "the nonce was used for another change";
-      } else {
-        *last_reason = "recorded before";
-        *recorded_at = change.revision;
-      }
-      return std::nullopt;
-    }
-    auto next = edit(current, last_reason);
-    if (!next) {
-      return std::nullopt;
-    }
-    next->changes.push_back(
-        ChangeRecord{identity.nonce, identity.fingerprint, current.revision + 1});
-    if (next->changes.size() > kRememberedChanges) {
-      next->changes.erase(next->changes.begin());
-    }
-    return next;
-  };
-}
-
 }  // namespace cranberryplank
