Cancel moves and put drained VMs back to work

Cause: VmMover::Cancel was reachable from tests only, so a move to the wrong pool had to be waited for, and a drained VM had to be removed and added again.

DELETE /v1/admin/vms/NAME/move and `vm cancel VM` call it; the action vm-cancel makes it usable from runbooks. The nonce is recorded with the change. The worker is put back to work by the repair of serving VMs whose workers are drained, which exists already. Cancelling tells an unknown VM from one that serves.

Ruled out: a POST to vms/NAME/undrain beside it, since both have the same effect and the state of the VM decides which one it is.

Seen before: the path got 404. After: the VM serves its pool and its worker takes work within 10 simulated seconds (new test).

--- a/packages/bundle/src/action.cc
+++ b/packages/bundle/src/action.cc
@@ -11,7 +11,7 @@
 }
 
 std::span<const Action> Actions() {
-  static const std::array<Action, 14> actions = {
+  static const std::array<Action, 15> actions = {
       Action{"status", true, {}, {}},
       Action{"team-list", true, {}, {}},
       Action{"team-set", false, {"team", "share_weight", "upper_limit"}, {}},
@@ -19,6 +19,7 @@
       Action{"vm-list", true, {}, {"pool"}},
       Action{"vm-move", false, {"vm", "pool"}, {}},
       Action{"vm-drain", false, {"vm"}, {}},
+      Action{"vm-cancel", false, {"vm"}, {}},
       Action{"vm-add",
              false,
              {"vm", "host", "port", "zone", "rack", "pool", "slots", "cores", "memory_gb",
--- a/packages/cli/src/action_request.cc
+++ b/packages/cli/src/action_request.cc
@@ -147,6 +147,10 @@
        [](const Reader& read) {
          return AdminRequest{"POST", fmt::format("vms/{}/drain", read.Name("vm")), ""};
        }},
+      {"vm-cancel",
+       [](const Reader& read) {
+         return AdminRequest{"DELETE", fmt::format("vms/{}/move", read.Name("vm")), ""};
+       }},
       {"vm-add", BuildVmAdd},
       {"vm-remove",
        [](const Reader& read) {
--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -229,6 +229,7 @@
   team set TEAM --share-weight W --upper-limit N
   vm move VM POOL
   vm drain VM
+  vm cancel VM                   cancel a move, or put a drained VM back to work
   vm add VM --host H --port P --zone Z --rack R --pool POOL
             --slots N --cores N --memory-gb N --accelerators N
   vm remove VM
--- a/packages/cli/src/program.cc
+++ b/packages/cli/src/program.cc
@@ -43,6 +43,7 @@
       {"vm", "list", "vm-list", {}},
       {"vm", "move", "vm-move", {"vm", "pool"}},
       {"vm", "drain", "vm-drain", {"vm"}},
+      {"vm", "cancel", "vm-cancel", {"vm"}},
       {"vm", "add", "vm-add", {"vm"}},
       {"vm", "remove", "vm-remove", {"vm"}},
       {"key", "withdraw", "key-withdraw", {"digest"}},
--- a/packages/cli/tests/program_test.cc
+++ b/packages/cli/tests/program_test.cc
@@ -146,6 +146,7 @@
        R"({"share_weight":1.5,"upper_limit":4})"},
       {{"vm", "move", "vm-1", "tone"}, "POST", "vms/vm-1/move", R"({"pool":"tone"})"},
       {{"vm", "drain", "vm-1"}, "POST", "vms/vm-1/drain", ""},
+      {{"vm", "cancel", "vm-1"}, "DELETE", "vms/vm-1/move", ""},
       {{"vm", "remove", "vm-1"}, "DELETE", "vms/vm-1", ""},
       {{"key", "withdraw", digest}, "DELETE", "keys/" + digest, ""},
       {{"maintenance", "start", "tone", "vm-1", "vm-2"},
--- a/packages/control/include/cranberryplank/control/vm_mover.h
+++ b/packages/control/include/cranberryplank/control/vm_mover.h
@@ -54,7 +54,8 @@
   void Start(TimePoint now, std::string_view vm, std::string_view pool,
              HeadControl::ChangeCallback done, const ChangeIdentity& identity = {});
 
-  /// Cancels the move of `vm`, which serves its old pool again.
+  /// Cancels the move of `vm`, or puts a drained one back to work: it serves its old pool again.
+  /// Refused if the VM is unknown or serves.
   void Cancel(TimePoint now, std::string_view vm, HeadControl::ChangeCallback done,
               const ChangeIdentity& identity = {});
 
--- a/packages/control/src/vm_mover.cc
+++ b/packages/control/src/vm_mover.cc
@@ -112,8 +112,12 @@
   const std::string id(vm);
   const auto edit = [id](const Fleet& current, std::string* last_reason) -> std::optional<Fleet> {
     const auto found = current.vms.find(id);
-    if (found == current.vms.end() || !IsMoving(found->second)) {
-      *last_reason = fmt::format("VM {} does not move", id);
+    if (found == current.vms.end()) {
+      *last_reason = fmt::format("VM {} is unknown", id);
+      return std::nullopt;
+    }
+    if (!IsMoving(found->second)) {
+      *last_reason = fmt::format("VM {} neither moves nor is drained", id);
       return std::nullopt;
     }
     Fleet next = current;
--- a/packages/control/tests/vm_mover_test.cc
+++ b/packages/control/tests/vm_mover_test.cc
@@ -93,6 +93,28 @@
   CHECK(run.Unfinished().empty());
 }
 
+// Guards against a drained VM that can only be removed and added again.
+TEST_CASE("A drained VM that is put back to work serves its pool") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  CHECK(StartMove(&run, 0, "vm00", "").outcome == ChangeOutcome::kRecorded);
+  REQUIRE(run.RunUntil(Duration(10'000),
+                       [&] { return RecordOf(run, "vm00").state == VmState::kEmpty; }));
+  std::map<std::string, ChangeResult> results;
+  for (const std::string vm : {"vm00", "vm01", "vm99"}) {
+    run.At(1).mover.Cancel(
+        run.clock.Now(), vm,
+        [&results, vm](TimePoint, const ChangeResult& answer) { results[vm] = answer; });
+  }
+  REQUIRE(run.RunUntil(Duration(10'000), [&] { return results.size() == 3; }));
+  CHECK(results["vm00"].outcome == ChangeOutcome::kRecorded);
+  CHECK(results["vm01"].reason == "VM vm01 neither moves nor is drained");
+  CHECK(results["vm99"].reason == "VM vm99 is unknown");
+  run.clock.RunFor(Duration(10'000));
+  CHECK(RecordOf(run, "vm00").state == VmState::kServing);
+  CHECK_FALSE(run.workers.workers.at("vm00").draining);
+}
+
 TEST_CASE("An empty VM whose worker rebooted is checked again before it serves") {
   SimulatedRun run({});
   run.clock.RunFor(Duration(2'000));
--- a/packages/daemon/include/cranberryplank/daemon/admin_api.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_api.h
@@ -49,6 +49,7 @@
   void RemoveVm(TimePoint now, const Exchange& exchange, const std::string& id);
   void DrainVm(TimePoint now, const Exchange& exchange, const std::string& id);
   void MoveVm(TimePoint now, const Exchange& exchange, const std::string& id);
+  void CancelMove(TimePoint now, const Exchange& exchange, const std::string& id);
   void StartWave(TimePoint now, const Exchange& exchange, const std::string& pool);
   void StopWave(TimePoint now, const Exchange& exchange, const std::string& pool);
 
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -224,6 +224,8 @@
     DrainVm(now, exchange, name);
   } else if (route == "POST vms/NAME/move") {
     MoveVm(now, exchange, name);
+  } else if (route == "DELETE vms/NAME/move") {
+    CancelMove(now, exchange, name);
   } else if (route == "POST maintenance/NAME") {
     StartWave(now, exchange, name);
   } else if (route == "DELETE maintenance/NAME") {
@@ -412,6 +414,11 @@
                        IdentityOf(exchange->request()));
 }
 
+void AdminApi::CancelMove(TimePoint now, const Exchange& exchange, const std::string& id) {
+  m_parts.mover->Cancel(now, id, ChangeReply(exchange, fmt::format("cancel the move of VM {}", id)),
+                        IdentityOf(exchange->request()));
+}
+
 void AdminApi::StartWave(TimePoint now, const Exchange& exchange, const std::string& pool) {
   std::vector<std::string> vms;
   if (!exchange->request().body.empty()) {
