--- a/packages/control/src/maintenance_coordinator.cc
+++ b/packages/control/src/maintenance_coordinator.cc
@@ -65,18 +65,21 @@
       m_options(options) {}
 
 void MaintenanceCoordinator::Start(TimePoint now, std::string_view pool,
-                                   std::span<const std::string> vms, ResultCallback done) {
+                                   std::span<const std::string> vms, ResultCallback done,
+                                   const ChangeIdentity& identity) {
   Request request;
   request.at = now;
-  request.wave = m_random->Nonce();
+  request.identity = identity;
   request.vms.assign(vms.begin(), vms.end());
   request.done = std::move(done);
   Submit(now, std::string(pool), std::move(request));
 }
 
-void MaintenanceCoordinator::Stop(TimePoint now, std::string_view pool, ResultCallback done) {
+void MaintenanceCoordinator::Stop(TimePoint now, std::string_view pool, ResultCallback done,
+                                  const ChangeIdentity& identity) {
   Request request;
   request.at = now;
+  request.identity = identity;
   request.start = false;
   request.done = std::move(done);
   Submit(now, std::string(pool), std::move(request));
@@ -84,9 +87,12 @@
 
 void MaintenanceCoordinator::Submit(TimePoint now, const std::string& pool, Request request) {
   if (!m_head->fleet().pools.contains(pool)) {
-    request.done(now, WaveResult{false, "", fmt::format("pool {} is unknown", pool)});
+    request.done(now, WaveResult{false, false, "", fmt::format("pool {} is unknown", pool)});
     return;
   }
+  if (request.identity.nonce.empty()) {
+    request.identity.nonce = m_random->Nonce();
+  }
   StateOf(pool).requests.push_back(std::move(request));
 }
 
@@ -121,6 +127,9 @@
 
 void MaintenanceCoordinator::OnSettled(TimePoint now, const std::string& pool) {
   PoolState& state = m_pools.find(pool)->second;
+  for (Request& request : state.requests) {
+    request.writing = false;
+  }
   std::string reason;
   state.wave = DecodeMaintenanceWave(state.document->content(), &reason);
   if (!state.wave) {
@@ -163,25 +172,42 @@
   }
 }
 
+void MaintenanceCoordinator::ExpireRequests(TimePoint now, const std::string& pool,
+                                            PoolState* state) {
+  std::vector<ResultCallback> expired;
+  std::erase_if(state->requests, [&](Request& request) {
+    if (request.writing || now - request.at < m_options.request_limit) {
+      return false;
+    }
+    expired.push_back(std::move(request.done));
+    return true;
+  });
+  const WaveResult answer{false, true, "", "the maintenance document cannot be read or written"};
+  for (const ResultCallback& done : expired) {
+    m_decision.emit(now, fmt::format("maintenance event=request pool={} accepted=false wave= "
+                                     "reason=\"{}\"",
+                                     pool, answer.reason));
+    done(now, answer);
+  }
+}
+
 std::optional<WaveResult> MaintenanceCoordinator::AnswerTo(const Request& request,
                                                            const std::string& pool,
                                                            const MaintenanceWave& wave) const {
-  if (request.start && wave.id == request.wave) {
-    return WaveResult{true, wave.id, ""};
+  if (const WaveChange* recorded = wave.FindChange(request.identity.nonce)) {
+    const bool same = recorded->identity == request.identity;
+    return WaveResult{same, false, recorded->wave, same ? "" : std::string(kNonceOfAnotherChange)};
   }
   if (request.start && wave.Active()) {
-    return WaveResult{false, wave.id,
+    return WaveResult{false, false, wave.id,
                       fmt::format("wave {} is under way on pool {}", wave.id, pool)};
   }
   if (request.start) {
     const std::optional<std::string> refusal = RefuseStart(pool, request);
-    return refusal ? std::optional(WaveResult{false, "", *refusal}) : std::nullopt;
-  }
-  if (wave.stopping) {
-    return WaveResult{true, wave.id, ""};
+    return refusal ? std::optional(WaveResult{false, false, "", *refusal}) : std::nullopt;
   }
   if (!wave.Active()) {
-    return WaveResult{false, wave.id, fmt::format("no wave is under way on pool {}", pool)};
+    return WaveResult{false, false, wave.id, fmt::format("no wave is under way on pool {}", pool)};
   }
   return std::nullopt;
 }
@@ -201,7 +227,7 @@
   if (state->requests.empty()) {
     return false;
   }
-  const Request& request = state->requests.front();
+  Request& request = state->requests.front();
   const std::optional<TimePoint> confirmed = state->document->ConfirmedAt();
   if (!confirmed || *confirmed < request.at) {
     state->document->Refresh(now);
@@ -210,7 +236,8 @@
   MaintenanceWave next = *state->wave;
   if (request.start) {
     next = MaintenanceWave{};
-    next.id = request.wave;
+    next.id = m_random->Nonce();
+    next.changes = state->wave->changes;
     for (const auto& [id, vm] : m_head->fleet().vms) {
       const bool chosen = request.vms.empty() || std::find(request.vms.begin(), request.vms.end(),
                                                            id) != request.vms.end();
@@ -225,6 +252,8 @@
              item.second.state == MaintenanceState::kPermitted;
     });
   }
+  next.AddChange(request.identity);
+  request.writing = true;
   state->document->Swap(now, EncodeMaintenanceWave(next));
   return true;
 }
@@ -244,6 +273,7 @@
   document.Tick(now);
   document.KeepWatching(now, m_options.watch);
   SignalCheckpoints(now, state);
+  ExpireRequests(now, pool, state);
   if (!document.Idle()) {
     return;
   }
--- a/packages/control/tests/vm_mover_test.cc
+++ b/packages/control/tests/vm_mover_test.cc
@@ -9,14 +9,16 @@
 namespace {
 
 ChangeResult StartMove(SimulatedRun* run, int daemon, const std::string& vm,
-                       const std::string& pool) {
+                       const std::string& pool, const ChangeIdentity& identity = {}) {
   ChangeResult result;
   bool answered = false;
-  run->At(daemon).mover.Start(run->clock.Now(), vm, pool,
-                              [&](TimePoint, const ChangeResult& answer) {
-                                result = answer;
-                                answered = true;
-                              });
+  run->At(daemon).mover.Start(
+      run->clock.Now(), vm, pool,
+      [&](TimePoint, const ChangeResult& answer) {
+        result = answer;
+        answered = true;
+      },
+      identity);
   REQUIRE(run->RunUntil(Duration(10'000), [&] { return answered; }));
   return result;
 }
@@ -61,6 +63,25 @@
   CHECK(StartMove(&run, 0, "vm01", "hallmark").reason == "VM vm01 is under maintenance");
 }
 
+// Guards against a refusal, or a second move, where the answer to the first request was lost.
+TEST_CASE("A repeated move is answered as before and another one with its nonce is refused") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  const ChangeIdentity identity{"nonce", "move vm00"};
+  const ChangeResult first = StartMove(&run, 0, "vm00", "hallmark", identity);
+  const ChangeResult early = StartMove(&run, 1, "vm00", "hallmark", identity);
+  REQUIRE(run.RunUntil(Duration(20'000), [&] { return RecordOf(run, "vm00").pool == "hallmark"; }));
+  run.clock.RunFor(Duration(2'000));
+  const ChangeResult late = StartMove(&run, 1, "vm00", "hallmark", identity);
+  for (const ChangeResult& result : {first, early, late}) {
+    CHECK(result.outcome == ChangeOutcome::kRecorded);
+    CHECK(result.revision == first.revision);
+  }
+  const ChangeResult other = StartMove(&run, 1, "vm01", "hallmark", {"nonce", "move vm01"});
+  CHECK(other.reason == kNonceOfAnotherChange);
+  CHECK(RecordOf(run, "vm01").state == VmState::kServing);
+}
+
 TEST_CASE("A cancelled move leaves the VM serving its old pool") {
   SimulatedRun run({});
   run.clock.RunFor(Duration(2'000));
@@ -72,6 +93,28 @@
   CHECK(run.Unfinished().empty());
 }
 
+// Guards against a drained VM that can only be removed and added again.
+TEST_CASE("A drained VM that is put back to work serves its pool") {
+  SimulatedRun run({});
+  run.clock.RunFor(Duration(2'000));
+  CHECK(StartMove(&run, 0, "vm00", "").outcome == ChangeOutcome::kRecorded);
+  REQUIRE(run.RunUntil(Duration(10'000),
+                       [&] { return RecordOf(run, "vm00").state == VmState::kEmpty; }));
+  std::map<std::string, ChangeResult> results;
+  for (const std::string vm : {"vm00", "vm01", "vm99"}) {
+    run.At(1).mover.Cancel(
+        run.clock.Now(), vm,
+        [&results, vm](TimePoint, const ChangeResult& answer) { results[vm] = answer; });
+  }
+  REQUIRE(run.RunUntil(Duration(10'000), [&] { return results.size() == 3; }));
+  CHECK(results["vm00"].outcome == ChangeOutcome::kRecorded);
+  CHECK(results["vm01"].reason == "VM vm01 neither moves nor is drained");
+  CHECK(results["vm99"].reason == "VM vm99 is unknown");
+  run.clock.RunFor(Duration(10'000));
+  CHECK(RecordOf(run, "vm00").state == VmState::kServing);
+  CHECK_FALSE(run.workers.workers.at("vm00").draining);
+}
+
 TEST_CASE("An empty VM whose worker rebooted is checked again before it serves") {
   SimulatedRun run({});
   run.clock.RunFor(Duration(2'000));
--- a/packages/daemon/include/cranberryplank/daemon/admin_api.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_api.h
@@ -22,7 +22,7 @@
   /// @return false if it does not
   bool Handle(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
 
-  /// Answers those who wait for a revision to be in effect.
+  /// Answers those who wait for a revision to be in effect, and those whose change takes too long.
   void Tick(TimePoint now);
 
  private:
@@ -32,7 +32,14 @@
     Exchange exchange;
     std::uint64_t revision = 0;
     TimePoint until;
-    std::string denied_key;  ///< Digest whose withdrawal is to be recorded; else empty.
+    std::string denied_key;   ///< Digest whose withdrawal is to be recorded; else empty.
+    ChangeIdentity identity;  ///< Of the withdrawal.
+  };
+
+  /// Change that is to be answered by some time.
+  struct OpenChange {
+    std::weak_ptr<ApiExchange> exchange;  ///< Expires with the answer.
+    TimePoint until;
   };
 
   bool Authorized(const ApiRequest& request) const;
@@ -48,9 +55,14 @@
   void RemoveVm(TimePoint now, const Exchange& exchange, const std::string& id);
   void DrainVm(TimePoint now, const Exchange& exchange, const std::string& id);
   void MoveVm(TimePoint now, const Exchange& exchange, const std::string& id);
+  void CancelMove(TimePoint now, const Exchange& exchange, const std::string& id);
   void StartWave(TimePoint now, const Exchange& exchange, const std::string& pool);
   void StopWave(TimePoint now, const Exchange& exchange, const std::string& pool);
 
+  /// Tells whether the nonce is known to belong to a change with another content. A document can
+  /// refuse only nonces that it holds itself, so this looks at all that the daemon has read.
+  bool NonceOfAnotherChange(const ChangeIdentity& identity) const;
+
   /// Submits `edit` under the request's nonce: a nonce that is recorded already is answered as
   /// before and not carried out again.
   void Submit(TimePoint now, const Exchange& exchange, std::string_view description,
@@ -58,10 +70,13 @@
   void ReplyChange(TimePoint now, const Exchange& exchange, const ChangeResult& result) const;
   void ReplyRecorded(TimePoint now, const Exchange& exchange, std::uint64_t revision) const;
   bool Answer(TimePoint now, const Waiter& waiter);
+  void AnswerUnsettled(TimePoint now);
+  HeadControl::ChangeCallback ChangeReply(const Exchange& exchange, std::string_view what) const;
   MaintenanceCoordinator::ResultCallback WaveReply(const Exchange& exchange) const;
 
   AdminParts m_parts;
   std::vector<Waiter> m_waiters;
+  std::vector<OpenChange> m_open_changes;  ///< In order of their limits.
 };
 
 }  // namespace cranberryplank
--- a/packages/daemon/tests/bundle_rollout_test.cc
+++ b/packages/daemon/tests/bundle_rollout_test.cc
@@ -7,6 +7,7 @@
 #include "cranberryplank/bundle/bundle_parser.h"
 #include "cranberryplank/bundle/bundle_signer.h"
 #include "cranberryplank/control/acting_daemon.h"
+#include "cranberryplank/control/recorded_change.h"
 #include "cranberryplank/daemon/admin_edits.h"
 
 namespace cranberryplank {
@@ -87,9 +88,9 @@
                 m_results[nonce] = {ChangeOutcome::kUnavailable, 0, prepared.unavailable};
                 return;
               }
-              m_simulation.Keeper(incarnation)
-                  .Submit(now, "", RecordedEdit({nonce, bundle.text}, prepared.edit, m_repeated),
-                          [=, this](TimePoint, const ChangeResult& r) { m_results[nonce] = r; });
+              SubmitRecorded(now, &m_simulation.Keeper(incarnation), "", {nonce, bundle.text},
+                             prepared.edit,
+                             [=, this](TimePoint, const ChangeResult& r) { m_results[nonce] = r; });
             });
   }
   bool Answered(const std::string& nonce) const { return m_results.contains(nonce); }
@@ -128,8 +129,6 @@
   std::vector<std::string> m_fleet;
   std::map<std::string, std::unique_ptr<Daemon>> m_daemons;
   std::map<std::string, ChangeResult> m_results;
-  std::shared_ptr<std::optional<std::uint64_t>> m_repeated =
-      std::make_shared<std::optional<std::uint64_t>>();
 };
 
 // Guards against a rollout over the 3 s target, and against a repetition, in any stage, that is
@@ -141,16 +140,19 @@
   Run(kTarget, [&] { return Answered("a"); });
   REQUIRE(m_results["a"].outcome == ChangeOutcome::kRecorded);
   CHECK(StatusAt(m_fleet[0]).stage == RolloutStage::kDistributing);
-  Submit(m_fleet[0], bundle, "a");
-  Run(kTarget, [&] { return m_repeated->has_value(); });
-  CHECK(*m_repeated == m_results["a"].revision);
+  const std::uint64_t revision = m_results["a"].revision;
+  const auto repeat_at = [&](const std::string& daemon) {
+    m_results.erase("a");
+    Submit(daemon, bundle, "a");
+    Run(kTarget, [&] { return Answered("a"); });
+    CHECK(m_results["a"].outcome == ChangeOutcome::kRecorded);
+    CHECK(m_results["a"].revision == revision);
+  };
+  repeat_at(m_fleet[0]);
   Run(kTarget, [&] { return InEffect(bundle); });
   CHECK(InEffect(bundle));
   CHECK(m_simulation.Now() - start <= kTarget);
-  m_repeated->reset();
-  Submit(m_fleet[1], bundle, "a");
-  Run(kTarget, [&] { return m_repeated->has_value(); });
-  CHECK(m_repeated->has_value());
+  repeat_at(m_fleet[1]);
   Submit(m_fleet[1], bundle, "b");
   Run(kTarget, [&] { return Answered("b"); });
   CHECK(m_results["b"].outcome == ChangeOutcome::kRejected);
