Read the VM list only when its index changes

Cause: every daemon read the whole list of workers and of entry VMs each second, 0.158 KB/s per listed VM.

VmListReader keeps one service's list for all its users and watches the index by Consul's blocking query. The watch's filter matches no node, so the answer after the wait of 5 s has no entries. A changed index, lower or higher, leads to a full read and a second one a second later. A failed watch is followed by 30 s of reads at the old rate, and every 5 minutes the list is read in full. VmListTracker and MaintenanceCoordinator share one reader; VmPresence has its own, since nothing else reads the entry VMs. A coordinator that plans asks for a confirmation, which costs one short query, so that a permit still rests on a list of at most 2 s. An untrusted list is counted at each confirmation, which the alert on it needs.

Ruled out: a blocking query for the list itself, since its answer after the wait holds the whole list: a wait short enough to notice a hanging query would cost 63 KB/s at 2,000 VMs.

That Consul answers a filtered blocking query on any change of the service's index is taken from its documentation; the fake implements it so. The full read every 5 minutes bounds the error if it does not.

--- a/packages/control/include/cranberryplank/control/maintenance_coordinator.h
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -17,7 +17,7 @@
 #include "cranberryplank/control/maintenance_wave.h"
 #include "cranberryplank/control/store_document.h"
 #include "cranberryplank/model/random.h"
-#include "cranberryplank/platform/vm_directory.h"
+#include "cranberryplank/platform/vm_list_reader.h"
 #include "cranberryplank/platform/worker_client.h"
 
 namespace cranberryplank {
@@ -62,13 +62,14 @@
 
 /// Carries out maintenance waves, one at a time per pool. The state is in the pool's maintenance
 /// document; one daemon, chosen by a hash over the registered ones, carries a wave on.
-class MaintenanceCoordinator {
+class MaintenanceCoordinator : public sigc::trackable {
  public:
   using ResultCallback = std::function<void(TimePoint now, const WaveResult& result)>;
   using CheckpointSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*vm*/>;
   using DecisionSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*line*/>;
 
-  MaintenanceCoordinator(HeadControl* head, Store* store, VmDirectory* directory,
+  /// @param vm_list list of workers; other users may share it
+  MaintenanceCoordinator(HeadControl* head, Store* store, VmListReader* vm_list,
                          WorkerClient* workers, RandomSource* random,
                          WavePicker picker = PickInOrder, const MaintenanceOptions& options = {});
 
@@ -166,6 +167,7 @@
   void Write(TimePoint now, PoolState* state);
   void Permit(TimePoint now, const std::string& pool, PoolState* state);
   bool KnowsAvailability(TimePoint now);
+  void OnList(bool changed);
   bool Down(TimePoint now, const Vm& vm) const;
   Usage UsageOf(TimePoint now, std::string_view pool, const MaintenanceWave& wave,
                 std::vector<const Vm*>* unavailable) const;
@@ -176,7 +178,7 @@
 
   HeadControl* m_head;
   Store* m_store;
-  VmDirectory* m_directory;
+  VmListReader* m_vm_list;
   WorkerClient* m_workers;
   RandomSource* m_random;
   WavePicker m_picker;
@@ -184,8 +186,6 @@
   std::map<std::string, PoolState, std::less<>> m_pools;
   std::map<std::string, Observation, std::less<>> m_observed;
   std::set<std::string, std::less<>> m_listed;  ///< VMs listed as live and not leaving.
-  std::optional<TimePoint> m_list_sent;         ///< Send time of the newest list received.
-  bool m_listing = false;
   int m_probes_left = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
   CheckpointSignal m_checkpoint;
--- a/packages/control/src/maintenance_coordinator.cc
+++ b/packages/control/src/maintenance_coordinator.cc
@@ -53,16 +53,19 @@
 }
 
 MaintenanceCoordinator::MaintenanceCoordinator(HeadControl* head, Store* store,
-                                               VmDirectory* directory, WorkerClient* workers,
+                                               VmListReader* vm_list, WorkerClient* workers,
                                                RandomSource* random, WavePicker picker,
                                                const MaintenanceOptions& options)
     : m_head(head),
       m_store(store),
-      m_directory(directory),
+      m_vm_list(vm_list),
       m_workers(workers),
       m_random(random),
       m_picker(std::move(picker)),
-      m_options(options) {}
+      m_options(options) {
+  m_vm_list->signal_read().connect(
+      sigc::hide<0>(sigc::hide<0>(sigc::mem_fun(*this, &MaintenanceCoordinator::OnList))));
+}
 
 void MaintenanceCoordinator::Start(TimePoint now, std::string_view pool,
                                    std::span<const std::string> vms, ResultCallback done) {
@@ -487,28 +490,23 @@
 }
 
 bool MaintenanceCoordinator::KnowsAvailability(TimePoint now) {
-  if (!m_listing && (!m_list_sent || now - *m_list_sent > m_options.list_age / 2)) {
-    m_listing = true;
-    m_directory->List("worker", [this, alive = std::weak_ptr<bool>(m_alive), now](
-                                    TimePoint, const std::optional<std::vector<VmListing>>& list,
-                                    std::string_view) {
-      if (alive.expired()) {
-        return;
-      }
-      m_listing = false;
-      if (!list) {
-        return;
-      }
-      m_list_sent = now;
-      m_listed.clear();
-      for (const VmListing& listing : *list) {
-        if (!listing.leaving) {
-          m_listed.insert(listing.id);
-        }
-      }
-    });
+  const std::optional<TimePoint> confirmed = m_vm_list->confirmed();
+  if (!confirmed || now - *confirmed > m_options.list_age / 2) {
+    m_vm_list->Refresh(now);
+  }
+  return confirmed && now - *confirmed <= m_options.list_age;
+}
+
+void MaintenanceCoordinator::OnList(bool changed) {
+  if (!changed) {
+    return;
+  }
+  m_listed.clear();
+  for (const VmListing& listing : m_vm_list->listings()) {
+    if (!listing.leaving) {
+      m_listed.insert(listing.id);
+    }
   }
-  return m_list_sent && now - *m_list_sent <= m_options.list_age;
 }
 
 bool MaintenanceCoordinator::Down(TimePoint now, const Vm& vm) const {
--- a/packages/control/src/vm_presence.cc
+++ b/packages/control/src/vm_presence.cc
@@ -21,7 +21,11 @@
 
 VmPresence::VmPresence(std::string own_vm, VmDirectory& directory,
                        const FreshnessTracker& freshness)
-    : m_own_vm(std::move(own_vm)), m_directory(directory), m_freshness(freshness) {}
+    : m_own_vm(std::move(own_vm)),
+      m_list(&directory, std::string(kService), kReadInterval),
+      m_freshness(freshness) {
+  m_list.signal_read().connect(sigc::mem_fun(*this, &VmPresence::OnList));
+}
 
 void VmPresence::Tick(TimePoint now, const Head& head) {
   std::erase_if(m_daemons, [&](const auto& entry) {
@@ -34,20 +38,13 @@
   for (const DaemonRecord& daemon : head.daemons) {
     m_daemons.try_emplace(daemon.incarnation, Daemon{daemon.id, m_trusted.contains(daemon.id)});
   }
-  if (m_reading || (m_next_read && now < *m_next_read)) {
-    return;
+  // An unchanged list without a registered daemon is still to be read twice in a row.
+  const bool undecided = std::any_of(m_daemons.begin(), m_daemons.end(),
+                                     [](const auto& entry) { return entry.second.missing > 0; });
+  if (undecided) {
+    m_list.Refresh(now);
   }
-  m_reading = true;
-  m_next_read = now + kReadInterval;
-  m_directory.List(kService,
-                   m_guard.Wrap([this, now](TimePoint received,
-                                            const std::optional<std::vector<VmListing>>& listings,
-                                            std::string_view) {
-                     m_reading = false;
-                     if (listings) {
-                       OnList(received, now, *listings);
-                     }
-                   }));
+  m_list.Tick(now);
 }
 
 std::set<std::string> VmPresence::Gone() const {
@@ -65,9 +62,14 @@
   return heard && *heard > daemon.missing_since;
 }
 
-void VmPresence::OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings) {
+void VmPresence::OnList(TimePoint now, TimePoint sent, bool changed) {
+  // Two calls that are answered together are one read.
+  if (!changed && m_last_sent && sent < *m_last_sent + kReadInterval) {
+    return;
+  }
+  m_last_sent = sent;
   std::set<std::string> vms;
-  for (const VmListing& listing : listings) {
+  for (const VmListing& listing : m_list.listings()) {
     vms.insert(listing.id);
   }
   // An empty list, or one older than this daemon's VM, tells nothing about the other VMs.
--- a/packages/control/src/vm_presence.h
+++ b/packages/control/src/vm_presence.h
@@ -1,22 +1,23 @@
 #ifndef CRANBERRYPLANK_CONTROL_VM_PRESENCE_H_
 #define CRANBERRYPLANK_CONTROL_VM_PRESENCE_H_
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
-#include "callback_guard.h"
 #include "cranberryplank/model/head.h"
 #include "cranberryplank/model/time.h"
 #include "cranberryplank/platform/vm_directory.h"
+#include "cranberryplank/platform/vm_list_reader.h"
 #include "freshness_tracker.h"
 
 namespace cranberryplank {
 
-/// Polls the list of entry VMs and tells which registered daemons are gone with their VM.
-class VmPresence {
+/// Follows the list of entry VMs and tells which registered daemons are gone with their VM.
+class VmPresence : public sigc::trackable {
  public:
   /// @param own_vm id of this daemon's VM; a list without it is not trusted.
   VmPresence(std::string own_vm, VmDirectory& directory, const FreshnessTracker& freshness);
@@ -37,19 +38,17 @@
     bool gone = false;
   };
 
-  void OnList(TimePoint now, TimePoint sent, const std::vector<VmListing>& listings);
+  void OnList(TimePoint now, TimePoint sent, bool changed);
   bool HeardSinceMissing(const std::string& incarnation, const Daemon& daemon) const;
   bool Trusted(const std::set<std::string>& vms) const;
 
   std::string m_own_vm;
-  VmDirectory& m_directory;
+  VmListReader m_list;
   const FreshnessTracker& m_freshness;
   std::map<std::string, Daemon> m_daemons;  ///< By incarnation.
   std::set<std::string> m_trusted;          ///< VMs of the last trusted list.
   std::optional<TimePoint> m_distrusted_since;
-  std::optional<TimePoint> m_next_read;
-  bool m_reading = false;
-  CallbackGuard m_guard;
+  std::optional<TimePoint> m_last_sent;  ///< Of the last read that was counted.
 };
 
 }  // namespace cranberryplank
--- a/packages/control/tests/simulated_fleet.h
+++ b/packages/control/tests/simulated_fleet.h
@@ -366,6 +366,8 @@
   RandomSource* random;
   std::map<std::string, Worker, std::less<>> workers{};  ///< By host, which is the VM's id here.
   std::optional<std::vector<VmListing>> stale_list{};    ///< Set while the VM list is frozen.
+  std::vector<VmListing> last_listings{};
+  std::uint64_t list_index = 1;
   Duration reboot_time{5'000};
   std::uint64_t next_task = 0;
   std::function<void(const Worker&)> on_drain{};
@@ -384,6 +386,15 @@
     return listings;
   }
 
+  /// Rises when `listings` differ from those of the call before.
+  std::uint64_t ListIndex(const std::vector<VmListing>& listings) {
+    if (listings != last_listings) {
+      last_listings = listings;
+      ++list_index;
+    }
+    return list_index;
+  }
+
   void TakeDown(Worker* worker, bool lost) {
     worker->up = false;
     worker->lost = lost;
@@ -481,7 +492,18 @@
     m_shared->clock->After(m_shared->Delay(), [this, done] {
       const std::vector<VmListing> listings =
           m_shared->stale_list ? *m_shared->stale_list : m_shared->Listings();
-      m_process->Deliver([this, done, listings] { done(m_shared->clock->Now(), listings, ""); });
+      m_process->Deliver([this, done, list = VmList{listings, m_shared->ListIndex(listings)}] {
+        done(m_shared->clock->Now(), list, "");
+      });
+    });
+  }
+
+  /// Only asked for the current index, since no reader here is ticked.
+  void WatchIndex(std::string_view, std::uint64_t, Duration, IndexCallback done) override {
+    m_shared->clock->After(m_shared->Delay(), [this, done] {
+      const std::uint64_t index =
+          m_shared->ListIndex(m_shared->stale_list ? *m_shared->stale_list : m_shared->Listings());
+      m_process->Deliver([this, done, index] { done(m_shared->clock->Now(), index, ""); });
     });
   }
 
--- a/packages/control/tests/simulated_run.h
+++ b/packages/control/tests/simulated_run.h
@@ -33,6 +33,7 @@
   SimulatedHeadControl head;
   SimulatedStoreClient store;
   SimulatedWorkerClient workers;
+  VmListReader worker_list;
   SlotLedger ledger;
   VmMover mover;
   MaintenanceCoordinator maintenance;
@@ -48,9 +49,11 @@
         head(shared_head, &process),
         store(shared_store, &process),
         workers(shared_workers, &process),
+        worker_list(&workers, "worker", Duration(1'000)),
         ledger(&head, &store, &random, options.slots),
         mover(&head, &store, &workers, &random, options.moves),
-        maintenance(&head, &store, &workers, &workers, &random, PickInOrder, options.maintenance) {}
+        maintenance(&head, &store, &worker_list, &workers, &random, PickInOrder,
+                    options.maintenance) {}
 };
 
 /// A fleet of daemons, workers and the store, whose invariants are checked after every event.
--- a/packages/control/tests/simulation.h
+++ b/packages/control/tests/simulation.h
@@ -39,6 +39,8 @@
 /// the design promises are checked after every event.
 class Simulation {
  public:
+  static constexpr Duration kListWatchStep{100};
+
   enum class Write { kPart, kSwap, kRecorded };
   /// Called before a part or head arrives at the store and after a head was recorded there.
   using WriteHook = std::function<void(Write write, const std::string& incarnation)>;
@@ -76,6 +78,10 @@
     void List(std::string_view, ListCallback done) override {
       m_simulation.ListVms(m_node.incarnation, std::move(done));
     }
+    void WatchIndex(std::string_view, std::uint64_t index, Duration wait,
+                    IndexCallback done) override {
+      m_simulation.WatchVms(m_node.incarnation, index, m_simulation.Now() + wait, std::move(done));
+    }
 
    private:
     Simulation& m_simulation;
@@ -678,7 +684,30 @@
       listings.resize(listings.size() / 3);
     }
     ReplyLater(incarnation, Duration(5),
-               [done = std::move(done), listings](TimePoint now) { done(now, listings, ""); });
+               [done = std::move(done), list = VmList{listings, ListIndex()}](TimePoint now) {
+                 done(now, list, "");
+               });
+  }
+
+  /// A truncated list has its own index, lower than that of the whole list after it.
+  std::uint64_t ListIndex() const {
+    const TimePoint as_of = Now() - list_lag;
+    const auto seen = std::count_if(m_vm_history.begin(), m_vm_history.end(),
+                                    [&](const auto& entry) { return entry.first <= as_of; });
+    return 2 + 2 * static_cast<std::uint64_t>(seen) - (list_truncated ? 1 : 0);
+  }
+
+  void WatchVms(const std::string& incarnation, std::uint64_t index, TimePoint until,
+                VmDirectory::IndexCallback done) {
+    const std::uint64_t current = ListIndex();
+    if (index == current && Now() < until) {
+      After(kListWatchStep, [this, incarnation, index, until, done = std::move(done)] {
+        WatchVms(incarnation, index, until, done);
+      });
+      return;
+    }
+    ReplyLater(incarnation, Duration(5),
+               [done = std::move(done), current](TimePoint now) { done(now, current, ""); });
   }
 
   SeededRandom m_random;
--- a/packages/control/tests/vm_presence_test.cc
+++ b/packages/control/tests/vm_presence_test.cc
@@ -10,12 +10,13 @@
 class ListStub : public VmDirectory {
  public:
   void List(std::string_view, ListCallback done) override { m_done = std::move(done); }
+  void WatchIndex(std::string_view, std::uint64_t, Duration, IndexCallback) override {}
   void Answer(TimePoint now, std::initializer_list<const char*> vms) {
     std::vector<VmListing> listings;
     for (const char* vm : vms) {
       listings.push_back(VmListing{vm, false});
     }
-    m_done(now, listings, "");
+    m_done(now, VmList{listings, 0}, "");
   }
 
  private:
--- a/packages/daemon/include/cranberryplank/daemon/vm_list_tracker.h
+++ b/packages/daemon/include/cranberryplank/daemon/vm_list_tracker.h
@@ -3,32 +3,31 @@
 
 #include <sigc++/sigc++.h>
 
+#include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "cranberryplank/model/fleet.h"
 #include "cranberryplank/model/time.h"
-#include "cranberryplank/platform/vm_directory.h"
+#include "cranberryplank/platform/vm_list_reader.h"
 
 namespace cranberryplank {
 
-/// Polls the platform's list of workers and tells which VMs of the fleet leave or are gone. A list
-/// that loses more than a third of its VMs at once is not trusted; the last trusted one is kept.
-class VmListTracker {
+/// Follows the platform's list of workers and tells which VMs of the fleet leave or are gone. A
+/// list that loses more than a third of its VMs at once is not trusted; the last trusted one is
+/// kept.
+class VmListTracker : public sigc::trackable {
  public:
   using LeavingSet = std::set<std::string, std::less<>>;
   using ChangedSignal = sigc::signal<void, TimePoint /*now*/, const LeavingSet& /*leaving*/>;
 
-  /// @param directory must outlive the tracker
-  /// @param poll time between two reads
-  VmListTracker(VmDirectory* directory, Duration poll);
+  /// @param list list of workers; must outlive the tracker
+  explicit VmListTracker(VmListReader* list);
 
-  /// Reads the list when due and compares it with the VMs of `fleet`.
+  /// Compares the list with the VMs of `fleet` if one of them changed or the list is not trusted.
   void Tick(TimePoint now, const Fleet& fleet);
 
   /// VMs that leave or are gone, as of the last trusted list.
@@ -43,19 +42,19 @@
   ChangedSignal& signal_changed() { return m_changed; }
 
  private:
-  void OnList(TimePoint now, const std::vector<VmListing>& listings);
+  void OnRead(TimePoint now, TimePoint sent, bool changed);
+  void Compare(TimePoint now);
   bool Trusted(const LeavingSet& listed) const;
 
-  VmDirectory* m_directory;
-  Duration m_poll;
-  std::optional<TimePoint> m_next;
-  bool m_reading = false;
-  LeavingSet m_fleet;   ///< VMs of the fleet at the last tick.
-  LeavingSet m_listed;  ///< Of the last trusted list.
+  VmListReader* m_list;
+  bool m_list_changed = false;
+  bool m_untrusted = false;                 ///< The newest list was not trusted.
+  std::optional<std::uint64_t> m_revision;  ///< Of `m_fleet`.
+  LeavingSet m_fleet;                       ///< VMs of the fleet at the last comparison.
+  LeavingSet m_listed;                      ///< Of the last trusted list.
   LeavingSet m_leaving;
   std::uint64_t m_distrusted = 0;
   ChangedSignal m_changed;
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
 };
 
 }  // namespace cranberryplank
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -31,6 +31,7 @@
 #include "cranberryplank/platform/http_store.h"
 #include "cranberryplank/platform/http_vm_directory.h"
 #include "cranberryplank/platform/http_worker_client.h"
+#include "cranberryplank/platform/vm_list_reader.h"
 #include "cranberryplank/policy/max_min_share_allocator.h"
 #include "cranberryplank/policy/shortage_move_planner.h"
 #include "cranberryplank/policy/two_choice_placement.h"
@@ -145,6 +146,7 @@
   HttpClient http;
   HttpStore store;
   HttpVmDirectory directory;
+  VmListReader worker_list;
   HttpWorkerClient workers;
   TcpPeerLinks links;
   HeadKeeper head;
@@ -175,6 +177,7 @@
       http(base.get()),
       store(&http, settings.store.host, settings.store.port),
       directory(&http, settings.vm_list.host, settings.vm_list.port),
+      worker_list(&directory, "worker", settings.vm_list_poll),
       workers(&http),
       links(base.get(), PeerSettings(self), &random),
       head(self, FirstPeers(settings), store, directory, links, random),
@@ -184,8 +187,8 @@
       router(RouterParts{&head, &slots, &workers, &links, &shares, &placement, &random, &metrics,
                          [this](const Digest& key) { return head.IsDenied(key); }},
              RouterOptionsOf(settings)),
-      maintenance(&head, &store, &directory, &workers, &random, WaveOrderOf(&router)),
-      vm_list(&directory, settings.vm_list_poll),
+      maintenance(&head, &store, &worker_list, &workers, &random, WaveOrderOf(&router)),
+      vm_list(&worker_list),
       move_planner(ShortageMoveSettings{}),
       moves(MoveParts{&head, &mover, &router, &vm_list, &move_planner}),
       caller_api(&settings, &router),
@@ -268,6 +271,7 @@
   const TimePoint now = Clock::now();
   head.Tick(now);
   slots.Tick(now);
+  worker_list.Tick(now);
   vm_list.Tick(now, head.fleet());
   router.Tick(now, RotationNow());
   mover.Tick(now);
--- a/packages/daemon/src/vm_list_tracker.cc
+++ b/packages/daemon/src/vm_list_tracker.cc
@@ -7,37 +7,29 @@
 
 namespace cranberryplank {
 
-namespace {
-
-constexpr std::string_view kWorkerService = "worker";
-
-}  // namespace
+VmListTracker::VmListTracker(VmListReader* list) : m_list(list) {
+  m_list->signal_read().connect(sigc::mem_fun(*this, &VmListTracker::OnRead));
+}
 
-VmListTracker::VmListTracker(VmDirectory* directory, Duration poll)
-    : m_directory(directory), m_poll(poll) {}
+void VmListTracker::OnRead(TimePoint /*now*/, TimePoint /*sent*/, bool changed) {
+  // A list that stays untrusted is counted at each read, which the operators' alert relies on.
+  m_list_changed = m_list_changed || changed || m_untrusted;
+}
 
 void VmListTracker::Tick(TimePoint now, const Fleet& fleet) {
-  if (m_reading || (m_next && now < *m_next)) {
+  const bool fleet_changed = m_revision != fleet.revision;
+  if (!m_list->confirmed() || (!m_list_changed && !fleet_changed)) {
     return;
   }
-  m_next = now + m_poll;
-  m_reading = true;
-  m_fleet.clear();
-  for (const auto& [id, vm] : fleet.vms) {
-    m_fleet.insert(id);
+  if (fleet_changed) {
+    m_revision = fleet.revision;
+    m_fleet.clear();
+    for (const auto& [id, vm] : fleet.vms) {
+      m_fleet.insert(id);
+    }
   }
-  m_directory->List(kWorkerService,
-                    [this, alive = std::weak_ptr<bool>(m_alive)](
-                        TimePoint at, const std::optional<std::vector<VmListing>>& listings,
-                        std::string_view /*reason*/) {
-                      if (alive.expired()) {
-                        return;
-                      }
-                      m_reading = false;
-                      if (listings) {
-                        OnList(at, *listings);
-                      }
-                    });
+  m_list_changed = false;
+  Compare(now);
 }
 
 bool VmListTracker::Trusted(const LeavingSet& listed) const {
@@ -49,16 +41,17 @@
   return static_cast<std::size_t>(lost) * 3 <= before.size();
 }
 
-void VmListTracker::OnList(TimePoint now, const std::vector<VmListing>& listings) {
+void VmListTracker::Compare(TimePoint now) {
   LeavingSet listed;
   LeavingSet leaving;
-  for (const VmListing& listing : listings) {
+  for (const VmListing& listing : m_list->listings()) {
     listed.insert(listing.id);
     if (listing.leaving) {
       leaving.insert(listing.id);
     }
   }
-  if (!Trusted(listed)) {
+  m_untrusted = !Trusted(listed);
+  if (m_untrusted) {
     ++m_distrusted;
     LogLine(LogLevel::kWarning, "vm_list")
         .Field("trusted", false)
--- a/packages/daemon/tests/parts_test.cc
+++ b/packages/daemon/tests/parts_test.cc
@@ -61,10 +61,12 @@
 
   void List(std::string_view, ListCallback done) override {
     m_queue->Schedule(m_queue->Now(), [this, done](TimePoint now) {
-      listings ? done(now, listings, "") : done(now, std::nullopt, "no answer");
+      listings ? done(now, VmList{*listings, 0}, "") : done(now, std::nullopt, "no answer");
     });
   }
 
+  void WatchIndex(std::string_view, std::uint64_t, Duration, IndexCallback) override {}
+
   std::optional<std::vector<VmListing>> listings;
 
  private:
@@ -84,13 +86,15 @@
 TEST_CASE("a list that loses more than a third of its VMs at once is not trusted") {
   EventQueue queue;
   ScriptedDirectory directory(&queue);
-  VmListTracker tracker(&directory, Duration(100));
+  VmListReader reader(&directory, "worker", Duration(100));
+  VmListTracker tracker(&reader);
   const Fleet fleet = FleetOf(9);
   const auto read = [&](std::optional<std::vector<VmListing>> listings) {
     directory.listings = std::move(listings);
     queue.RunFor(Duration(150));
-    tracker.Tick(queue.Now(), fleet);
+    reader.Tick(queue.Now());
     queue.RunFor(Duration(1));
+    tracker.Tick(queue.Now(), fleet);
   };
   read(Listing(2));
   CHECK(tracker.leaving().empty());
--- a/packages/platform/include/cranberryplank/platform/http_vm_directory.h
+++ b/packages/platform/include/cranberryplank/platform/http_vm_directory.h
@@ -9,7 +9,9 @@
 namespace cranberryplank {
 
 /// VM list behind Consul's health API. A VM's id is its node name. It is leaving if its service
-/// has the tag `leaving`, and it is not listed if the node's `serfHealth` check is critical.
+/// has the tag `leaving`, and it is not listed if the node's `serfHealth` check is critical. The
+/// index is watched by a blocking query whose filter matches no node: Consul answers it when the
+/// service's index changes, whatever the filter, and its answer after the wait has no entries.
 class HttpVmDirectory : public VmDirectory {
  public:
   /// @param client must outlive the directory
@@ -17,8 +19,13 @@
                   Duration timeout = Duration(1'000));
 
   void List(std::string_view service, ListCallback done) override;
+  void WatchIndex(std::string_view service, std::uint64_t index, Duration wait,
+                  IndexCallback done) override;
 
  private:
+  void Get(std::string_view service, std::string_view query, Duration timeout,
+           std::function<void(TimePoint now, const HttpReply& reply)> done);
+
   HttpClient* m_client;
   std::string m_host;
   std::uint16_t m_port;
--- a/packages/platform/include/cranberryplank/platform/vm_directory.h
+++ b/packages/platform/include/cranberryplank/platform/vm_directory.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_PLATFORM_VM_DIRECTORY_H_
 #define CRANBERRYPLANK_PLATFORM_VM_DIRECTORY_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,18 +20,33 @@
   bool operator==(const VmListing&) const = default;
 };
 
-/// The platform's list of live and leaving VMs.
+/// A whole list. Its index changes with the list; 0 means that the platform gave none, so that
+/// changes cannot be waited for.
+struct VmList {
+  std::vector<VmListing> listings;
+  std::uint64_t index = 0;
+};
+
+/// The platform's list of live and leaving VMs. Each callback runs exactly once, from the event
+/// loop and never from inside the call itself.
 class VmDirectory {
  public:
-  /// `listings` is empty, with `last_reason` set, if no whole list arrived.
-  using ListCallback =
-      std::function<void(TimePoint now, const std::optional<std::vector<VmListing>>& listings,
-                         std::string_view last_reason)>;
+  /// `list` is empty, with `last_reason` set, if no whole list arrived.
+  using ListCallback = std::function<void(TimePoint now, const std::optional<VmList>& list,
+                                          std::string_view last_reason)>;
+  /// `index` is empty, with `last_reason` set, if no valid answer arrived.
+  using IndexCallback = std::function<void(TimePoint now, std::optional<std::uint64_t> index,
+                                           std::string_view last_reason)>;
 
   virtual ~VmDirectory() = default;
 
   /// Reads the list of `service`: "worker" for workers, "cranberryplankd" for entry VMs.
   virtual void List(std::string_view service, ListCallback done) = 0;
+
+  /// Answers with the index of the list once it is no longer `index`, or after `wait`; at once if
+  /// `index` is 0. The list itself is not read.
+  virtual void WatchIndex(std::string_view service, std::uint64_t index, Duration wait,
+                          IndexCallback done) = 0;
 };
 
 }  // namespace cranberryplank
--- a/packages/platform/src/http_vm_directory.cc
+++ b/packages/platform/src/http_vm_directory.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -13,6 +14,31 @@
 
 using nlohmann::json;
 
+/// `Node.Node == "-"`, escaped.
+constexpr std::string_view kNoNodeFilter = "Node.Node%20%3D%3D%20%22-%22";
+
+/// Consul adds up to a sixteenth of the wait to a blocking query.
+constexpr int kWaitJitterDivisor = 16;
+
+/// Returns an empty string if the reply can be read.
+std::string FailureReason(const HttpReply& reply) {
+  if (reply.outcome != HttpOutcome::kAnswered) {
+    return reply.reason;
+  }
+  return reply.status == 200 ? "" : fmt::format("status {}", reply.status);
+}
+
+/// Consul asks its clients to take the index 0 for 1.
+std::optional<std::uint64_t> ReadIndex(const HttpReply& reply) {
+  const std::string_view text = reply.Header("X-Consul-Index");
+  std::uint64_t index = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), index);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return std::max<std::uint64_t>(index, 1);
+}
+
 bool IsDown(const json& entry) {
   const json checks = entry.value("Checks", json::array());
   return std::any_of(checks.begin(), checks.end(), [](const json& check) {
@@ -58,31 +84,49 @@
                                  Duration timeout)
     : m_client(client), m_host(std::move(host)), m_port(port), m_timeout(timeout) {}
 
-void HttpVmDirectory::List(std::string_view service, ListCallback done) {
+void HttpVmDirectory::Get(std::string_view service, std::string_view query, Duration timeout,
+                          std::function<void(TimePoint now, const HttpReply& reply)> done) {
   HttpRequest request;
   request.host = m_host;
   request.port = m_port;
-  request.target = fmt::format("/v1/health/service/{}", EscapePath(service));
-  request.timeout = m_timeout;
-  m_client->Send(std::move(request), [service = std::string(service), done = std::move(done)](
-                                         TimePoint now, const HttpReply& reply) {
-    if (reply.outcome != HttpOutcome::kAnswered) {
-      done(now, std::nullopt, reply.reason);
-      return;
-    }
-    if (reply.status != 200) {
-      done(now, std::nullopt, fmt::format("status {}", reply.status));
-      return;
-    }
-    std::optional<std::vector<VmListing>> listings;
-    std::string reason;
-    try {
-      listings = ReadList(service, reply.body);
-    } catch (const std::exception& error) {
-      reason = fmt::format("the VM list is not valid: {}", error.what());
-    }
-    done(now, listings, reason);
-  });
+  request.target = fmt::format("/v1/health/service/{}{}", EscapePath(service), query);
+  request.timeout = timeout;
+  m_client->Send(std::move(request), std::move(done));
+}
+
+void HttpVmDirectory::List(std::string_view service, ListCallback done) {
+  Get(service, "", m_timeout,
+      [service = std::string(service), done = std::move(done)](TimePoint now,
+                                                               const HttpReply& reply) {
+        std::string reason = FailureReason(reply);
+        std::optional<VmList> list;
+        if (reason.empty()) {
+          try {
+            list = VmList{ReadList(service, reply.body), ReadIndex(reply).value_or(0)};
+          } catch (const std::exception& error) {
+            reason = fmt::format("the VM list is not valid: {}", error.what());
+          }
+        }
+        done(now, list, reason);
+      });
+}
+
+void HttpVmDirectory::WatchIndex(std::string_view service, std::uint64_t index, Duration wait,
+                                 IndexCallback done) {
+  std::string query = fmt::format("?filter={}", kNoNodeFilter);
+  if (index > 0) {
+    query += fmt::format("&index={}&wait={}ms", index, wait.count());
+  }
+  Get(service, query, m_timeout + wait + wait / kWaitJitterDivisor,
+      [done = std::move(done)](TimePoint now, const HttpReply& reply) {
+        std::string reason = FailureReason(reply);
+        std::optional<std::uint64_t> current;
+        if (reason.empty()) {
+          current = ReadIndex(reply);
+          reason = current ? "" : "the answer has no index";
+        }
+        done(now, current, reason);
+      });
 }
 
 }  // namespace cranberryplank
--- a/packages/platform/tests/http_vm_directory_test.cc
+++ b/packages/platform/tests/http_vm_directory_test.cc
@@ -16,10 +16,12 @@
   HttpVmDirectory directory(client, "127.0.0.1", port, Duration(200));
   std::optional<Listings> result;
   bool called = false;
-  directory.List("worker", [&](TimePoint, const auto& listings, std::string_view reason) {
+  directory.List("worker", [&](TimePoint, const auto& list, std::string_view reason) {
     called = true;
-    result = listings;
-    CHECK(reason.empty() == listings.has_value());
+    if (list) {
+      result = list->listings;
+    }
+    CHECK(reason.empty() == list.has_value());
   });
   REQUIRE_FALSE(called);
   REQUIRE(loop->RunUntil([&] { return called; }));
--- a/tests/support/include/cranberryplank/support/fake_vm_list.h
+++ b/tests/support/include/cranberryplank/support/fake_vm_list.h
@@ -6,7 +6,8 @@
 
 namespace cranberryplank {
 
-/// Fake of the VM list: Consul's `/v1/health/service/NAME`. It adds the faults `stale` and
+/// Fake of the VM list: Consul's `/v1/health/service/NAME` with blocking queries. Any filter is
+/// taken for one that matches nothing. It adds the faults `stale` and
 /// `nearly_empty`, which last until `clear`. The list is edited by `POST /vms` with
 /// `{"service": NAME, "id": ID, "action": "add" | "leaving" | "staying" | "remove" | "restore"}`.
 class FakeVmList : public FakeServer {
@@ -23,6 +24,8 @@
   void ClearFaults() override;
 
  private:
+  ServerReply ToReply(const Exchange& exchange, const std::string& service) const;
+
   /// @return the reason why nothing was changed, or an empty string
   std::string Edit(const std::string& body);
 
--- a/tests/support/include/cranberryplank/support/memory_vm_directory.h
+++ b/tests/support/include/cranberryplank/support/memory_vm_directory.h
@@ -16,6 +16,8 @@
   MemoryVmDirectory(Scheduler* process, std::shared_ptr<VmTable> table);
 
   void List(std::string_view service, ListCallback done) override;
+  void WatchIndex(std::string_view service, std::uint64_t index, Duration wait,
+                  IndexCallback done) override;
 
   /// While down, a call ends without a list after the timeout.
   void SetDown(bool down) { m_down = down; }
--- a/tests/support/program/fake_worker.cc
+++ b/tests/support/program/fake_worker.cc
@@ -20,7 +20,7 @@
     "{\"fault\": NAME, \"count\": N, \"ms\": N, \"method\": METHOD, \"path\": PREFIX}.\n";
 
 constexpr int kMaxPort = 65'535;
-constexpr int kMaxWorkers = 1'000;
+constexpr int kMaxWorkers = 4'000;
 constexpr int kMaxSlots = 10'000;
 constexpr int kMaxRebootMs = 3'600'000;
 
--- a/tests/support/src/fake_vm_list.cc
+++ b/tests/support/src/fake_vm_list.cc
@@ -1,5 +1,6 @@
 #include "cranberryplank/support/fake_vm_list.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace cranberryplank {
@@ -46,11 +47,34 @@
     return;
   }
   const std::string service = exchange->path().substr(kPrefix.size());
+  const std::string index = exchange->Query("index");
+  if (index.empty() || index != std::to_string(m_table.index())) {
+    Answer(exchange, ToReply(exchange, service));
+    return;
+  }
+  const auto answer = [this, exchange, service] { Answer(exchange, ToReply(exchange, service)); };
+  const std::uint64_t id = m_table.Watch(answer);
+  int milliseconds = 0;
+  const std::string wait = exchange->Query("wait");  // Always in ms from cranberryplank.
+  std::from_chars(wait.data(), wait.data() + wait.size(), milliseconds);
+  scheduler().Schedule(scheduler().Now() + Duration(milliseconds), [this, id, answer](TimePoint) {
+    if (m_table.Unwatch(id)) {
+      answer();
+    }
+  });
+}
+
+ServerReply FakeVmList::ToReply(const Exchange& exchange, const std::string& service) const {
   json list = json::array();
-  for (const VmListing& vm : m_table.List(service)) {
-    list.push_back(EncodeVm(service, vm));
+  if (!exchange->HasQuery("filter")) {
+    for (const VmListing& vm : m_table.List(service)) {
+      list.push_back(EncodeVm(service, vm));
+    }
   }
-  Answer(exchange, {200, list.dump(), {{"Content-Type", "application/json"}}});
+  return {
+      200,
+      list.dump(),
+      {{"Content-Type", "application/json"}, {"X-Consul-Index", std::to_string(m_table.index())}}};
 }
 
 bool FakeVmList::HandleControl(const Exchange& exchange) {
--- a/tests/support/src/vm_table.cc
+++ b/tests/support/src/vm_table.cc
@@ -1,9 +1,12 @@
 #include "cranberryplank/support/vm_table.h"
 
+#include <utility>
+
 namespace cranberryplank {
 
 void VmTable::Add(std::string_view service, std::string_view id) {
   m_services[std::string(service)][std::string(id)] = false;
+  NoteChange();
 }
 
 bool VmTable::SetLeaving(std::string_view service, std::string_view id, bool leaving) {
@@ -16,19 +19,49 @@
     return false;
   }
   vm->second = leaving;
+  NoteChange();
   return true;
 }
 
 bool VmTable::Remove(std::string_view service, std::string_view id) {
   const auto found = m_services.find(service);
-  return found != m_services.end() && found->second.erase(std::string(id)) > 0;
+  if (found == m_services.end() || found->second.erase(std::string(id)) == 0) {
+    return false;
+  }
+  NoteChange();
+  return true;
 }
 
 void VmTable::SetStale(bool stale) {
   if (stale && !m_stale) {
     m_snapshot = m_services;
+    m_stale_index = m_index;
   }
   m_stale = stale;
+  if (!stale) {
+    NoteChange();
+  }
+}
+
+void VmTable::SetNearlyEmpty(bool nearly_empty) {
+  m_nearly_empty = nearly_empty;
+  NoteChange();
+}
+
+std::uint64_t VmTable::Watch(std::function<void()> changed) {
+  m_watches[++m_last_watch] = std::move(changed);
+  return m_last_watch;
+}
+
+void VmTable::NoteChange() {
+  ++m_index;
+  if (m_stale) {
+    return;
+  }
+  const auto watches = std::exchange(m_watches, {});
+  for (const auto& [id, changed] : watches) {
+    changed();
+  }
 }
 
 std::vector<VmListing> VmTable::List(std::string_view service) const {
--- a/tests/support/tests/memory_vm_directory_test.cc
+++ b/tests/support/tests/memory_vm_directory_test.cc
@@ -14,8 +14,9 @@
   table.Add("worker", "vm-2");
   std::optional<std::vector<VmListing>> seen;
   const auto list = [&] {
-    directory.List("worker",
-                   [&](TimePoint, const auto& listings, std::string_view) { seen = listings; });
+    directory.List("worker", [&](TimePoint, const std::optional<VmList>& read, std::string_view) {
+      seen = read ? std::optional(read->listings) : std::nullopt;
+    });
     queue.RunFor(Duration(1'500));
     return seen;
   };
