Read the head every 5 s while peers confirm it

Cause: each daemon read the whole head twice a second, the largest part of its traffic, although heartbeats confirm it as well.

While this daemon is registered, more than half of the registered daemons confirmed the head within 1.25 s, the watch is pending and no newer revision is known, the read is due every 5 s, otherwise every 500 ms. 1.25 s covers the age of echoes (up to 1 s) and leaves a store read 750 ms before freshness ends; freshness itself is unchanged. A question of MayStillDispatch that waits for a store read brings the short interval back.

Ruled out: the limit of 2 s itself, which would leave a gap without freshness when peers fall silent.

--- a/packages/control/include/cranberryplank/control/head_keeper.h
+++ b/packages/control/include/cranberryplank/control/head_keeper.h
@@ -135,6 +135,7 @@
   void UpdatePeers(TimePoint now);
   void RecordDenials(TimePoint now);
   std::set<std::string> FindGone() const;
+  bool AwaitsStoreRead() const;  ///< For an answer of `MayStillDispatch`.
   void FinishDeregistration(TimePoint now);
 
   DaemonRecord m_self;
--- a/packages/control/src/freshness_tracker.cc
+++ b/packages/control/src/freshness_tracker.cc
@@ -17,6 +17,10 @@
 /// one proves nothing that still counts.
 constexpr std::size_t kRememberedBeats = 64;
 
+/// Beats and their echoes 500 ms apart give confirmations that are up to 1 s old. The rest of
+/// `kFreshness` is left for a store read.
+constexpr Duration kPeersConfirm{1'250};
+
 }  // namespace
 
 void FreshnessTracker::Confirmation::Note(TimePoint time, std::uint64_t revision,
@@ -81,6 +85,12 @@
                 [&](const auto& entry) { return head.FindIncarnation(entry.first) == nullptr; });
 }
 
+bool FreshnessTracker::PeersConfirm(TimePoint now, const Head& head) const {
+  const std::optional<TimePoint> confirmed = MajorityConfirmed(now, head);
+  return head.FindIncarnation(m_incarnation) != nullptr && confirmed &&
+         now < *confirmed + kPeersConfirm;
+}
+
 std::optional<TimePoint> FreshnessTracker::HeardAt(std::string_view peer) const {
   const auto found = m_peers.find(peer);
   return found == m_peers.end() ? std::nullopt : found->second.heard;
--- a/packages/control/src/freshness_tracker.h
+++ b/packages/control/src/freshness_tracker.h
@@ -30,6 +30,10 @@
   /// Notes that `head` is held from now on, and forgets peers that it does not list.
   void Applied(const Head& head);
 
+  /// Tells whether this daemon is registered and more than half of the registered daemons confirmed
+  /// `head` so recently that store reads can start again before `kFreshness` ends.
+  bool PeersConfirm(TimePoint now, const Head& head) const;
+
   /// Newest time at which the store is known to have held nothing newer than the held head.
   std::optional<TimePoint> StoreConfirmedAt() const { return m_store.confirmed; }
 
--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -104,7 +104,7 @@
 
 void HeadKeeper::Tick(TimePoint now) {
   UpdatePeers(now);
-  m_reader->Tick(now);
+  m_reader->Tick(now, m_freshness->PeersConfirm(now, head()) && !AwaitsStoreRead());
   m_presence->Tick(now, head());
   m_peers->gone = FindGone();
   m_effect->SetGone(now, m_peers->gone);
@@ -188,6 +188,12 @@
   return !confirmed || *confirmed <= question->second;
 }
 
+bool HeadKeeper::AwaitsStoreRead() const {
+  const std::optional<TimePoint> confirmed = m_freshness->StoreConfirmedAt();
+  return std::any_of(m_peers->questions.begin(), m_peers->questions.end(),
+                     [&](const auto& entry) { return !confirmed || *confirmed <= entry.second; });
+}
+
 std::uint64_t HeadKeeper::effective_revision() const { return m_effect->effective_revision(); }
 
 bool HeadKeeper::registered() const {
--- a/packages/control/src/head_reader.cc
+++ b/packages/control/src/head_reader.cc
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr Duration kReadInterval{500};
+
+/// While peers confirm the head, a read only guards against changes that both the watch and the
+/// peers miss.
+constexpr Duration kConfirmedReadInterval{5'000};
+
 constexpr Duration kWatchWait{30'000};
 constexpr Duration kWatchInterval{100};
 constexpr Duration kQuestionInterval{200};
@@ -37,15 +42,17 @@
 HeadReader::HeadReader(Store& store, PeerLinks& links, RandomSource& random)
     : m_store(store), m_links(links), m_random(random) {}
 
-void HeadReader::Tick(TimePoint now) {
-  ReadIfDue(now);
+void HeadReader::Tick(TimePoint now, bool confirmed) {
+  ReadIfDue(now, confirmed);
   WatchIfDue(now);
   FetchParts(now);
   AskPeerIfDue(now);
 }
 
-void HeadReader::ReadIfDue(TimePoint now) {
-  if (!IsDue(now, m_last_read, kReadInterval) ||
+void HeadReader::ReadIfDue(TimePoint now, bool confirmed) {
+  // Without the watch or while peers know a newer revision, the head is to be read.
+  const bool rarely = confirmed && m_watching && m_newest <= m_head.revision;
+  if (!IsDue(now, m_last_read, rarely ? kConfirmedReadInterval : kReadInterval) ||
       (m_reading > 0 && (m_reading >= kMostReads || !IsDue(now, m_last_read, kFreshness)))) {
     return;
   }
--- a/packages/control/src/head_reader.h
+++ b/packages/control/src/head_reader.h
@@ -41,7 +41,9 @@
   HeadReader(Store& store, PeerLinks& links, RandomSource& random);
 
   /// Starts the reads, the watch and the requests to peers that are due.
-  void Tick(TimePoint now);
+  /// @param confirmed tells that peers confirm the head and nothing waits for a read, so that the
+  ///     store is read less often
+  void Tick(TimePoint now, bool confirmed);
 
   /// Reads the head from the store now.
   void Read(TimePoint now, ReadDone done);
@@ -77,7 +79,7 @@
   StoreReadSignal& signal_store_read() { return m_store_read; }
 
  private:
-  void ReadIfDue(TimePoint now);
+  void ReadIfDue(TimePoint now, bool confirmed);
   void WatchIfDue(TimePoint now);
   void AskPeerIfDue(TimePoint now);
   std::optional<StoreHead> TakeStoreReply(TimePoint now, const StoreReadReply& reply,
--- a/packages/control/tests/freshness_tracker_test.cc
+++ b/packages/control/tests/freshness_tracker_test.cc
@@ -40,6 +40,19 @@
   CHECK(reason.find("more than half of 3 daemons") != std::string::npos);
 }
 
+// Guards against store reads that start again only when the peers' confirmation has run out.
+TEST_CASE("peers confirm only while store reads can start again in time") {
+  FreshnessTracker tracker("a");
+  const Head head = HeadOf(3);
+  tracker.Applied(head);
+  tracker.BeatSent(kStart, "b", 1);
+  CHECK_FALSE(tracker.PeersConfirm(kStart, head));
+  tracker.BeatReceived("b", Echo(1, 3));
+  CHECK(tracker.PeersConfirm(kStart + Duration(1'000), head));
+  CHECK_FALSE(tracker.PeersConfirm(kStart + Duration(1'500), head));
+  CHECK_FALSE(tracker.PeersConfirm(kStart, Head()));
+}
+
 // Guards against a majority that includes a daemon which already knows a newer revision.
 TEST_CASE("a peer that knows a newer revision confirms only once that revision is held") {
   FreshnessTracker tracker("a");
--- a/packages/control/tests/head_keeper_test.cc
+++ b/packages/control/tests/head_keeper_test.cc
@@ -216,8 +216,8 @@
   const std::uint64_t beats = simulation.beats_from(fleet[0]);
   const std::uint64_t resting_beats = simulation.beats_from(fleet[1]);
   simulation.Run(Duration(60'000));
-  // Nine daemons with one read per 500 ms and one watch per 30 s each; beats to eight peers.
-  CHECK(simulation.store_calls() - calls <= 1'116);
+  // Nine daemons with one read per 5 s and one watch per 30 s each; beats to eight peers.
+  CHECK(simulation.store_calls() - calls <= 144);
   // 6 demands of about 30 bytes and 6 slots of about 10, identity and framing.
   constexpr double kBeatBytes = 6 * 30 + 6 * 10 + 120;
   CHECK(static_cast<double>(simulation.beats_from(fleet[0]) - beats) * kBeatBytes / 60 < 11'000);
