--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -32,6 +32,7 @@
 #include "cranberryplank/platform/http_store.h"
 #include "cranberryplank/platform/http_vm_directory.h"
 #include "cranberryplank/platform/http_worker_client.h"
+#include "cranberryplank/platform/vm_list_reader.h"
 #include "cranberryplank/policy/max_min_share_allocator.h"
 #include "cranberryplank/policy/shortage_move_planner.h"
 #include "cranberryplank/policy/two_choice_placement.h"
@@ -156,6 +157,7 @@
   HttpClient http;
   HttpStore store;
   HttpVmDirectory directory;
+  VmListReader worker_list;
   HttpWorkerClient workers;
   TcpPeerLinks links;
   HeadKeeper head;
@@ -187,6 +189,7 @@
       http(base.get()),
       store(&http, settings.store.host, settings.store.port),
       directory(&http, settings.vm_list.host, settings.vm_list.port),
+      worker_list(&directory, "worker", settings.vm_list_poll),
       workers(&http),
       links(base.get(), PeerSettings(self), &random),
       head(self, FirstPeers(settings), store, directory, links, random),
@@ -196,8 +199,8 @@
       router(RouterParts{&head, &slots, &workers, &links, &shares, &placement, &random, &metrics,
                          [this](const Digest& key) { return head.IsDenied(key); }},
              RouterOptionsOf(settings)),
-      maintenance(&head, &store, &directory, &workers, &random, WaveOrderOf(&router)),
-      vm_list(&directory, settings.vm_list_poll),
+      maintenance(&head, &store, &worker_list, &workers, &random, WaveOrderOf(&router)),
+      vm_list(&worker_list),
       move_planner(ShortageMoveSettings{}),
       moves(MoveParts{&head, &mover, &router, &vm_list, &move_planner}),
       rollout(BundleRolloutParts{&head, &store, &random, &router.peers()}, ApproversOf(settings),
@@ -282,6 +285,7 @@
   const TimePoint now = Clock::now();
   head.Tick(now);
   slots.Tick(now);
+  worker_list.Tick(now);
   vm_list.Tick(now, head.fleet());
   router.Tick(now, RotationNow());
   mover.Tick(now);
