Pass Retry-After on with a forwarded refusal

Cause: ForwardReply had no field for the time to retry after, so that a 429 of the daemon to which a request was forwarded reached the caller without Retry-After.

Ruled out: computing the time at the forwarding daemon, which does not know the other's queue.

The field is optional: a reply of an older daemon decodes as before, and older daemons skip it. A negative time is refused as damage. Most refusals of a forwarded request are tried again on the daemon that forwarded it; the loss concerned tickets of other daemons, unregistered daemons and passed deadlines.

Before: status 429 without Retry-After (the new test fails with the old forwarder). After: 429 with the time that the refusing daemon computed.

--- a/packages/daemon/src/request_forwarder.cc
+++ b/packages/daemon/src/request_forwarder.cc
@@ -166,6 +166,7 @@
   answer.reason = reply->reason;
   answer.content_type = reply->content_type;
   answer.body = reply->body;
+  answer.retry_after = reply->retry_after;
   m_parts.pending->Reply(now, *pending, std::move(answer));
 }
 
@@ -207,6 +208,7 @@
              answer.reason = reply.reason;
              answer.content_type = reply.content_type;
              answer.body = reply.body;
+             answer.retry_after = reply.retry_after;
              m_parts.links->Send(sender, answer);
            });
 }
--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -10,6 +10,14 @@
 constexpr const char* kQuick = R"({"run_ms":50,"reply":"A flat"})";
 constexpr const char* kSlow = R"({"run_ms":3000,"reply":"A flat"})";
 
+std::string TicketOf(RouterFixture* fixture, int node) {
+  Refusal refusal;
+  const auto tickets = fixture->node(node).router->IssueTickets(
+      fixture->queue().Now(), Sha256("smiths-key").hex, 1, &refusal);
+  REQUIRE(tickets.has_value());
+  return tickets->front();
+}
+
 TEST_CASE("a request is run once and its whole answer comes back") {
   RouterFixture fixture;
   const auto reply = fixture.Send(0, RouterFixture::Request(kQuick));
@@ -260,6 +268,25 @@
   CHECK_FALSE(replies.front()->has_value());
 }
 
+// Guards against callers that retry at once because the daemon that refused is not their own.
+TEST_CASE("a refusal of the daemon that a request was forwarded to keeps its time to retry after") {
+  RouterFixture fixture(2);
+  CallerRequest request = RouterFixture::Request(kQuick);
+  request.ticket = TicketOf(&fixture, 0);
+  for (int i = 0; i < 2; ++i) {
+    fixture.node(i).slots.Set("smiths", 0);
+  }
+  fixture.queue().RunFor(Duration(500));
+  for (int i = 0; i < RouterFixture::kMaxWaiting; ++i) {
+    fixture.Send(0, RouterFixture::Request(kQuick));
+  }
+  const auto reply = fixture.Send(1, request);
+  fixture.queue().RunFor(Duration(100));
+  REQUIRE(reply->has_value());
+  CHECK((*reply)->status == 429);
+  CHECK((*reply)->retry_after.has_value());
+}
+
 TEST_CASE("a cancelled request does not run if it still waits") {
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
@@ -308,14 +335,6 @@
   CHECK((*reply)->verdict == Verdict::kMayHaveRun);
 }
 
-std::string TicketOf(RouterFixture* fixture, int node) {
-  Refusal refusal;
-  const auto tickets = fixture->node(node).router->IssueTickets(
-      fixture->queue().Now(), Sha256("smiths-key").hex, 1, &refusal);
-  REQUIRE(tickets.has_value());
-  return tickets->front();
-}
-
 // Guards against a caller's retry running a payment twice.
 TEST_CASE("a retry with the same ticket replays the outcome, sent to any daemon") {
   RouterFixture fixture(2);
--- a/packages/peers/idl/peer_messages.thrift
+++ b/packages/peers/idl/peer_messages.thrift
@@ -79,6 +79,7 @@
   5: string reason,
   6: string content_type,
   7: binary body,
+  8: optional i64 retry_after_ms,
 }
 
 // First frame of each side of a connection.
--- a/packages/peers/include/cranberryplank/peers/messages.h
+++ b/packages/peers/include/cranberryplank/peers/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -100,6 +101,7 @@
   std::string reason;
   std::string content_type;
   std::string body;
+  std::optional<Duration> retry_after;  ///< Time for the caller to wait before another attempt.
 
   bool operator==(const ForwardReply&) const = default;
 };
--- a/packages/peers/src/wire_conversion.cc
+++ b/packages/peers/src/wire_conversion.cc
@@ -115,6 +115,9 @@
   out.reason = reply.reason;
   out.content_type = reply.content_type;
   out.body = reply.body;
+  if (reply.retry_after) {
+    out.__set_retry_after_ms(reply.retry_after->count());
+  }
   envelope->__set_forward_reply(out);
 }
 
@@ -176,6 +179,12 @@
   reply.reason = std::move(in.reason);
   reply.content_type = std::move(in.content_type);
   reply.body = std::move(in.body);
+  if (in.__isset.retry_after_ms) {
+    if (in.retry_after_ms < 0) {
+      throw std::invalid_argument("retry_after_ms is negative");
+    }
+    reply.retry_after = Duration(in.retry_after_ms);
+  }
   return reply;
 }
 
--- a/packages/peers/tests/peer_codec_test.cc
+++ b/packages/peers/tests/peer_codec_test.cc
@@ -30,7 +30,7 @@
 TEST_CASE("every verdict survives encoding and decoding") {
   PeerCodec codec;
   for (const Verdict verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kCompleted}) {
-    const PeerMessage message = ForwardReply{1, "t", verdict, 200, "", "", ""};
+    const PeerMessage message = ForwardReply{1, "t", verdict, 200, "", "", "", std::nullopt};
     const auto content = codec.Decode(Payload(codec.Encode(message).value()));
     CHECK(std::get<PeerMessage>(content.value()) == message);
   }
@@ -53,8 +53,10 @@
 // Guards against a damaged verdict that reads as "not run".
 TEST_CASE("an unknown verdict is refused") {
   PeerCodec codec;
-  const std::string frame =
-      codec.Encode(PeerMessage(ForwardReply{1, "t", Verdict::kCompleted, 200, "", "", ""})).value();
+  const std::string frame = codec
+                                .Encode(PeerMessage(ForwardReply{1, "t", Verdict::kCompleted, 200,
+                                                                 "", "", "", std::nullopt}))
+                                .value();
   std::string payload(Payload(frame));
   // Field header of an i32 one field after the previous one, then the zigzag code of 3.
   const std::size_t verdict = payload.find("\x15\x06");
@@ -66,13 +68,18 @@
   }
 }
 
-// Guards against negative counts, which would distort every daemon's share decision.
-TEST_CASE("a negative count is refused") {
+// Guards against negative counts, which would distort every daemon's share decision, and a
+// negative Retry-After sent to a caller.
+TEST_CASE("a negative count or time is refused") {
   PeerCodec codec;
   Beat beat = SampleBeat();
   beat.demand[0].waiting = -1;
   CHECK_FALSE(codec.Decode(Payload(codec.Encode(PeerMessage(beat)).value())));
   CHECK(codec.last_reason().find("waiting is negative") != std::string::npos);
+  ForwardReply reply;
+  reply.retry_after = Duration(-1);
+  CHECK_FALSE(codec.Decode(Payload(codec.Encode(PeerMessage(reply)).value())));
+  CHECK(codec.last_reason().find("retry_after_ms is negative") != std::string::npos);
 }
 
 // Guards against a message that the receiver would refuse and answer by closing the link.
--- a/packages/peers/tests/sample_messages.h
+++ b/packages/peers/tests/sample_messages.h
@@ -30,7 +30,8 @@
           HeadReply{2, "{\"revision\":7}", {{"ab12", "[]"}, {"cd34", std::string("\0\xff", 2)}}},
           ForwardRequest{3, "task", "ticket", "tone", "smiths", "ab12", true, true, -5, 1,
                          "text/plain", std::string("a\0b", 3)},
-          ForwardReply{4, "task", Verdict::kCompleted, 200, "reason", "text/plain", "body"}};
+          ForwardReply{4, "task", Verdict::kCompleted, 200, "reason", "text/plain", "body",
+                       Duration(1'500)}};
 }
 
 }  // namespace cranberryplank
