Share suspect workers between daemons in the heartbeat

Cause: WorkerHealth could report suspects and take the reports of others, but the heartbeat had no field for them. Each daemon lost requests that must not be retried to a failing worker before its own count made the worker a suspect.

The field holds at most 16 workers, quarantined ones first, then those that failed at the sender, then those suspected by report only. The last kind is not taken over again, so that daemons do not keep a suspicion alive among themselves. A success on this daemon ends the suspicion here for as long as the same report is repeated; before, only the reporting daemon could end it.

Ruled out: a new message, since a suspicion has to be repeated while it holds, as the heartbeat is. Ruled out: letting any success here end it. Only a run started after the first report counts. Older daemons skip the field.

--- a/packages/control/src/head_keeper.cc
+++ b/packages/control/src/head_keeper.cc
@@ -49,6 +49,9 @@
   for (const DeniedKey& denied : beat.denied_keys) {
     size += denied.digest.size() + denied.nonce.size() + 2 * kStringBytes;
   }
+  for (const SuspectVm& suspect : beat.suspect_vms) {
+    size += suspect.vm.size() + kStringBytes + kNumberBytes;
+  }
   return size;
 }
 
--- a/packages/daemon/include/cranberryplank/daemon/request_router.h
+++ b/packages/daemon/include/cranberryplank/daemon/request_router.h
@@ -21,6 +21,7 @@
 #include "cranberryplank/daemon/peer_table.h"
 #include "cranberryplank/daemon/pending_requests.h"
 #include "cranberryplank/daemon/request_forwarder.h"
+#include "cranberryplank/daemon/suspect_exchange.h"
 #include "cranberryplank/daemon/task_runner.h"
 #include "cranberryplank/daemon/ticket_book.h"
 #include "cranberryplank/daemon/waiting_sweeper.h"
@@ -89,10 +90,10 @@
   void SetLeaving(std::set<std::string, std::less<>> leaving);
 
   /// Takes in a peer's heartbeat.
-  void OnBeat(TimePoint now, const Beat& beat) { m_peers.OnBeat(now, beat); }
+  void OnBeat(TimePoint now, const Beat& beat);
 
-  /// Fills in demand, free slots and leaving VMs of this daemon's heartbeat.
-  void FillBeat(Beat* beat) const;
+  /// Fills in demand, free slots, leaving and suspect VMs of this daemon's heartbeat.
+  void FillBeat(TimePoint now, Beat* beat) const;
 
   /// Refuses new requests from now on; those accepted go on.
   void BeginShutdown() { m_shutting_down = true; }
@@ -105,6 +106,7 @@
 
   TaskRunner& runner() { return m_runner; }
   DemandBoard& demand() { return m_demand; }
+  const SuspectExchange& suspects() const { return m_suspects; }
   const PeerTable& peers() const { return m_peers; }
   std::size_t waiting() const { return m_queue.size(); }
 
@@ -146,6 +148,7 @@
   WaitingQueue m_queue;
   RetryBudget m_retries;
   TaskRunner m_runner;
+  SuspectExchange m_suspects;
   DemandBoard m_demand;
   PendingRequests m_pending;
   RequestForwarder m_forwarder;
--- a/packages/daemon/include/cranberryplank/daemon/task_runner.h
+++ b/packages/daemon/include/cranberryplank/daemon/task_runner.h
@@ -86,6 +86,7 @@
   WorkerTable& workers() { return m_workers; }
   const WorkerTable& workers() const { return m_workers; }
   WorkerHealth& health() { return m_health; }
+  const WorkerHealth& health() const { return m_health; }
 
   /// Emitted when a worker reported its status.
   StatusSignal& signal_status() { return m_status; }
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -203,7 +203,7 @@
 }
 
 void Daemon::Parts::Connect() {
-  head.SetBeatContent([this](TimePoint /*now*/, Beat* beat) { router.FillBeat(beat); });
+  head.SetBeatContent([this](TimePoint now, Beat* beat) { router.FillBeat(now, beat); });
   head.signal_beat().connect([this](TimePoint now, const Beat& beat) {
     router.OnBeat(now, beat);
     slots.SetPeerDemand(now, beat.incarnation, beat.demand);
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -38,6 +38,7 @@
       m_admission(parts.is_denied),
       m_tickets(parts.head->incarnation(), options.tickets, parts.random),
       m_runner(parts.workers, parts.slots, options.rules.keep_uncertain_slots),
+      m_suspects(&m_runner),
       m_demand(parts.head, &m_queue, &m_runner, &m_peers),
       m_pending(&m_tickets, parts.metrics),
       m_forwarder(
@@ -507,11 +508,17 @@
   }
 }
 
-void RequestRouter::FillBeat(Beat* beat) const {
+void RequestRouter::OnBeat(TimePoint now, const Beat& beat) {
+  m_peers.OnBeat(now, beat);
+  m_suspects.Take(now, beat);
+}
+
+void RequestRouter::FillBeat(TimePoint now, Beat* beat) const {
   beat->demand = m_demand.Own();
   beat->free_slots = m_parts.slots->Free();
   beat->leaving_vms = m_runner.workers().Draining();
   beat->leaving_vms.insert(beat->leaving_vms.end(), m_leaving.begin(), m_leaving.end());
+  beat->suspect_vms = m_suspects.Report(now);
 }
 
 void RequestRouter::EndWaiting(TimePoint now) {
--- /dev/null
+++ b/packages/daemon/src/suspect_exchange.cc
@@ -0,0 +1,37 @@
+#include "cranberryplank/daemon/suspect_exchange.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cranberryplank {
+
+void SuspectExchange::Take(TimePoint now, const Beat& beat) {
+  for (const SuspectVm& suspect : beat.suspect_vms) {
+    // What the sender knows by report only would otherwise be repeated between daemons for ever.
+    if (!suspect.reported && m_runner->workers().Find(suspect.vm) != nullptr) {
+      m_runner->health().NoteSuspect(now, suspect.vm);
+    }
+  }
+}
+
+std::vector<SuspectVm> SuspectExchange::Report(TimePoint now) const {
+  const TaskRunner& runner = *m_runner;
+  std::vector<SuspectVm> suspects;
+  for (const std::string& vm : runner.health().SuspectVms(now)) {
+    suspects.push_back(SuspectVm{vm, runner.health().Quarantined(vm), false});
+  }
+  std::stable_partition(suspects.begin(), suspects.end(),
+                        [](const SuspectVm& suspect) { return suspect.quarantined; });
+  for (const std::string& vm : runner.health().ReportedVms(now)) {
+    suspects.push_back(SuspectVm{vm, false, true});
+  }
+  std::erase_if(suspects, [&](const SuspectVm& suspect) {
+    return runner.workers().Find(suspect.vm) == nullptr;
+  });
+  if (suspects.size() > kMaxSuspectVms) {
+    suspects.resize(kMaxSuspectVms);
+  }
+  return suspects;
+}
+
+}  // namespace cranberryplank
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -273,7 +273,7 @@
 JobRun TaskRunner::RunOf(const RunningTask& task) const {
   const Vm* vm = m_workers.Find(task.vm);
   return JobRun{task.vm, vm == nullptr ? std::string() : vm->rack, task.task_id,
-                fmt::format("{}/{}", task.queue, task.team)};
+                fmt::format("{}/{}", task.queue, task.team), task.started};
 }
 
 }  // namespace cranberryplank
--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -244,6 +244,37 @@
   CHECK(fixture.node(0).router->runner().health().Quarantined("vm-0"));
 }
 
+/// Requests lost to one worker that fails all it starts, sent in turn to six daemons.
+int LostToFailingWorker(bool share) {
+  RouterFixture fixture(6, 6);
+  for (auto& node : fixture.nodes()) {
+    node->share_suspects = share;
+  }
+  for (int round = 0; round < 20; ++round) {
+    // Completed requests show each daemon that the worker, not the kind of request, is at fault.
+    fixture.Send(round % 6, RouterFixture::Request(kQuick));
+    fixture.queue().RunFor(Duration(100));
+  }
+  fixture.worker(0).SetFailAll(true);
+  std::vector<std::shared_ptr<std::optional<CallerReply>>> replies;
+  for (int i = 0; i < 300; ++i) {
+    replies.push_back(fixture.Send(i % 6, RouterFixture::Request(kQuick)));
+    fixture.queue().RunFor(Duration(100));
+  }
+  return static_cast<int>(std::count_if(replies.begin(), replies.end(), [](const auto& reply) {
+    return !reply->has_value() || (*reply)->status != 200;
+  }));
+}
+
+// Guards against each daemon losing requests to a worker that another daemon saw failing.
+TEST_CASE("daemons that share suspects lose fewer requests to a failing worker") {
+  const int shared = LostToFailingWorker(true);
+  const int alone = LostToFailingWorker(false);
+  CAPTURE(shared, alone);
+  CHECK(alone >= 4);
+  CHECK(shared * 3 <= alone);
+}
+
 TEST_CASE("a request waits at most until its deadline and is then refused as not run") {
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
--- a/packages/daemon/tests/router_fixture.h
+++ b/packages/daemon/tests/router_fixture.h
@@ -192,7 +192,10 @@
       if (++ticks % 10 == 0) {
         Beat beat;
         beat.incarnation = incarnation;
-        router->FillBeat(&beat);
+        router->FillBeat(now, &beat);
+        if (!share_suspects) {
+          beat.suspect_vms.clear();
+        }
         for (const DaemonRecord& peer : head.head().daemons) {
           if (peer.incarnation != incarnation) {
             links.Send(peer.incarnation, beat);
@@ -215,6 +218,7 @@
   Metrics metrics;
   std::set<std::string> denied;
   bool confirming = true;
+  bool share_suspects = true;  ///< False stands for an older daemon.
   int ticks = 0;
   std::unique_ptr<RequestRouter> router;
 };
--- a/packages/peers/idl/peer_messages.thrift
+++ b/packages/peers/idl/peer_messages.thrift
@@ -30,6 +30,12 @@
   2: required string nonce,
 }
 
+struct SuspectVm {
+  1: required string vm,
+  2: bool quarantined,
+  3: bool reported,
+}
+
 struct Beat {
   1: required string sender_id,
   2: required string incarnation,
@@ -42,6 +48,7 @@
   9: list<FreeSlots> free_slots,
   10: list<string> leaving_vms,
   11: list<DeniedKey> denied_keys,
+  12: list<SuspectVm> suspect_vms,
 }
 
 struct HeadRequest {
--- a/packages/peers/include/cranberryplank/peers/messages.h
+++ b/packages/peers/include/cranberryplank/peers/messages.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_PEERS_MESSAGES_H_
 #define CRANBERRYPLANK_PEERS_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -40,6 +41,19 @@
   bool operator==(const DeniedKey&) const = default;
 };
 
+/// Worker that the sender suspects of failing what others complete.
+struct SuspectVm {
+  std::string vm;
+  bool quarantined = false;  ///< The sender gives it no work but probes.
+  bool reported = false;     ///< Suspected only because other daemons report it.
+
+  bool operator==(const SuspectVm&) const = default;
+};
+
+/// Most suspects in one heartbeat. Bounds what a rack's failure adds to the traffic: at 20 bytes
+/// each, sent to 8 peers twice a second, they take half of the 11 KB/s that a daemon may send.
+inline constexpr std::size_t kMaxSuspectVms = 16;
+
 /// Periodic heartbeat between two daemons.
 struct Beat {
   std::string sender_id;
@@ -53,6 +67,7 @@
   std::vector<FreeSlots> free_slots;
   std::vector<std::string> leaving_vms;
   std::vector<DeniedKey> denied_keys;
+  std::vector<SuspectVm> suspect_vms;  ///< At most `kMaxSuspectVms`.
 
   bool operator==(const Beat&) const = default;
 };
--- a/packages/peers/src/wire_conversion.cc
+++ b/packages/peers/src/wire_conversion.cc
@@ -71,6 +71,12 @@
     entry.digest = key.digest;
     entry.nonce = key.nonce;
   }
+  for (const SuspectVm& suspect : beat.suspect_vms) {
+    wire::SuspectVm& entry = out.suspect_vms.emplace_back();
+    entry.vm = suspect.vm;
+    entry.quarantined = suspect.quarantined;
+    entry.reported = suspect.reported;
+  }
   envelope->__set_beat(out);
 }
 
@@ -142,6 +148,12 @@
   for (wire::DeniedKey& entry : in.denied_keys) {
     beat.denied_keys.push_back(DeniedKey{std::move(entry.digest), std::move(entry.nonce)});
   }
+  if (in.suspect_vms.size() > kMaxSuspectVms) {
+    in.suspect_vms.resize(kMaxSuspectVms);
+  }
+  for (wire::SuspectVm& entry : in.suspect_vms) {
+    beat.suspect_vms.push_back(SuspectVm{std::move(entry.vm), entry.quarantined, entry.reported});
+  }
   return beat;
 }
 
--- a/packages/peers/tests/sample_messages.h
+++ b/packages/peers/tests/sample_messages.h
@@ -21,6 +21,7 @@
   beat.free_slots = {FreeSlots{"smiths", 5}};
   beat.leaving_vms = {"vm-1", "vm-2"};
   beat.denied_keys = {DeniedKey{"ab12", "nonce"}};
+  beat.suspect_vms = {SuspectVm{"vm-3", true, false}, SuspectVm{"vm-4", false, true}};
   return beat;
 }
 
--- a/packages/policy/include/cranberryplank/policy/worker_health.h
+++ b/packages/policy/include/cranberryplank/policy/worker_health.h
@@ -15,8 +15,9 @@
 struct JobRun {
   std::string vm;
   std::string rack;
-  std::string job;   ///< The same for all attempts of a request.
-  std::string kind;  ///< For example "queue/team".
+  std::string job;      ///< The same for all attempts of a request.
+  std::string kind;     ///< For example "queue/team".
+  TimePoint started{};  ///< If not set, its success does not outweigh another daemon's report.
 };
 
 /// What a recorded failure led to.
@@ -47,7 +48,11 @@
   /// Workers that failed here lately, to be told to the other daemons.
   std::vector<std::string> SuspectVms(TimePoint now) const;
 
-  /// Notes that another daemon suspects a worker.
+  /// Workers that are suspected only because other daemons report them.
+  std::vector<std::string> ReportedVms(TimePoint now) const;
+
+  /// Notes that another daemon suspects a worker. After a success here of a run that was
+  /// started since, the report is ignored for as long as it is repeated.
   void NoteSuspect(TimePoint now, std::string_view vm);
 
   /// Tells whether a quarantined worker may be given one job as a probe. Choose an idempotent one.
@@ -84,6 +89,8 @@
     double streak = 0;  // Charges since the last success.
     TimePoint suspect_here;
     TimePoint suspect_elsewhere;
+    TimePoint reported_since;
+    bool cleared_here = false;  // A run started since the reports began has succeeded here.
     std::map<std::string, KindCounts> kinds;
     std::vector<TimePoint> penalties;  // Ends of the times during which a slot counts as busy.
     bool quarantined = false;
--- a/packages/policy/src/worker_health.cc
+++ b/packages/policy/src/worker_health.cc
@@ -46,6 +46,8 @@
   worker.kinds[run.kind].successes.Add(now, 1);
   worker.streak = 0;
   worker.suspect_here = TimePoint();
+  // A run that was under way when the worker began to fail proves nothing.
+  worker.cleared_here = worker.cleared_here || run.started > worker.reported_since;
   if (!worker.quarantined) {
     return;
   }
@@ -163,7 +165,7 @@
   const auto found = m_workers.find(vm);
   return found != m_workers.end() &&
          (found->second.quarantined || found->second.suspect_here > now ||
-          found->second.suspect_elsewhere > now);
+          (found->second.suspect_elsewhere > now && !found->second.cleared_here));
 }
 
 std::vector<std::string> WorkerHealth::SuspectVms(TimePoint now) const {
@@ -176,8 +178,24 @@
   return vms;
 }
 
+std::vector<std::string> WorkerHealth::ReportedVms(TimePoint now) const {
+  std::vector<std::string> vms;
+  for (const auto& [vm, worker] : m_workers) {
+    const bool here = worker.quarantined || worker.suspect_here > now;
+    if (!here && worker.suspect_elsewhere > now && !worker.cleared_here) {
+      vms.push_back(vm);
+    }
+  }
+  return vms;
+}
+
 void WorkerHealth::NoteSuspect(TimePoint now, std::string_view vm) {
-  m_workers[std::string(vm)].suspect_elsewhere = now + kPeerSuspectTime;
+  Worker& worker = m_workers[std::string(vm)];
+  if (worker.suspect_elsewhere <= now) {
+    worker.cleared_here = false;
+    worker.reported_since = now;
+  }
+  worker.suspect_elsewhere = now + kPeerSuspectTime;
 }
 
 bool WorkerHealth::ProbeDue(TimePoint now, std::string_view vm) const {
--- a/packages/policy/tests/placement_test.cc
+++ b/packages/policy/tests/placement_test.cc
@@ -125,6 +125,15 @@
   CHECK(placement.Choose(At(1), RequestOf(false), workers, health, random)->vm == "good");
   CHECK(placement.Choose(At(1), RequestOf(true), workers, health, random)->vm == "bad");
   CHECK(placement.Choose(At(5'000), RequestOf(false), workers, health, random)->vm == "bad");
+  // A repeated report does not outweigh a success here; a new one does.
+  health.NoteSuspect(At(5'000), "bad");
+  health.RecordSuccess(At(5'100), JobRun{"bad", "r1", "earlier", "kind", At(4'900)});
+  CHECK(health.Suspect(At(5'100), "bad"));
+  health.RecordSuccess(At(5'200), JobRun{"bad", "r1", "later", "kind", At(5'050)});
+  health.NoteSuspect(At(5'500), "bad");
+  CHECK_FALSE(health.Suspect(At(5'500), "bad"));
+  health.NoteSuspect(At(7'000), "bad");
+  CHECK(health.Suspect(At(7'000), "bad"));
 }
 
 // Guards against a quarantine without end, and against probes in quick succession.
