Count workers that most daemons suspect as out of service for moves

Cause: the move planner took every worker in state serving as capacity, whatever its health, since only the daemons that had used a worker knew that it fails.

The heartbeat names workers suspected by report only as such, so that a daemon without failures of its own counts too.

Not covered: requests lost in a pool are still counted by the planning daemon alone.

Before: a worker quarantined on one of three daemons counts as capacity on all of them (the new test with heartbeats that lack the field). After: it is out of service on each of them while the reports last, and other workers are not.

--- a/packages/daemon/include/cranberryplank/daemon/peer_table.h
+++ b/packages/daemon/include/cranberryplank/daemon/peer_table.h
@@ -38,6 +38,13 @@
   /// VMs that a peer reported as leaving.
   std::set<std::string, std::less<>> Leaving() const;
 
+  /// What peers report of one worker.
+  struct Suspicion {
+    int daemons = 0;           ///< Peers that suspect it.
+    bool quarantined = false;  ///< A peer holds it in quarantine.
+  };
+  Suspicion SuspicionOf(std::string_view vm) const;
+
   /// Newest head revision that any peer has heard of; 0 if none was heard.
   std::uint64_t NewestRevision() const;
 
@@ -59,6 +66,7 @@
     std::vector<TeamDemand> demand;
     std::map<std::string, int, std::less<>> free_slots;
     std::vector<std::string> leaving;
+    std::vector<SuspectVm> suspects;
   };
 
   std::map<std::string, Peer, std::less<>> m_peers;
--- a/packages/daemon/src/move_scheduler.cc
+++ b/packages/daemon/src/move_scheduler.cc
@@ -57,7 +57,8 @@
     vm.rack = view.vm->rack;
     vm.slots = view.vm->slots;
     vm.running = view.running;
-    vm.serving = view.vm->state == VmState::kServing && !view.leaving;
+    vm.serving = view.vm->state == VmState::kServing && !view.leaving &&
+                 !m_parts.router->suspects().OutOfService(now, vm.id);
     vm.target_pool = view.vm->target_pool;
     load.vms.push_back(std::move(vm));
   }
--- a/packages/daemon/src/peer_table.cc
+++ b/packages/daemon/src/peer_table.cc
@@ -22,6 +22,7 @@
     peer.free_slots[slots.team] = slots.free;
   }
   peer.leaving = beat.leaving_vms;
+  peer.suspects = beat.suspect_vms;
 }
 
 void PeerTable::Tick(TimePoint now) {
@@ -83,6 +84,20 @@
   return leaving;
 }
 
+PeerTable::Suspicion PeerTable::SuspicionOf(std::string_view vm) const {
+  Suspicion suspicion;
+  for (const auto& [incarnation, peer] : m_peers) {
+    for (const SuspectVm& suspect : peer.suspects) {
+      if (suspect.vm == vm) {
+        ++suspicion.daemons;
+        suspicion.quarantined = suspicion.quarantined || suspect.quarantined;
+        break;
+      }
+    }
+  }
+  return suspicion;
+}
+
 std::uint64_t PeerTable::NewestRevision() const {
   std::uint64_t newest = 0;
   for (const auto& [incarnation, peer] : m_peers) {
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -38,7 +38,7 @@
       m_admission(parts.is_denied),
       m_tickets(parts.head->incarnation(), options.tickets, parts.random),
       m_runner(parts.workers, parts.slots, options.rules.keep_uncertain_slots),
-      m_suspects(&m_runner),
+      m_suspects(&m_runner, &m_peers),
       m_demand(parts.head, &m_queue, &m_runner, &m_peers),
       m_pending(&m_tickets, parts.metrics),
       m_forwarder(
--- a/packages/daemon/src/suspect_exchange.cc
+++ b/packages/daemon/src/suspect_exchange.cc
@@ -34,4 +34,12 @@
   return suspects;
 }
 
+bool SuspectExchange::OutOfService(TimePoint now, std::string_view vm) const {
+  const WorkerHealth& health = m_runner->health();
+  PeerTable::Suspicion suspicion = m_peers->SuspicionOf(vm);
+  suspicion.daemons += health.Suspect(now, vm) ? 1 : 0;
+  const int daemons = static_cast<int>(m_peers->Daemons().size()) + 1;
+  return (suspicion.quarantined || health.Quarantined(vm)) && 2 * suspicion.daemons > daemons;
+}
+
 }  // namespace cranberryplank
--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -275,6 +275,30 @@
   CHECK(shared * 3 <= alone);
 }
 
+// Guards against a move planner that counts a worker as capacity because its own daemon never used
+// it, and against one daemon alone taking a worker out of service.
+TEST_CASE("a worker is out of service if one daemon holds it in quarantine and most suspect it") {
+  RouterFixture fixture(3, 4);
+  const bool share = GENERATE(true, false);
+  for (auto& node : fixture.nodes()) {
+    node->share_suspects = share;
+  }
+  fixture.worker(0).SetFailAll(true);
+  CallerRequest request = RouterFixture::Request(kQuick);
+  request.idempotent = true;
+  for (int i = 0; i < 100; ++i) {
+    fixture.Send(0, request);
+    fixture.queue().RunFor(Duration(100));
+  }
+  const auto out_of_service = [&](int node) {
+    return fixture.node(node).router->suspects().OutOfService(fixture.queue().Now(), "vm-0");
+  };
+  REQUIRE(fixture.node(0).router->runner().health().Quarantined("vm-0"));
+  CHECK(out_of_service(1) == share);
+  CHECK(out_of_service(0) == share);
+  CHECK_FALSE(fixture.node(1).router->suspects().OutOfService(fixture.queue().Now(), "vm-1"));
+}
+
 TEST_CASE("a request waits at most until its deadline and is then refused as not run") {
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
