Name the boot to be ended in a reboot request

Cause: a reboot request named no boot. One that was delayed in the network until the worker was back rebooted it a second time, outside its permit.

Ruled out: asking for the status first, which the coordinator does and which a delay after the answer defeats.

The header Boot-Id, as in the start of a task, names the boot recorded in the wave; a worker in another boot answers 409. The HTTP adapter, the fakes and the maintenance coordinator follow.

Before: a worker had no means to refuse it (by reading, not run). After: it is refused and the boot id stays as it is (checked against the fake worker over HTTP).

--- a/packages/control/src/maintenance_coordinator.cc
+++ b/packages/control/src/maintenance_coordinator.cc
@@ -415,7 +415,7 @@
              (!progress.reboot_sent || now - *progress.reboot_sent >= m_options.reboot_repeat)) {
     progress.reboot_sent = now;
     m_decision.emit(now, fmt::format("maintenance event=reboot vm={}", vm.id));
-    m_workers->Reboot(AddressOf(vm), ignore);
+    m_workers->Reboot(AddressOf(vm), entry.boot_id, ignore);
   }
 }
 
--- a/packages/control/tests/simulated_fleet.h
+++ b/packages/control/tests/simulated_fleet.h
@@ -459,9 +459,9 @@
     });
   }
 
-  void Reboot(const WorkerAddress& address, DoneCallback done) override {
-    Call(address, [this, done](SimulatedWorkers::Worker* worker) {
-      const bool ok = worker != nullptr && worker->tasks.empty();
+  void Reboot(const WorkerAddress& address, std::string_view boot_id, DoneCallback done) override {
+    Call(address, [this, boot = std::string(boot_id), done](SimulatedWorkers::Worker* worker) {
+      const bool ok = worker != nullptr && worker->tasks.empty() && worker->BootId() == boot;
       if (ok) {
         if (m_shared->on_reboot) {
           m_shared->on_reboot(*worker);
--- a/packages/platform/include/cranberryplank/platform/http_worker_client.h
+++ b/packages/platform/include/cranberryplank/platform/http_worker_client.h
@@ -22,7 +22,7 @@
   void Checkpoint(const WorkerAddress& worker, std::string_view task_id,
                   DoneCallback done) override;
   void SetDraining(const WorkerAddress& worker, bool drain, DoneCallback done) override;
-  void Reboot(const WorkerAddress& worker, DoneCallback done) override;
+  void Reboot(const WorkerAddress& worker, std::string_view boot_id, DoneCallback done) override;
 
  private:
   HttpRequest MakeRequest(const WorkerAddress& worker, HttpMethod method, std::string target) const;
--- a/packages/platform/include/cranberryplank/platform/worker_client.h
+++ b/packages/platform/include/cranberryplank/platform/worker_client.h
@@ -104,8 +104,9 @@
   /// Asks the worker to take no new tasks (`drain` true) or to take them again.
   virtual void SetDraining(const WorkerAddress& worker, bool drain, DoneCallback done) = 0;
 
-  /// Reboots a worker. The worker refuses while tasks run on it.
-  virtual void Reboot(const WorkerAddress& worker, DoneCallback done) = 0;
+  /// Ends the boot `boot_id` of a worker. The worker refuses while tasks run on it, and if it runs
+  /// another boot, so that a delayed request does not reboot it a second time.
+  virtual void Reboot(const WorkerAddress& worker, std::string_view boot_id, DoneCallback done) = 0;
 };
 
 }  // namespace cranberryplank
--- a/packages/platform/src/http_worker_client.cc
+++ b/packages/platform/src/http_worker_client.cc
@@ -229,9 +229,11 @@
                  }));
 }
 
-void HttpWorkerClient::Reboot(const WorkerAddress& worker, DoneCallback done) {
-  m_client->Send(MakeRequest(worker, HttpMethod::kPost, "/v1/reboot"),
-                 ToDone(std::move(done), [](const json& value) {
+void HttpWorkerClient::Reboot(const WorkerAddress& worker, std::string_view boot_id,
+                              DoneCallback done) {
+  HttpRequest request = MakeRequest(worker, HttpMethod::kPost, "/v1/reboot");
+  request.headers.push_back(HttpHeader{"Boot-Id", std::string(boot_id)});
+  m_client->Send(std::move(request), ToDone(std::move(done), [](const json& value) {
                    if (value.at("rebooting") != true) {
                      throw std::invalid_argument("it does not confirm the reboot");
                    }
--- a/packages/platform/tests/http_worker_client_test.cc
+++ b/packages/platform/tests/http_worker_client_test.cc
@@ -260,12 +260,13 @@
   CHECK(probe.results[0].status == expected);
 }
 
-// Guards against a reboot under running tasks and a boot that cannot be told from the last.
+// Guards against a reboot under running tasks, a boot that cannot be told from the last, and a
+// delayed request that reboots the worker a second time.
 TEST_CASE("a reboot is refused while tasks run, and then changes the boot id") {
   WorkerProbe probe;
   const std::string boot_id = probe.Status()->boot_id;
   const auto reboot = [&] {
-    return probe.Do([&](auto done) { probe.workers.Reboot(probe.Address(), done); });
+    return probe.Do([&](auto done) { probe.workers.Reboot(probe.Address(), boot_id, done); });
   };
   probe.Start(probe.Task("t1", 100));
   REQUIRE(probe.loop.RunUntil([&] { return probe.Starts("t1") == 1; }));
@@ -281,6 +282,8 @@
   CHECK(status->boot_id != boot_id);
   CHECK_FALSE(status->draining);
   CHECK(probe.State("t1") == TaskState::kUnknown);
+  CHECK_FALSE(reboot());
+  CHECK(probe.Status()->boot_id == status->boot_id);
 }
 
 // Guards against an incomplete answer that is taken for a worker's state.
--- a/tests/support/include/cranberryplank/support/memory_workers.h
+++ b/tests/support/include/cranberryplank/support/memory_workers.h
@@ -29,7 +29,7 @@
   void Checkpoint(const WorkerAddress& worker, std::string_view task_id,
                   DoneCallback done) override;
   void SetDraining(const WorkerAddress& worker, bool drain, DoneCallback done) override;
-  void Reboot(const WorkerAddress& worker, DoneCallback done) override;
+  void Reboot(const WorkerAddress& worker, std::string_view boot_id, DoneCallback done) override;
 
   /// Cuts this client off from one worker: calls time out and have no effect.
   void SetCut(const WorkerAddress& worker, bool cut) {
--- a/tests/support/include/cranberryplank/support/simulated_worker.h
+++ b/tests/support/include/cranberryplank/support/simulated_worker.h
@@ -71,8 +71,9 @@
 
   void SetDraining(bool draining) { m_draining = draining; }
 
-  /// Reboots, which also ends draining. @return false, without effect, if a task is running.
-  bool Reboot();
+  /// Reboots, which also ends draining. @return false, without effect, if a task is running or if
+  /// `boot_id` names another boot.
+  bool Reboot(std::string_view boot_id);
 
   /// Ends all tasks without an answer and reboots.
   void Crash();
--- a/tests/support/src/fake_worker.cc
+++ b/tests/support/src/fake_worker.cc
@@ -198,8 +198,8 @@
 }
 
 void FakeWorker::Reboot(const Exchange& exchange) {
-  if (!m_worker.Reboot()) {
-    Answer(exchange, JsonReply(409, {{"reason", "tasks are running"}}));
+  if (!m_worker.Reboot(exchange->Header("Boot-Id"))) {
+    Answer(exchange, JsonReply(409, {{"reason", "tasks are running or the boot has ended"}}));
     return;
   }
   Answer(exchange, JsonReply(200, {{"rebooting", true}}));
--- a/tests/support/src/memory_workers.cc
+++ b/tests/support/src/memory_workers.cc
@@ -230,9 +230,13 @@
       std::move(done));
 }
 
-void MemoryWorkers::Reboot(const WorkerAddress& worker, DoneCallback done) {
+void MemoryWorkers::Reboot(const WorkerAddress& worker, std::string_view boot_id,
+                           DoneCallback done) {
   ShortCall(
-      worker, [](SimulatedWorker& w) { return w.Reboot() ? "" : "tasks are running"; },
+      worker,
+      [id = std::string(boot_id)](SimulatedWorker& w) {
+        return w.Reboot(id) ? "" : "tasks are running or the boot has ended";
+      },
       std::move(done));
 }
 
--- a/tests/support/src/simulated_worker.cc
+++ b/tests/support/src/simulated_worker.cc
@@ -115,8 +115,8 @@
   return true;
 }
 
-bool SimulatedWorker::Reboot() {
-  if (!m_running.empty()) {
+bool SimulatedWorker::Reboot(std::string_view boot_id) {
+  if (!m_running.empty() || boot_id != BootId()) {
     return false;
   }
   StartNewBoot();
--- a/tests/support/tests/memory_workers_test.cc
+++ b/tests/support/tests/memory_workers_test.cc
@@ -110,7 +110,7 @@
     expected = Verdict::kNotRun;
   }
   SECTION("rebooting") {
-    REQUIRE(probe.worker().Reboot());
+    REQUIRE(probe.worker().Reboot(probe.worker().Status().boot_id));
     expected = Verdict::kNotRun;
   }
   SECTION("silent") { probe.faults().silent = true; }
@@ -128,9 +128,9 @@
   const TaskStart old_task = probe.Task("t2", 10);
   probe.Start(probe.Task("t1", 10));
   probe.queue.RunFor(Duration(5));
-  CHECK_FALSE(probe.worker().Reboot());
+  CHECK_FALSE(probe.worker().Reboot(probe.worker().Status().boot_id));
   probe.queue.RunFor(Duration(20));
-  REQUIRE(probe.worker().Reboot());
+  REQUIRE(probe.worker().Reboot(probe.worker().Status().boot_id));
   CHECK_FALSE(probe.worker().Reachable());
   probe.queue.RunFor(Duration(510));
   CHECK(probe.worker().Reachable());
