--- a/packages/daemon/tests/request_router_test.cc
+++ b/packages/daemon/tests/request_router_test.cc
@@ -10,6 +10,14 @@
 constexpr const char* kQuick = R"({"run_ms":50,"reply":"A flat"})";
 constexpr const char* kSlow = R"({"run_ms":3000,"reply":"A flat"})";
 
+std::string TicketOf(RouterFixture* fixture, int node) {
+  Refusal refusal;
+  const auto tickets = fixture->node(node).router->IssueTickets(
+      fixture->queue().Now(), Sha256("smiths-key").hex, 1, &refusal);
+  REQUIRE(tickets.has_value());
+  return tickets->front();
+}
+
 TEST_CASE("a request is run once and its whole answer comes back") {
   RouterFixture fixture;
   const auto reply = fixture.Send(0, RouterFixture::Request(kQuick));
@@ -236,6 +244,61 @@
   CHECK(fixture.node(0).router->runner().health().Quarantined("vm-0"));
 }
 
+/// Requests lost to one worker that fails all it starts, sent in turn to six daemons.
+int LostToFailingWorker(bool share) {
+  RouterFixture fixture(6, 6);
+  for (auto& node : fixture.nodes()) {
+    node->share_suspects = share;
+  }
+  for (int round = 0; round < 20; ++round) {
+    // Completed requests show each daemon that the worker, not the kind of request, is at fault.
+    fixture.Send(round % 6, RouterFixture::Request(kQuick));
+    fixture.queue().RunFor(Duration(100));
+  }
+  fixture.worker(0).SetFailAll(true);
+  std::vector<std::shared_ptr<std::optional<CallerReply>>> replies;
+  for (int i = 0; i < 300; ++i) {
+    replies.push_back(fixture.Send(i % 6, RouterFixture::Request(kQuick)));
+    fixture.queue().RunFor(Duration(100));
+  }
+  return static_cast<int>(std::count_if(replies.begin(), replies.end(), [](const auto& reply) {
+    return !reply->has_value() || (*reply)->status != 200;
+  }));
+}
+
+// Guards against each daemon losing requests to a worker that another daemon saw failing.
+TEST_CASE("daemons that share suspects lose fewer requests to a failing worker") {
+  const int shared = LostToFailingWorker(true);
+  const int alone = LostToFailingWorker(false);
+  CAPTURE(shared, alone);
+  CHECK(alone >= 4);
+  CHECK(shared * 3 <= alone);
+}
+
+// Guards against a move planner that counts a worker as capacity because its own daemon never used
+// it, and against one daemon alone taking a worker out of service.
+TEST_CASE("a worker is out of service if one daemon holds it in quarantine and most suspect it") {
+  RouterFixture fixture(3, 4);
+  const bool share = GENERATE(true, false);
+  for (auto& node : fixture.nodes()) {
+    node->share_suspects = share;
+  }
+  fixture.worker(0).SetFailAll(true);
+  CallerRequest request = RouterFixture::Request(kQuick);
+  request.idempotent = true;
+  for (int i = 0; i < 100; ++i) {
+    fixture.Send(0, request);
+    fixture.queue().RunFor(Duration(100));
+  }
+  const auto out_of_service = [&](int node) {
+    return fixture.node(node).router->suspects().OutOfService(fixture.queue().Now(), "vm-0");
+  };
+  REQUIRE(fixture.node(0).router->runner().health().Quarantined("vm-0"));
+  CHECK(out_of_service(1) == share);
+  CHECK(out_of_service(0) == share);
+  CHECK_FALSE(fixture.node(1).router->suspects().OutOfService(fixture.queue().Now(), "vm-1"));
+}
+
 TEST_CASE("a request waits at most until its deadline and is then refused as not run") {
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
@@ -260,6 +323,25 @@
   CHECK_FALSE(replies.front()->has_value());
 }
 
+// Guards against callers that retry at once because the daemon that refused is not their own.
+TEST_CASE("a refusal of the daemon that a request was forwarded to keeps its time to retry after") {
+  RouterFixture fixture(2);
+  CallerRequest request = RouterFixture::Request(kQuick);
+  request.ticket = TicketOf(&fixture, 0);
+  for (int i = 0; i < 2; ++i) {
+    fixture.node(i).slots.Set("smiths", 0);
+  }
+  fixture.queue().RunFor(Duration(500));
+  for (int i = 0; i < RouterFixture::kMaxWaiting; ++i) {
+    fixture.Send(0, RouterFixture::Request(kQuick));
+  }
+  const auto reply = fixture.Send(1, request);
+  fixture.queue().RunFor(Duration(100));
+  REQUIRE(reply->has_value());
+  CHECK((*reply)->status == 429);
+  CHECK((*reply)->retry_after.has_value());
+}
+
 TEST_CASE("a cancelled request does not run if it still waits") {
   RouterFixture fixture;
   fixture.node(0).slots.Set("smiths", 0);
@@ -308,14 +390,6 @@
   CHECK((*reply)->verdict == Verdict::kMayHaveRun);
 }
 
-std::string TicketOf(RouterFixture* fixture, int node) {
-  Refusal refusal;
-  const auto tickets = fixture->node(node).router->IssueTickets(
-      fixture->queue().Now(), Sha256("smiths-key").hex, 1, &refusal);
-  REQUIRE(tickets.has_value());
-  return tickets->front();
-}
-
 // Guards against a caller's retry running a payment twice.
 TEST_CASE("a retry with the same ticket replays the outcome, sent to any daemon") {
   RouterFixture fixture(2);
--- a/packages/peers/src/wire_conversion.cc
+++ b/packages/peers/src/wire_conversion.cc
@@ -71,6 +71,12 @@
     entry.digest = key.digest;
     entry.nonce = key.nonce;
   }
+  for (const SuspectVm& suspect : beat.suspect_vms) {
+    wire::SuspectVm& entry = out.suspect_vms.emplace_back();
+    entry.vm = suspect.vm;
+    entry.quarantined = suspect.quarantined;
+    entry.reported = suspect.reported;
+  }
   envelope->__set_beat(out);
 }
 
@@ -115,6 +121,9 @@
   out.reason = reply.reason;
   out.content_type = reply.content_type;
   out.body = reply.body;
+  if (reply.retry_after) {
+    out.__set_retry_after_ms(reply.retry_after->count());
+  }
   envelope->__set_forward_reply(out);
 }
 
@@ -139,6 +148,12 @@
   for (wire::DeniedKey& entry : in.denied_keys) {
     beat.denied_keys.push_back(DeniedKey{std::move(entry.digest), std::move(entry.nonce)});
   }
+  if (in.suspect_vms.size() > kMaxSuspectVms) {
+    in.suspect_vms.resize(kMaxSuspectVms);
+  }
+  for (wire::SuspectVm& entry : in.suspect_vms) {
+    beat.suspect_vms.push_back(SuspectVm{std::move(entry.vm), entry.quarantined, entry.reported});
+  }
   return beat;
 }
 
@@ -176,6 +191,12 @@
   reply.reason = std::move(in.reason);
   reply.content_type = std::move(in.content_type);
   reply.body = std::move(in.body);
+  if (in.__isset.retry_after_ms) {
+    if (in.retry_after_ms < 0) {
+      throw std::invalid_argument("retry_after_ms is negative");
+    }
+    reply.retry_after = Duration(in.retry_after_ms);
+  }
   return reply;
 }
 
