--- a/packages/daemon/include/cranberryplank/daemon/caller_api.h
+++ b/packages/daemon/include/cranberryplank/daemon/caller_api.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cranberryplank/daemon/api_server.h"
+#include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/daemon/request_router.h"
 #include "cranberryplank/daemon/settings.h"
 
@@ -14,7 +15,7 @@
 class CallerApi {
  public:
   /// All arguments must outlive this object.
-  CallerApi(const Settings* settings, RequestRouter* router);
+  CallerApi(const Settings* settings, RequestRouter* router, Metrics* metrics);
 
   /// Handles a request if its path belongs to this interface.
   /// @return false if it does not
@@ -24,8 +25,13 @@
   void Submit(TimePoint now, const std::shared_ptr<ApiExchange>& exchange, std::string queue);
   void IssueTickets(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
 
+  /// Answers a request that does not reach the router, and counts the answer.
+  void Refuse(const std::shared_ptr<ApiExchange>& exchange, int status, Verdict verdict,
+              std::string_view reason) const;
+
   const Settings* m_settings;
   RequestRouter* m_router;
+  Metrics* m_metrics;
 };
 
 /// Returns the SHA-256 digest of the key in an `Authorization: Bearer` header, or an empty string.
--- a/packages/daemon/include/cranberryplank/daemon/metrics.h
+++ b/packages/daemon/include/cranberryplank/daemon/metrics.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cranberryplank/model/time.h"
+#include "cranberryplank/model/verdict.h"
 
 namespace cranberryplank {
 
@@ -22,6 +23,12 @@
   /// Adds `amount` to the counter `name`; `labels` is empty or like `verdict="not_run"`.
   void Count(std::string_view name, std::string_view labels = {}, std::uint64_t amount = 1);
 
+  /// Counts a reply to a caller by its verdict and HTTP status.
+  void CountReply(Verdict verdict, int status);
+
+  /// Sets a counter that is kept elsewhere.
+  void SetTotal(std::string_view name, std::uint64_t value);
+
   void SetGauge(std::string_view name, double value);
 
   /// Records the time from accepting a request to its reply.
--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -15,6 +14,7 @@
 #include "cranberryplank/daemon/caller_api.h"
 #include "cranberryplank/daemon/log.h"
 #include "cranberryplank/model/digest.h"
+#include "cranberryplank/model/text.h"
 
 namespace cranberryplank {
 
@@ -56,23 +56,6 @@
          text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
-/// Hexadecimal digits are compared as text.
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return lower;
-}
-
-std::optional<std::uint64_t> ParseNumber(std::string_view text) {
-  std::uint64_t number = 0;
-  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 /// Reads a JSON object; on failure answers 400 and returns nothing.
 std::optional<json> ParseBody(const std::shared_ptr<ApiExchange>& exchange) {
   json body = json::parse(exchange->request().body, nullptr, false);
@@ -185,7 +168,7 @@
 }
 
 void AdminApi::ReadRevision(TimePoint now, const Exchange& exchange, std::string_view number) {
-  const auto revision = ParseNumber(number);
+  const auto revision = ParseNumber<std::uint64_t>(number);
   if (!revision || *revision > m_parts.head->head().revision) {
     exchange->Reply(Error(404, "no such revision"));
     return;
@@ -193,7 +176,7 @@
   const auto parameter = exchange->request().query.find("wait_ms");
   std::uint64_t wait = 0;
   if (parameter != exchange->request().query.end()) {
-    const auto parsed = ParseNumber(parameter->second);
+    const auto parsed = ParseNumber<std::uint64_t>(parameter->second);
     if (!parsed || *parsed > kMaxWaitMs) {
       exchange->Reply(Error(400, "wait_ms must be from 0 to 10000"));
       return;
--- a/packages/daemon/src/admin_reads.cc
+++ b/packages/daemon/src/admin_reads.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cranberryplank/bundle/bundle_parser.h"
+#include "cranberryplank/model/vm_json.h"
 
 namespace cranberryplank {
 
@@ -140,19 +141,9 @@
     if (!pool.empty() && vm.pool != pool) {
       continue;
     }
-    list.push_back(json{{"id", id},
-                        {"host", vm.host},
-                        {"port", vm.port},
-                        {"zone", vm.zone},
-                        {"rack", vm.rack},
-                        {"pool", vm.pool},
-                        {"state", ToString(vm.state)},
-                        {"target_pool", vm.target_pool},
-                        {"slots", vm.slots},
-                        {"cores", vm.cores},
-                        {"memory_gb", vm.memory_gb},
-                        {"accelerators", vm.accelerators},
-                        {"leaving", m_parts.vm_list->leaving().contains(id)}});
+    json record = EncodeVm(vm);
+    record["leaving"] = m_parts.vm_list->leaving().contains(id);
+    list.push_back(std::move(record));
   }
   return json{{"revision", fleet.revision}, {"vms", list}};
 }
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -9,10 +9,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cctype>
 #include <cstdlib>
 #include <utility>
 
+#include "cranberryplank/model/text.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -32,13 +33,6 @@
   }
 }
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return lower;
-}
-
 std::string DecodePath(const char* path) {
   std::size_t size = 0;
   const std::unique_ptr<char, decltype(&std::free)> decoded(evhttp_uridecode(path, 0, &size),
--- a/packages/daemon/src/caller_api.cc
+++ b/packages/daemon/src/caller_api.cc
@@ -3,12 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "cranberryplank/model/digest.h"
+#include "cranberryplank/model/text.h"
 
 namespace cranberryplank {
 
@@ -20,15 +20,6 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::size_t kMaxTicketLength = 200;
 
-std::optional<std::int64_t> ParseNumber(std::string_view text) {
-  std::int64_t number = 0;
-  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 ApiResponse ErrorResponse(int status, Verdict verdict, std::string_view reason,
                           std::string_view task_id) {
   ApiResponse response;
@@ -80,15 +71,21 @@
   return Sha256(header.substr(kBearer.size())).hex;
 }
 
-CallerApi::CallerApi(const Settings* settings, RequestRouter* router)
-    : m_settings(settings), m_router(router) {}
+CallerApi::CallerApi(const Settings* settings, RequestRouter* router, Metrics* metrics)
+    : m_settings(settings), m_router(router), m_metrics(metrics) {}
+
+void CallerApi::Refuse(const std::shared_ptr<ApiExchange>& exchange, int status, Verdict verdict,
+                       std::string_view reason) const {
+  m_metrics->CountReply(verdict, status);
+  exchange->Reply(ErrorResponse(status, verdict, reason, ""));
+}
 
 bool CallerApi::Handle(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
   const ApiRequest& request = exchange->request();
   const std::string& path = request.path;
   if (path == kTicketsPath) {
     if (request.method != "POST") {
-      exchange->Reply(ErrorResponse(405, Verdict::kNotRun, "expected POST", ""));
+      Refuse(exchange, 405, Verdict::kNotRun, "expected POST");
     } else {
       IssueTickets(now, exchange);
     }
@@ -99,7 +96,7 @@
     return false;
   }
   if (request.method != "POST") {
-    exchange->Reply(ErrorResponse(405, Verdict::kNotRun, "expected POST", ""));
+    Refuse(exchange, 405, Verdict::kNotRun, "expected POST");
     return true;
   }
   Submit(
@@ -121,13 +118,13 @@
   Duration deadline = m_settings->default_deadline;
   bool valid = idempotent && urgent && request.ticket.size() <= kMaxTicketLength;
   if (const std::string_view header = http.Header("deadline-ms"); !header.empty()) {
-    const auto number = ParseNumber(header);
+    const auto number = ParseNumber<std::int64_t>(header);
     valid = valid && number && *number > 0;
     deadline = std::min(Duration(number.value_or(1)), m_settings->max_deadline);
   }
   if (!valid) {
     const Verdict verdict = request.ticket.empty() ? Verdict::kNotRun : Verdict::kMayHaveRun;
-    exchange->Reply(ErrorResponse(400, verdict, "a header is not valid", ""));
+    Refuse(exchange, 400, verdict, "a header is not valid");
     return;
   }
   request.idempotent = *idempotent;
@@ -145,18 +142,17 @@
   const ApiRequest& http = exchange->request();
   const auto parameter = http.query.find("count");
   const auto count = parameter == http.query.end() ? std::optional<std::int64_t>(1)
-                                                   : ParseNumber(parameter->second);
+                                                   : ParseNumber<std::int64_t>(parameter->second);
   if (!count || *count < 1 || *count > m_settings->max_ticket_batch) {
-    exchange->Reply(
-        ErrorResponse(400, Verdict::kNotRun,
-                      fmt::format("count must be from 1 to {}", m_settings->max_ticket_batch), ""));
+    Refuse(exchange, 400, Verdict::kNotRun,
+           fmt::format("count must be from 1 to {}", m_settings->max_ticket_batch));
     return;
   }
   Refusal refusal;
   const auto tickets =
       m_router->IssueTickets(now, KeyDigestOf(http), static_cast<int>(*count), &refusal);
   if (!tickets) {
-    exchange->Reply(ErrorResponse(refusal.status, Verdict::kNotRun, refusal.reason, ""));
+    Refuse(exchange, refusal.status, Verdict::kNotRun, refusal.reason);
     return;
   }
   ApiResponse response;
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -205,7 +205,7 @@
       moves(MoveParts{&head, &mover, &router, &vm_list, &move_planner}),
       rollout(BundleRolloutParts{&head, &store, &random, &router.peers()}, ApproversOf(settings),
               settings.approvals_required),
-      caller_api(&settings, &router),
+      caller_api(&settings, &router, &metrics),
       admin_api(AdminParts{&settings, &head, &mover, &maintenance, &router, &vm_list, &rollout}),
       shutdown(ShutdownParts{&head, &slots, &router}, settings.shutdown_grace),
       status_api(StatusParts{&head, &slots, &router, &links, &vm_list, &shutdown, &metrics}),
--- a/packages/daemon/src/log.cc
+++ b/packages/daemon/src/log.cc
@@ -1,12 +1,13 @@
 #include "cranberryplank/daemon/log.h"
 
-#include <fmt/chrono.h>
+#include <fmt/format.h>
 
 #include <array>
 #include <atomic>
-#include <chrono>
 #include <cstdio>
 
+#include "cranberryplank/model/text.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -63,11 +64,7 @@
   if (!m_enabled) {
     return;
   }
-  const auto now = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
-  const auto millis = now.time_since_epoch().count() % 1000;
-  m_line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
-                       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
-                       ToString(level), event);
+  m_line = fmt::format("{} level={} event={}", LogTimestamp(), ToString(level), event);
 }
 
 LogLine::~LogLine() {
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -50,6 +50,9 @@
 }  // namespace
 
 struct Metrics::Data {
+  /// Returns the counter, which starts at 0.
+  std::uint64_t& Counter(std::string_view name, std::string_view labels);
+
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>, std::less<>> counters;
   std::map<std::string, double, std::less<>> gauges;
   LatencyHistogram latency;
@@ -60,16 +63,29 @@
 
 Metrics::~Metrics() = default;
 
-void Metrics::Count(std::string_view name, std::string_view labels, std::uint64_t amount) {
-  auto by_name = m_data->counters.find(name);
-  if (by_name == m_data->counters.end()) {
-    by_name = m_data->counters.try_emplace(std::string(name)).first;
+std::uint64_t& Metrics::Data::Counter(std::string_view name, std::string_view labels) {
+  auto by_name = counters.find(name);
+  if (by_name == counters.end()) {
+    by_name = counters.try_emplace(std::string(name)).first;
   }
   auto counter = by_name->second.find(labels);
   if (counter == by_name->second.end()) {
     counter = by_name->second.try_emplace(std::string(labels), 0).first;
   }
-  counter->second += amount;
+  return counter->second;
+}
+
+void Metrics::Count(std::string_view name, std::string_view labels, std::uint64_t amount) {
+  m_data->Counter(name, labels) += amount;
+}
+
+void Metrics::CountReply(Verdict verdict, int status) {
+  Count("cranberryplank_requests_total",
+        fmt::format("verdict=\"{}\",status=\"{}\"", ToString(verdict), status));
+}
+
+void Metrics::SetTotal(std::string_view name, std::uint64_t value) {
+  m_data->Counter(name, "") = value;
 }
 
 void Metrics::SetGauge(std::string_view name, double value) {
--- a/packages/daemon/src/pending_requests.cc
+++ b/packages/daemon/src/pending_requests.cc
@@ -74,9 +74,7 @@
 
 void PendingRequests::Reply(TimePoint now, const PendingRequest& pending, CallerReply reply) const {
   reply.task_id = pending.request.task_id;
-  m_metrics->Count(
-      "cranberryplank_requests_total",
-      fmt::format("verdict=\"{}\",status=\"{}\"", ToString(reply.verdict), reply.status));
+  m_metrics->CountReply(reply.verdict, reply.status);
   m_metrics->RecordLatency(std::chrono::duration_cast<Metrics::Latency>(now - pending.accepted));
   pending.done(now, reply);
 }
--- a/packages/daemon/src/status_api.cc
+++ b/packages/daemon/src/status_api.cc
@@ -63,14 +63,14 @@
                    static_cast<double>(m_parts.router->runner().health().QuarantinedVms().size()));
   metrics.SetGauge("cranberryplank_vms_leaving",
                    static_cast<double>(m_parts.vm_list->leaving().size()));
-  metrics.SetGauge("cranberryplank_vm_lists_distrusted",
-                   static_cast<double>(m_parts.vm_list->distrusted()));
-  metrics.SetGauge("cranberryplank_peer_bytes_sent", static_cast<double>(links.bytes_sent));
-  metrics.SetGauge("cranberryplank_peer_bytes_received", static_cast<double>(links.bytes_received));
-  metrics.SetGauge("cranberryplank_peer_messages_sent", static_cast<double>(links.messages_sent));
-  metrics.SetGauge("cranberryplank_peer_links_lost", static_cast<double>(links.links_lost));
-  metrics.SetGauge("cranberryplank_invariant_violations",
-                   static_cast<double>(InvariantViolations()));
+  metrics.SetTotal("cranberryplank_vm_lists_distrusted", m_parts.vm_list->distrusted());
+  metrics.SetTotal("cranberryplank_peer_bytes_sent", links.bytes_sent);
+  metrics.SetTotal("cranberryplank_peer_bytes_received", links.bytes_received);
+  metrics.SetTotal("cranberryplank_peer_messages_sent", links.messages_sent);
+  metrics.SetTotal("cranberryplank_peer_links_lost", links.links_lost);
+  metrics.SetTotal("cranberryplank_peer_heartbeats_dropped", links.beats_dropped);
+  metrics.SetTotal("cranberryplank_peer_frames_damaged", links.damaged_frames);
+  metrics.SetTotal("cranberryplank_invariant_violations", InvariantViolations());
   return metrics.Render();
 }
 
--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -86,7 +86,7 @@
  public:
   CallerApiFixture()
       : m_base(event_base_new(), &event_base_free),
-        m_api(&m_settings, m_router.node(0).router.get()),
+        m_api(&m_settings, m_router.node(0).router.get(), &m_metrics),
         m_server(m_base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
                  [this](TimePoint, const std::shared_ptr<ApiExchange>& exchange) {
                    // The router lives on the fake clock of its fixture.
@@ -110,9 +110,11 @@
 
   RouterFixture& router() { return m_router; }
   ApiServer& server() { return m_server; }
+  const Metrics& metrics() const { return m_metrics; }
 
  private:
   Settings m_settings;
+  Metrics m_metrics;
   RouterFixture m_router;
   std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
   CallerApi m_api;
@@ -147,6 +149,9 @@
   CHECK(caller->ReadUntil("}").find("HTTP/1.1 400") == 0);
   caller->Write(CallerApiFixture::Post("/v1/tickets?count=0", ""));
   CHECK(caller->ReadUntil("}").find("HTTP/1.1 400") == 0);
+  // Refusals that do not reach the router are counted, too.
+  CHECK(fixture.metrics().Value("cranberryplank_requests_total",
+                                R"(verdict="not_run",status="400")") == 2);
   caller->Write(CallerApiFixture::Post("/v1/tickets?count=2", ""));
   CHECK(caller->ReadUntil("}").find("\"tickets\":[") != std::string::npos);
 }
--- /dev/null
+++ b/packages/model/include/cranberryplank/model/vm_json.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYPLANK_MODEL_VM_JSON_H_
+#define CRANBERRYPLANK_MODEL_VM_JSON_H_
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "cranberryplank/model/vm.h"
+
+namespace cranberryplank {
+
+/// Returns a VM's record as the store and the administration interface show it.
+nlohmann::json EncodeVm(const Vm& vm);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_MODEL_VM_JSON_H_
--- a/packages/model/src/fleet.cc
+++ b/packages/model/src/fleet.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cranberryplank/model/vm_json.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -30,23 +32,6 @@
   throw std::invalid_argument(fmt::format("unknown VM state '{}'", name));
 }
 
-json EncodeVm(const Vm& vm) {
-  return json{{"id", vm.id},
-              {"host", vm.host},
-              {"port", vm.port},
-              {"zone", vm.zone},
-              {"rack", vm.rack},
-              {"pool", vm.pool},
-              {"state", ToString(vm.state)},
-              {"target_pool", vm.target_pool},
-              {"move_id", vm.move_id},
-              {"boot_id", vm.boot_id},
-              {"slots", vm.slots},
-              {"cores", vm.cores},
-              {"memory_gb", vm.memory_gb},
-              {"accelerators", vm.accelerators}};
-}
-
 Vm DecodeVm(const json& value) {
   Vm vm;
   value.at("id").get_to(vm.id);
@@ -231,6 +216,23 @@
 
 }  // namespace
 
+json EncodeVm(const Vm& vm) {
+  return json{{"id", vm.id},
+              {"host", vm.host},
+              {"port", vm.port},
+              {"zone", vm.zone},
+              {"rack", vm.rack},
+              {"pool", vm.pool},
+              {"state", ToString(vm.state)},
+              {"target_pool", vm.target_pool},
+              {"move_id", vm.move_id},
+              {"boot_id", vm.boot_id},
+              {"slots", vm.slots},
+              {"cores", vm.cores},
+              {"memory_gb", vm.memory_gb},
+              {"accelerators", vm.accelerators}};
+}
+
 std::string VmPartName(std::string_view rack) {
   return fmt::format("{}{:02}", kVmPartPrefix, HashRack(rack) % kVmShards);
 }
--- a/packages/model/src/invariant.cc
+++ b/packages/model/src/invariant.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "cranberryplank/model/text.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -23,8 +25,8 @@
                               std::string_view state) {
   ++g_violations;
   fmt::print(stderr,
-             "level=error event=invariant_violated condition=\"{}\" at={}:{} state=\"{}\"\n",
-             condition, file, line, state);
+             "{} level=error event=invariant_violated condition=\"{}\" at={}:{} state=\"{}\"\n",
+             LogTimestamp(), condition, file, line, state);
   if (g_abort_on_violation.load()) {
     std::abort();
   }
--- a/packages/platform/src/http_worker_client.cc
+++ b/packages/platform/src/http_worker_client.cc
@@ -3,10 +3,11 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryplank/model/text.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -16,16 +17,6 @@
 constexpr int kOk = 200;
 constexpr int kRefused = 409;
 
-template <typename Number>
-std::optional<Number> ParseNumber(std::string_view text) {
-  Number number{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 std::string FailureReason(const HttpReply& reply) {
   return reply.outcome == HttpOutcome::kAnswered
              ? fmt::format("status {}: {}", reply.status, reply.body.substr(0, 200))
