--- a/packages/control/include/cranberryplank/control/maintenance_coordinator.h
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,9 +14,10 @@
 
 #include "cranberryplank/control/head_control.h"
 #include "cranberryplank/control/maintenance_wave.h"
+#include "cranberryplank/control/pool_usage.h"
 #include "cranberryplank/control/store_document.h"
+#include "cranberryplank/control/worker_availability.h"
 #include "cranberryplank/model/random.h"
-#include "cranberryplank/platform/vm_list_reader.h"
 #include "cranberryplank/platform/worker_client.h"
 
 namespace cranberryplank {
@@ -42,9 +42,7 @@
   Duration poll{500};            ///< Between attempts at a step of one VM.
   Duration document_age{1'000};  ///< The acting daemon reads its wave again after this time.
   Duration watch{30'000};
-  Duration list_age{2'000};    ///< Oldest VM list that a permit may rest on.
-  Duration answer_age{5'000};  ///< A worker that did not answer for this long is down.
-  int probes_per_tick = 20;
+  AvailabilityOptions availability;
   Duration checkpoint_after{60'000};  ///< Draining longer than this asks for checkpoints.
   Duration checkpoint_repeat{5'000};
   Duration request_limit{5'000};    ///< Time in which a request's first write must start.
@@ -122,30 +120,13 @@
     MaintenanceEntry from;
     MaintenanceEntry to;
   };
-  struct Observation {
-    std::optional<TimePoint> answered;
-    bool probing = false;
-    TimePoint probed;
-  };
-  /// VMs of a pool that are unavailable, by pool, rack and zone.
-  struct Usage {
-    int total = 0;
-    std::map<std::string, int, std::less<>> racks;
-    std::map<std::string, int, std::less<>> zones;
-
-    void Add(const Vm& vm);
-    /// True if `vm` can be added without exceeding the budget.
-    bool Fits(const Vm& vm, const AvailabilityBudget& budget) const;
-    /// True if the budget holds where `vm`, which is counted, belongs.
-    bool Within(const Vm& vm, const AvailabilityBudget& budget) const;
-  };
   struct PoolState {
     std::unique_ptr<StoreDocument> document;
     std::optional<MaintenanceWave> wave;
     std::map<std::string, Progress, std::less<>> progress;
     std::map<std::string, EntryChange, std::less<>> changes;  ///< To be written next.
     std::vector<Request> requests;
-    Usage usage;
+    PoolUsage usage;
     std::optional<TimePoint> usage_at;
     TimePoint next_permit;
   };
@@ -174,27 +155,20 @@
               MaintenanceState to, std::string_view reason);
   void Write(TimePoint now, PoolState* state);
   void Permit(TimePoint now, const std::string& pool, PoolState* state);
-  bool KnowsAvailability(TimePoint now);
-  void OnList(bool changed);
-  bool Down(TimePoint now, const Vm& vm) const;
-  Usage UsageOf(TimePoint now, std::string_view pool, const MaintenanceWave& wave,
-                std::vector<const Vm*>* unavailable) const;
-  void Probe(TimePoint now, std::string_view pool);
+  PoolUsage UsageOf(TimePoint now, std::string_view pool, const MaintenanceWave& wave,
+                    std::vector<const Vm*>* unavailable) const;
   void SignalCheckpoints(TimePoint now, PoolState* state);
   bool ActsOn(TimePoint now, std::string_view pool, const PoolState& state) const;
   PoolState* Finish(TimePoint now, const Vm& vm, MaintenanceState expected);
 
   HeadControl* m_head;
   Store* m_store;
-  VmListReader* m_vm_list;
   WorkerClient* m_workers;
   RandomSource* m_random;
   WavePicker m_picker;
   MaintenanceOptions m_options;
   std::map<std::string, PoolState, std::less<>> m_pools;
-  std::map<std::string, Observation, std::less<>> m_observed;
-  std::set<std::string, std::less<>> m_listed;  ///< VMs listed as live and not leaving.
-  int m_probes_left = 0;
+  WorkerAvailability m_availability;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  ///< Guards late callbacks.
   CheckpointSignal m_checkpoint;
   DecisionSignal m_decision;
--- a/packages/control/src/maintenance_coordinator.cc
+++ b/packages/control/src/maintenance_coordinator.cc
@@ -32,40 +32,17 @@
   return ids;
 }
 
-void MaintenanceCoordinator::Usage::Add(const Vm& vm) {
-  ++total;
-  ++racks[vm.rack];
-  ++zones[vm.zone];
-}
-
-bool MaintenanceCoordinator::Usage::Within(const Vm& vm, const AvailabilityBudget& budget) const {
-  return total <= budget.per_pool && racks.find(vm.rack)->second <= budget.per_rack &&
-         zones.find(vm.zone)->second <= budget.per_zone;
-}
-
-bool MaintenanceCoordinator::Usage::Fits(const Vm& vm, const AvailabilityBudget& budget) const {
-  const auto count = [](const auto& counts, const std::string& name) {
-    const auto entry = counts.find(name);
-    return entry == counts.end() ? 0 : entry->second;
-  };
-  return total < budget.per_pool && count(racks, vm.rack) < budget.per_rack &&
-         count(zones, vm.zone) < budget.per_zone;
-}
-
 MaintenanceCoordinator::MaintenanceCoordinator(HeadControl* head, Store* store,
                                                VmListReader* vm_list, WorkerClient* workers,
                                                RandomSource* random, WavePicker picker,
                                                const MaintenanceOptions& options)
     : m_head(head),
       m_store(store),
-      m_vm_list(vm_list),
       m_workers(workers),
       m_random(random),
       m_picker(std::move(picker)),
-      m_options(options) {
-  m_vm_list->signal_read().connect(
-      sigc::hide<0>(sigc::hide<0>(sigc::mem_fun(*this, &MaintenanceCoordinator::OnList))));
-}
+      m_options(options),
+      m_availability(vm_list, workers, options.availability) {}
 
 void MaintenanceCoordinator::Start(TimePoint now, std::string_view pool,
                                    std::span<const std::string> vms, ResultCallback done,
@@ -106,13 +83,11 @@
 
 void MaintenanceCoordinator::ObserveWorker(TimePoint now, std::string_view vm,
                                            const WorkerStatus&) {
-  const auto observation = m_observed.find(vm);
-  (observation != m_observed.end() ? observation->second : m_observed[std::string(vm)]).answered =
-      now;
+  m_availability.Observe(now, vm);
 }
 
 void MaintenanceCoordinator::Tick(TimePoint now) {
-  m_probes_left = m_options.probes_per_tick;
+  m_availability.Tick();
   for (const auto& [name, pool] : m_head->fleet().pools) {
     TickPool(now, name, &StateOf(name));
   }
@@ -339,7 +314,7 @@
                                               const MaintenanceEntry& entry, PoolState* state) {
   // The permit is known to be recorded only now. Its write may have taken effect late, or the VM
   // may have begun to move, so the conditions are checked again before the worker is touched.
-  if (!KnowsAvailability(now)) {
+  if (!m_availability.IsKnown(now)) {
     return;
   }
   if (vm.state != VmState::kServing) {
@@ -352,7 +327,7 @@
     state->usage_at = now;
   }
   const auto pool = m_head->fleet().pools.find(vm.pool);
-  if (Down(now, vm) || !state->usage.Within(vm, pool->second.budget)) {
+  if (m_availability.IsDown(now, vm) || !state->usage.Within(vm, pool->second.budget)) {
     Change(now, state, vm.id, entry, MaintenanceState::kWaiting, "the budget is used up");
     return;
   }
@@ -497,12 +472,12 @@
   if (view.waiting.empty()) {
     return;
   }
-  Probe(now, pool);
-  if (!KnowsAvailability(now)) {
+  m_availability.Probe(now, m_head->fleet(), pool);
+  if (!m_availability.IsKnown(now)) {
     return;
   }
-  std::erase_if(view.waiting, [&](const Vm* vm) { return Down(now, *vm); });
-  Usage usage = UsageOf(now, pool, *state->wave, &view.unavailable);
+  std::erase_if(view.waiting, [&](const Vm* vm) { return m_availability.IsDown(now, *vm); });
+  PoolUsage usage = UsageOf(now, pool, *state->wave, &view.unavailable);
   for (const std::string& id : m_picker(now, view)) {
     const Vm* vm = FindVm(m_head->fleet(), id);
     const bool waits =
@@ -519,39 +494,12 @@
   }
 }
 
-bool MaintenanceCoordinator::KnowsAvailability(TimePoint now) {
-  const std::optional<TimePoint> confirmed = m_vm_list->confirmed();
-  if (!confirmed || now - *confirmed > m_options.list_age / 2) {
-    m_vm_list->Refresh(now);
-  }
-  return confirmed && now - *confirmed <= m_options.list_age;
-}
-
-void MaintenanceCoordinator::OnList(bool changed) {
-  if (!changed) {
-    return;
-  }
-  m_listed.clear();
-  for (const VmListing& listing : m_vm_list->listings()) {
-    if (!listing.leaving) {
-      m_listed.insert(listing.id);
-    }
-  }
-}
-
-bool MaintenanceCoordinator::Down(TimePoint now, const Vm& vm) const {
-  const auto observation = m_observed.find(vm.id);
-  const bool answers = observation != m_observed.end() && observation->second.answered &&
-                       now - *observation->second.answered <= m_options.answer_age;
-  return !answers || !m_listed.contains(vm.id);
-}
-
-MaintenanceCoordinator::Usage MaintenanceCoordinator::UsageOf(
-    TimePoint now, std::string_view pool, const MaintenanceWave& wave,
-    std::vector<const Vm*>* unavailable) const {
-  Usage usage;
+PoolUsage MaintenanceCoordinator::UsageOf(TimePoint now, std::string_view pool,
+                                          const MaintenanceWave& wave,
+                                          std::vector<const Vm*>* unavailable) const {
+  PoolUsage usage;
   for (const auto& [id, vm] : m_head->fleet().vms) {
-    if (vm.pool != pool || !(wave.HasPermit(id) || Down(now, vm))) {
+    if (vm.pool != pool || !(wave.HasPermit(id) || m_availability.IsDown(now, vm))) {
       continue;
     }
     usage.Add(vm);
@@ -562,39 +510,6 @@
   return usage;
 }
 
-void MaintenanceCoordinator::Probe(TimePoint now, std::string_view pool) {
-  for (const auto& [id, vm] : m_head->fleet().vms) {
-    if (m_probes_left == 0) {
-      return;
-    }
-    if (vm.pool != pool) {
-      continue;
-    }
-    Observation& observation = m_observed[id];
-    const bool recent =
-        now - observation.probed < m_options.answer_age / 4 ||
-        (observation.answered && now - *observation.answered < m_options.answer_age / 4);
-    if (observation.probing || recent) {
-      continue;
-    }
-    observation.probing = true;
-    observation.probed = now;
-    --m_probes_left;
-    m_workers->GetStatus(
-        AddressOf(vm), [this, alive = std::weak_ptr<bool>(m_alive), id = id, now](
-                           TimePoint, const std::optional<WorkerStatus>& status, std::string_view) {
-          if (alive.expired()) {
-            return;
-          }
-          m_observed[id].probing = false;
-          if (status) {
-            // Counted from the sending, since the answer may have waited.
-            ObserveWorker(std::max(now, m_observed[id].answered.value_or(now)), id, *status);
-          }
-        });
-  }
-}
-
 void MaintenanceCoordinator::SignalCheckpoints(TimePoint now, PoolState* state) {
   if (!state->wave) {
     return;
