Renew the views of changed workers only

Cause: each placement and each share update rebuilt the views of all workers of a pool, with a lookup by name for each. At the target a pool has hundreds of workers per cell, so that one request would cost more for the views than for all the rest. WorkerTable now keeps the views and renews those of changed workers; all are renewed when the tasks running elsewhere change the spread, when a full worker is due again and when the configuration changes.

A test compares the kept views with renewed ones after each of 2,000 random changes.

--- a/packages/daemon/include/cranberryplank/daemon/worker_table.h
+++ b/packages/daemon/include/cranberryplank/daemon/worker_table.h
@@ -25,6 +25,10 @@
     Duration worker_clock{0};
   };
 
+  WorkerTable() = default;
+  WorkerTable(const WorkerTable&) = delete;
+  WorkerTable& operator=(const WorkerTable&) = delete;
+
   /// Takes over the VM records of a newer configuration.
   void SetFleet(const Fleet& fleet);
 
@@ -74,8 +78,12 @@
     TimePoint received;
   };
 
+  struct PoolWorkers;
+
   struct Worker {
     Vm vm;
+    PoolWorkers* pool = nullptr;
+    std::size_t place = 0;  ///< In the pool's lists.
     std::string boot_id;
     std::optional<ClockReading> clock;
     bool draining = false;
@@ -87,15 +95,25 @@
     std::optional<TimePoint> next_probe;
   };
 
+  /// Workers of a pool. The views are kept up to date by changes, since a placement that looked
+  /// at every worker of a large pool would cost more than the rest of the request.
   struct PoolWorkers {
-    std::vector<std::string> vms;
+    std::vector<const Worker*> workers;
     std::vector<WorkerView> views;
+    std::vector<std::size_t> changed;  ///< Places whose views are to be renewed.
+    bool all_changed = true;
+    TimePoint valid_until;  ///< When the first worker is no longer taken to be full.
     int running_elsewhere = 0;
+
+    /// Part of the tasks running elsewhere that falls to each worker.
+    int Spread() const;
+    void Renew(TimePoint now, std::size_t place);
   };
 
   Worker* FindWorker(std::string_view vm);
   const Worker* FindWorker(std::string_view vm) const;
   static bool MayTakeWork(const Worker& worker);
+  static void NoteChange(const Worker& worker);
 
   std::map<std::string, Worker, std::less<>> m_workers;
   std::map<std::string, PoolWorkers, std::less<>> m_pools;
--- a/packages/daemon/src/worker_table.cc
+++ b/packages/daemon/src/worker_table.cc
@@ -40,18 +40,26 @@
       worker.next_probe.reset();
     }
     worker.vm = vm;
-    pools[vm.pool].vms.push_back(id);
+    PoolWorkers& pool = pools[vm.pool];
+    worker.pool = &pool;
+    worker.place = pool.workers.size();
+    pool.workers.push_back(&worker);
   }
   for (auto& [name, pool] : pools) {
     const auto old = m_pools.find(name);
     pool.running_elsewhere = old == m_pools.end() ? 0 : old->second.running_elsewhere;
   }
-  m_pools = std::move(pools);
+  // The pools stay where they are in memory, so the workers' pointers remain valid.
+  m_pools.swap(pools);
 }
 
 void WorkerTable::SetLeaving(const std::set<std::string, std::less<>>& leaving) {
   for (auto& [id, worker] : m_workers) {
-    worker.leaving = leaving.contains(id);
+    const bool leaves = leaving.contains(id);
+    if (worker.leaving != leaves) {
+      worker.leaving = leaves;
+      NoteChange(worker);
+    }
   }
 }
 
@@ -60,17 +68,22 @@
   if (worker == nullptr) {
     return;
   }
+  const bool took_work = MayTakeWork(*worker);
   worker->boot_id = status.boot_id;
   worker->clock = ClockReading{status.clock, now};
   worker->draining = status.draining;
   worker->answering = true;
   worker->next_probe = now + (status.draining ? kUnavailableProbeInterval : kProbeInterval);
+  if (MayTakeWork(*worker) != took_work) {
+    NoteChange(*worker);
+  }
 }
 
 void WorkerTable::OnClock(TimePoint now, std::string_view vm, Duration worker_clock) {
   Worker* worker = FindWorker(vm);
   if (worker != nullptr && worker_clock.count() > 0) {
     worker->clock = ClockReading{worker_clock, now};
+    NoteChange(*worker);
   }
 }
 
@@ -80,6 +93,7 @@
   if (worker == nullptr) {
     return;
   }
+  NoteChange(*worker);
   switch (refusal) {
     case WorkerRefusal::kDraining:
       worker->draining = true;
@@ -103,12 +117,14 @@
   if (Worker* worker = FindWorker(vm)) {
     worker->answering = false;
     worker->next_probe.reset();
+    NoteChange(*worker);
   }
 }
 
 void WorkerTable::TaskStarted(std::string_view vm) {
   if (Worker* worker = FindWorker(vm)) {
     ++worker->running_here;
+    NoteChange(*worker);
   }
 }
 
@@ -116,35 +132,68 @@
   Worker* worker = FindWorker(vm);
   if (worker != nullptr && worker->running_here > 0) {
     --worker->running_here;
+    NoteChange(*worker);
   }
 }
 
 void WorkerTable::SetRunningElsewhere(std::string_view pool, int tasks) {
   const auto found = m_pools.find(pool);
-  if (found != m_pools.end()) {
-    found->second.running_elsewhere = tasks;
+  if (found == m_pools.end()) {
+    return;
   }
+  PoolWorkers& workers = found->second;
+  const int spread = workers.Spread();
+  workers.running_elsewhere = tasks;
+  workers.all_changed = workers.all_changed || workers.Spread() != spread;
 }
 
 bool WorkerTable::MayTakeWork(const Worker& worker) {
   return worker.answering && worker.clock && !worker.draining && !worker.leaving;
 }
 
+void WorkerTable::NoteChange(const Worker& worker) {
+  PoolWorkers* pool = worker.pool;
+  if (pool == nullptr || pool->all_changed) {
+    return;
+  }
+  pool->changed.push_back(worker.place);
+  // Changes of a pool whose views nobody asks for must not pile up.
+  pool->all_changed = pool->changed.size() > pool->workers.size();
+}
+
+int WorkerTable::PoolWorkers::Spread() const {
+  return workers.empty() ? 0 : running_elsewhere / static_cast<int>(workers.size());
+}
+
+void WorkerTable::PoolWorkers::Renew(TimePoint now, std::size_t place) {
+  const Worker& worker = *workers[place];
+  const bool full = worker.busy_until > now;
+  if (full) {
+    valid_until = std::min(valid_until, worker.busy_until);
+  }
+  const int others = full ? std::max(worker.busy_slots, Spread()) : Spread();
+  views[place] = WorkerView{&worker.vm, worker.running_here + others, !MayTakeWork(worker)};
+}
+
 std::span<const WorkerView> WorkerTable::Views(TimePoint now, std::string_view name) {
   const auto found = m_pools.find(name);
   if (found == m_pools.end()) {
     return {};
   }
   PoolWorkers& pool = found->second;
-  const int spread =
-      pool.vms.empty() ? 0 : pool.running_elsewhere / static_cast<int>(pool.vms.size());
-  pool.views.clear();
-  for (const std::string& id : pool.vms) {
-    const Worker& worker = m_workers.find(id)->second;
-    const int others = worker.busy_until > now ? std::max(worker.busy_slots, spread) : spread;
-    pool.views.push_back(
-        WorkerView{&worker.vm, worker.running_here + others, !MayTakeWork(worker)});
+  if (pool.all_changed || now >= pool.valid_until) {
+    pool.all_changed = false;
+    pool.valid_until = TimePoint::max();
+    pool.views.resize(pool.workers.size());
+    for (std::size_t place = 0; place < pool.workers.size(); ++place) {
+      pool.Renew(now, place);
+    }
+  } else {
+    for (const std::size_t place : pool.changed) {
+      pool.Renew(now, place);
+    }
   }
+  pool.changed.clear();
   return pool.views;
 }
 
--- a/packages/daemon/tests/parts_test.cc
+++ b/packages/daemon/tests/parts_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -6,6 +7,7 @@
 #include "cranberryplank/daemon/ticket_book.h"
 #include "cranberryplank/daemon/vm_list_tracker.h"
 #include "cranberryplank/daemon/worker_table.h"
+#include "cranberryplank/model/random.h"
 #include "cranberryplank/support/event_queue.h"
 
 namespace cranberryplank {
@@ -55,6 +57,51 @@
   CHECK(table.Views(kStart, "tone")[0].leaving);
 }
 
+// Guards against views that keep an old load or state of a worker, since only those of changed
+// workers are renewed.
+TEST_CASE("the views of workers follow every change") {
+  WorkerTable table;
+  const Fleet fleet = FleetOf(5);
+  table.SetFleet(fleet);
+  SeededRandom random(3);
+  TimePoint now = kStart;
+  for (int i = 0; i < 2'000; ++i) {
+    const std::string vm = "vm-" + std::to_string(random.Below(5));
+    const auto refusal = static_cast<WorkerRefusal>(random.Below(4));
+    switch (random.Below(7)) {
+      case 0:
+        table.TaskStarted(vm);
+        break;
+      case 1:
+        table.TaskEnded(vm);
+        break;
+      case 2:
+        table.OnNoAnswer(vm);
+        break;
+      case 3:
+        table.OnRefusal(now, vm, refusal, Duration(random.Below(50)));
+        break;
+      case 4:
+        table.SetLeaving({vm});
+        break;
+      case 5:
+        table.SetRunningElsewhere("tone", static_cast<int>(random.Below(20)));
+        break;
+      default:
+        table.OnStatus(now, vm, {"boot", Duration(1'000), 4, 0, random.Below(4) == 0});
+    }
+    now += Duration(random.Below(20));
+    const auto views = table.Views(now, "tone");
+    const std::vector<WorkerView> renewed(views.begin(), views.end());
+    table.SetFleet(fleet);  // Renews all views.
+    const auto expected = table.Views(now, "tone");
+    REQUIRE(std::equal(renewed.begin(), renewed.end(), expected.begin(), expected.end(),
+                       [](const WorkerView& a, const WorkerView& b) {
+                         return a.vm == b.vm && a.running == b.running && a.leaving == b.leaving;
+                       }));
+  }
+}
+
 class ScriptedDirectory : public VmDirectory {
  public:
   explicit ScriptedDirectory(EventQueue* queue) : m_queue(queue) {}
