Call the bundle that the fleet runs by the active bundle

"In force" stood beside "in effect" with another meaning: recorded as the bundle, though not yet acknowledged by all daemons. The message of the version check keeps its text.

--- a/packages/bundle/include/cranberryplank/bundle/bundle_application.h
+++ b/packages/bundle/include/cranberryplank/bundle/bundle_application.h
@@ -9,7 +9,7 @@
 
 namespace cranberryplank {
 
-/// Puts a bundle's configuration in force.
+/// Applies a bundle's configuration.
 class BundleApplication {
  public:
   /// Returns `fleet` with teams, pools, queues and bundle text replaced. Refuses a configuration
--- a/packages/bundle/include/cranberryplank/bundle/bundle_checker.h
+++ b/packages/bundle/include/cranberryplank/bundle/bundle_checker.h
@@ -29,7 +29,7 @@
 /// Checks what a bundle says, apart from signatures.
 class BundleChecker {
  public:
-  /// Tells whether the bundle can be put in force: commands, runbooks and configuration.
+  /// Tells whether the bundle can be activated: commands, runbooks and configuration.
   bool Check(const Bundle& bundle);
 
   /// Tells whether queues, limits and weights are usable.
--- a/packages/bundle/include/cranberryplank/bundle/bundle_verifier.h
+++ b/packages/bundle/include/cranberryplank/bundle/bundle_verifier.h
@@ -13,7 +13,7 @@
 /// Public keys of approvers by name.
 using ApproverKeys = std::map<std::string, PublicKey, std::less<>>;
 
-/// Decides whether a bundle may replace the one in force.
+/// Decides whether a bundle may replace the active one.
 class BundleVerifier {
  public:
   /// @param required number of different approvers that must have signed, at least 1
--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -235,7 +235,7 @@
   vm remove VM
   maintenance start POOL [VM...]
   maintenance stop POOL
-  runbook run NAME [--from STEP] carry out a runbook of the bundle in force
+  runbook run NAME [--from STEP] carry out a runbook of the active bundle
 
 Options
   --daemon HOST:PORT    daemon to ask; repeat it to name more
--- a/packages/daemon/include/cranberryplank/daemon/admin_edits.h
+++ b/packages/daemon/include/cranberryplank/daemon/admin_edits.h
@@ -22,12 +22,12 @@
 ///   be asked whether it is empty
 HeadControl::FleetEdit RemoveVmEdit(const std::string& id, std::function<bool()> is_gone);
 
-/// Verifies a bundle and puts it in force.
+/// Verifies a bundle and makes it the active one.
 HeadControl::FleetEdit SubmitBundleEdit(const Bundle& bundle, const ApproverKeys& approvers,
                                         int approvals_required);
 
-/// Records a bundle, whose text is in the store, as the candidate for the next one in force.
-/// @param apply puts the bundle in force; the candidate is refused where it would be
+/// Records a bundle, whose text is in the store, as the candidate for the next active one.
+/// @param apply puts the active bundle; the candidate is refused where it would be
 HeadControl::FleetEdit RecordCandidateEdit(const Bundle& bundle, HeadControl::FleetEdit apply);
 
 }  // namespace cranberryplank
--- a/packages/daemon/include/cranberryplank/daemon/bundle_rollout.h
+++ b/packages/daemon/include/cranberryplank/daemon/bundle_rollout.h
@@ -24,7 +24,7 @@
 enum class RolloutStage {
   kNone,          ///< No bundle was submitted yet.
   kDistributing,  ///< Recorded as candidate; daemons read and verify it.
-  kActivating,    ///< Recorded as the bundle in force, not yet in effect everywhere.
+  kActivating,    ///< Recorded as the active bundle, not yet in effect everywhere.
   kInEffect,
 };
 
--- a/packages/model/include/cranberryplank/model/fleet.h
+++ b/packages/model/include/cranberryplank/model/fleet.h
@@ -49,7 +49,7 @@
   std::uint64_t version = 0;
   Digest digest;
   std::uint64_t revision = 0;   ///< Revision that recorded the candidate.
-  std::uint64_t activated = 0;  ///< Revision that made it the bundle in force; 0 before.
+  std::uint64_t activated = 0;  ///< Revision that made it the active bundle; 0 before.
 
   bool operator==(const BundleCandidate&) const = default;
 };
@@ -63,7 +63,7 @@
   std::map<std::string, Queue, std::less<>> queues;
   std::map<std::string, Vm, std::less<>> vms;
   std::vector<ChangeRecord> changes;  ///< Newest last, at most `kRememberedChanges`.
-  std::string bundle;                 ///< Text of the bundle in force; read by package `bundle`.
+  std::string bundle;                 ///< Text of the active bundle; read by package `bundle`.
   std::optional<BundleCandidate> candidate;
 
   bool operator==(const Fleet&) const = default;
