Drop a base class that MaintenanceCoordinator no longer needs

sigc::trackable came with the coordinator's own connection to the VM list, which moved to WorkerAvailability. The tests of control (59) and daemon (56) pass.

--- a/packages/control/include/cranberryplank/control/maintenance_coordinator.h
+++ b/packages/control/include/cranberryplank/control/maintenance_coordinator.h
@@ -62,7 +62,7 @@
 
 /// Carries out maintenance waves, one at a time per pool. The state is in the pool's maintenance
 /// document; one daemon, chosen by a hash over the registered ones, carries a wave on.
-class MaintenanceCoordinator : public sigc::trackable {
+class MaintenanceCoordinator {
  public:
   using ResultCallback = std::function<void(TimePoint now, const WaveResult& result)>;
   using CheckpointSignal = sigc::signal<void, TimePoint /*now*/, const std::string& /*vm*/>;
