--- a/packages/daemon/include/cranberryplank/daemon/settings.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/time.h"
 
 namespace cranberryplank {
--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -8,6 +8,7 @@
 
 #include "cranberryplank/daemon/daemon.h"
 #include "cranberryplank/daemon/settings.h"
+#include "job_program.h"
 
 namespace {
 
@@ -19,6 +20,7 @@
     "Accepts requests, places them on workers and carries out maintenance.\n"
     "\n"
     "  -s, --settings FILE   settings in TOML\n"
+    "      --jobs            run the job service on the users' platform\n"
     "      --check-settings  check the settings and exit\n"
     "  -h, --help            print this text and exit\n"
     "      --version         print the version and exit\n"
@@ -26,10 +28,11 @@
     "Exit codes: 0 planned stop or settings valid, 1 could not start or had to give up,\n"
     "2 wrong use, 3 settings not valid.\n";
 
-enum Option : int { kCheckSettings = 256, kVersion };
+enum Option : int { kCheckSettings = 256, kVersion, kJobs };
 
 constexpr std::array kOptions{
     option{"settings", required_argument, nullptr, 's'},
+    option{"jobs", no_argument, nullptr, kJobs},
     option{"check-settings", no_argument, nullptr, kCheckSettings},
     option{"help", no_argument, nullptr, 'h'},
     option{"version", no_argument, nullptr, kVersion},
@@ -60,12 +63,16 @@
 int main(int argc, char** argv) {
   std::string path;
   bool check_only = false;
+  bool jobs = false;
   int chosen = 0;
   while ((chosen = getopt_long(argc, argv, "s:h", kOptions.data(), nullptr)) != -1) {
     switch (chosen) {
       case 's':
         path = optarg;
         break;
+      case kJobs:
+        jobs = true;
+        break;
       case kCheckSettings:
         check_only = true;
         break;
@@ -80,9 +87,12 @@
         return kExitUsage;
     }
   }
+  if (const char* variable = std::getenv("CRANBERRYPLANK_SETTINGS"); path.empty() && variable) {
+    path = variable;
+  }
   if (path.empty() || optind != argc) {
     fmt::print(stderr, "{}", kUsage);
     return kExitUsage;
   }
-  return RunDaemon(path, check_only);
+  return jobs ? cranberryplank::RunJobDaemon(path, check_only) : RunDaemon(path, check_only);
 }
--- a/packages/daemon/src/bundle_rollout.cc
+++ b/packages/daemon/src/bundle_rollout.cc
@@ -9,7 +9,7 @@
 #include "cranberryplank/control/acting_daemon.h"
 #include "cranberryplank/control/head_keeper.h"
 #include "cranberryplank/daemon/admin_edits.h"
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -18,7 +18,7 @@
 #include "cranberryplank/daemon/api_server.h"
 #include "cranberryplank/daemon/bundle_rollout.h"
 #include "cranberryplank/daemon/caller_api.h"
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/daemon/move_scheduler.h"
 #include "cranberryplank/daemon/request_router.h"
--- a/packages/daemon/src/forward_table.cc
+++ b/packages/daemon/src/forward_table.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/daemon/src/move_scheduler.cc
+++ b/packages/daemon/src/move_scheduler.cc
@@ -1,7 +1,7 @@
 #include "cranberryplank/daemon/move_scheduler.h"
 
 #include "cranberryplank/control/acting_daemon.h"
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/daemon/src/pending_requests.cc
+++ b/packages/daemon/src/pending_requests.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
 
 namespace cranberryplank {
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
 #include "cranberryplank/policy/retry_after.h"
 
--- a/packages/daemon/src/shutdown.cc
+++ b/packages/daemon/src/shutdown.cc
@@ -1,6 +1,6 @@
 #include "cranberryplank/daemon/shutdown.h"
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
 
 namespace cranberryplank {
--- a/packages/daemon/src/vm_list_tracker.cc
+++ b/packages/daemon/src/vm_list_tracker.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/caller_front.h
@@ -0,0 +1,83 @@
+#ifndef CRANBERRYPLANK_ENTRY_CALLER_FRONT_H_
+#define CRANBERRYPLANK_ENTRY_CALLER_FRONT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cranberryplank/daemon/api_server.h"
+#include "cranberryplank/daemon/metrics.h"
+#include "cranberryplank/entry/owner_messages.h"
+#include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+/// Why a caller's request is refused before it reaches the owner.
+enum class FrontRefusal {
+  kNone,
+  kNoConfig,       ///< No configuration is known yet.
+  kStaleConfig,    ///< The configuration is too old to tell whether the key still holds.
+  kNoSuchQueue,
+  kUnknownKey,
+};
+
+/// Decides on a caller's request by route and key alone.
+/// @param config_age since sending the newest call to the store that confirmed the configuration
+/// @param max_age a key may have been withdrawn in a configuration older than this
+FrontRefusal CheckAccess(const ClusterConfig* config, const QueueConfig* queue,
+                         std::string_view key, Duration config_age, Duration max_age);
+
+/// Answers callers: checks route and key, passes the call to the owner of the schedule, and
+/// follows it through a change of owner.
+class CallerFront {
+ public:
+  using Callback = std::function<void(TimePoint now, const OwnerReply& reply)>;
+  using CallOwner = std::function<void(const OwnerCall& call, Duration timeout, Callback done)>;
+
+  CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner);
+
+  void SetMaxConfigAge(Duration age) { m_max_config_age = age; }
+  void Handle(Now now, const ClusterConfig* config, TimePoint config_confirmed,
+              const std::shared_ptr<ApiExchange>& exchange);
+  /// Repeats calls that found no owner. To be called regularly.
+  void Tick(TimePoint now);
+  std::size_t open_requests() const { return m_pending.size(); }
+  /// Answers from now on ask callers to close their connections.
+  void SetClosing() { m_closing = true; }
+
+ private:
+  struct Pending {
+    std::shared_ptr<ApiExchange> exchange;
+    OwnerCall call;
+    TimePoint arrived{};
+    TimePoint deadline{};     ///< The caller has to be answered by then.
+    TimePoint give_up{};      ///< Without any sign of an owner the call is refused then.
+    TimePoint retry_at{};
+    bool in_flight = false;
+    bool may_have_run = false;
+    int attempts = 0;
+  };
+
+  void Send(TimePoint now, std::uint64_t id);
+  void OnReply(TimePoint now, std::uint64_t id, const OwnerReply& reply);
+  void GiveUp(TimePoint now, std::uint64_t id, std::string_view reason);
+  void Finish(TimePoint now, std::uint64_t id, ApiResponse response, std::string_view reason);
+  void Refuse(TimePoint now, const std::shared_ptr<ApiExchange>& exchange, int status,
+              std::string_view reason);
+  ApiResponse ResponseOf(const OwnerCall& call, const OwnerReply& reply) const;
+
+  const PlatformFormat* m_format;
+  Metrics* m_metrics;
+  CallOwner m_call_owner;
+  Duration m_max_config_age{4'500};
+  bool m_closing = false;
+  std::uint64_t m_last_id = 0;
+  std::map<std::uint64_t, Pending> m_pending;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_CALLER_FRONT_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -0,0 +1,100 @@
+#ifndef CRANBERRYPLANK_ENTRY_DUTY_KEEPER_H_
+#define CRANBERRYPLANK_ENTRY_DUTY_KEEPER_H_
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cranberryplank/entry/key_value_store.h"
+
+namespace cranberryplank {
+
+/// Who owns a duty, as the store tells it. The revision of the record is the owner's epoch.
+struct DutyRecord {
+  std::string owner;        ///< Name of the daemon's VM.
+  std::string address;      ///< For calls between daemons.
+  std::string incarnation;  ///< Of the owner's process.
+  int generation = 0;       ///< Number of earlier claims.
+};
+
+std::string EncodeDuty(const DutyRecord& record);
+std::optional<DutyRecord> DecodeDuty(std::string_view value);
+
+/// What a daemon knows of the owner of a duty when it decides whether to claim it.
+struct SuccessionView {
+  bool owner_known = false;
+  bool owner_is_earlier_self = false;  ///< The record names an earlier process of this VM.
+  bool disowned = false;               ///< The daemon at the owner's address says it is not.
+  bool refused = false;                ///< The owner's address refuses connections.
+  bool owner_cut_from_store = false;   ///< The owner says that the store does not answer it.
+  Duration silence{0};                 ///< Since the owner last answered this daemon.
+  Duration known_for{0};               ///< Since this daemon learnt of the present record.
+  Duration store_age{0};  ///< Since sending the newest call that the store answered.
+};
+
+/// Tells whether to claim the duty. A claim is safe at any time, since each has an epoch of its
+/// own; this keeps daemons from taking the duty from one another without need.
+bool ShouldClaim(const SuccessionView& view);
+
+/// Claims a duty in the store, and knows until when this daemon may act on it.
+class DutyKeeper {
+ public:
+  /// An owner may act this long after sending the newest call that confirmed its ownership.
+  static constexpr Duration kAuthority{8'000};
+
+  DutyKeeper(KeyValueStore* store, std::string key, DutyRecord self);
+
+  /// Reads the record if it is not known or may be out of date.
+  void Tick(TimePoint now);
+  /// Reads the record anew.
+  void Read(TimePoint now);
+  void Claim(TimePoint now);
+  /// A transaction that names the record's revision succeeded; it was sent at `sent`.
+  void Confirm(TimePoint sent);
+  /// The duty is another's: a transaction or a worker said so.
+  void Lose(TimePoint now, std::string_view reason);
+
+  bool owned() const { return m_owned; }
+  bool known() const { return m_known; }
+  const std::optional<DutyRecord>& record() const { return m_record; }
+  std::uint64_t revision() const { return m_revision; }
+  const std::string& key() const { return m_key; }
+  TimePoint authority_until() const { return m_confirmed + kAuthority; }
+  TimePoint learnt_at() const { return m_learnt; }
+  /// Sending time of the newest call that the store answered.
+  TimePoint store_answered() const { return m_store_answered; }
+  bool is_earlier_self() const;
+
+  /// This daemon has become the owner.
+  sigc::signal<void, TimePoint>& signal_acquired() { return m_acquired; }
+  /// This daemon is no longer the owner.
+  sigc::signal<void, TimePoint>& signal_lost() { return m_lost; }
+
+ private:
+  void OnRecord(TimePoint now, TimePoint sent, const KvItem& item);
+  void OnClaim(TimePoint now, TimePoint sent, const DutyRecord& claim, const KvCommitReply& reply);
+  void Acquire(TimePoint now, TimePoint sent);
+
+  KeyValueStore* m_store;
+  std::string m_key;
+  DutyRecord m_self;
+  std::optional<DutyRecord> m_record;
+  std::uint64_t m_revision = 0;
+  bool m_known = false;
+  bool m_owned = false;
+  bool m_reading = false;
+  bool m_claiming = false;
+  TimePoint m_confirmed{};
+  TimePoint m_learnt{};
+  TimePoint m_store_answered{};
+  TimePoint m_next_read{};
+  sigc::signal<void, TimePoint> m_acquired;
+  sigc::signal<void, TimePoint> m_lost;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_DUTY_KEEPER_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -0,0 +1,98 @@
+#ifndef CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
+#define CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cranberryplank/daemon/api_server.h"
+#include "cranberryplank/daemon/metrics.h"
+#include "cranberryplank/entry/caller_front.h"
+#include "cranberryplank/entry/duty_keeper.h"
+#include "cranberryplank/entry/job_settings.h"
+#include "cranberryplank/entry/machine_control.h"
+#include "cranberryplank/entry/owner_client.h"
+#include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/schedule_owner.h"
+#include "cranberryplank/entry/watched_prefix.h"
+#include "cranberryplank/model/random.h"
+
+struct event_base;
+
+namespace cranberryplank {
+
+/// What the service needs of the platform.
+struct JobServiceParts {
+  KeyValueStore* store = nullptr;
+  RedirectableWorkerLink* workers = nullptr;
+  MachineControl* machines = nullptr;  ///< nullptr if VMs can not be moved.
+  const PlatformFormat* format = nullptr;
+  HttpClient* http = nullptr;
+  RandomSource* random = nullptr;
+};
+
+/// One daemon of the job service: answers callers, follows the configuration, and owns the
+/// schedule if it holds the duty.
+class JobService : public sigc::trackable {
+ public:
+  JobService(event_base* base, const JobSettings& settings, const JobServiceParts& parts);
+  ~JobService();
+  JobService(const JobService&) = delete;
+  JobService& operator=(const JobService&) = delete;
+
+  /// @return false, with `last_reason()` set, if an address can not be bound
+  bool Listen();
+  const std::string& last_reason() const { return m_last_reason; }
+  void Tick(Now now);
+  /// Applies changed settings; addresses to listen on stay as they were.
+  void SetSettings(Now now, const JobSettings& settings);
+  /// Begins a graceful stop.
+  void BeginShutdown(TimePoint now);
+  bool finished(TimePoint now) const;
+  /// Tells whether this daemon owns the schedule, so that its loop has work to do often.
+  bool owner() const { return m_owner != nullptr; }
+
+ private:
+  void OnOperatorItem(TimePoint now, const KvItem& item);
+  void OnAcquired(TimePoint now);
+  void OnLost(TimePoint now);
+  void FollowOwner(TimePoint now);
+  void ConsiderClaim(TimePoint now);
+  void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  void CallOwner(const OwnerCall& call, Duration timeout, CallerFront::Callback done);
+  void HandOver(TimePoint now);
+  void NoteConfigVersion(TimePoint now, std::uint64_t version);
+  SchedulerSettings SchedulerSettingsOf() const;
+
+  JobSettings m_settings;
+  JobServiceParts m_parts;
+  std::string m_address;  ///< For calls between daemons.
+  std::string m_last_reason;
+  Metrics m_metrics;
+  WatchedPrefix m_operators;
+  std::shared_ptr<const ClusterConfig> m_config;
+  DutyKeeper m_duty;
+  OwnerClient m_owner_client;
+  std::string m_followed;  ///< Incarnation of the owner that is followed.
+  CallerFront m_front;
+  std::unique_ptr<ScheduleOwner> m_owner;
+  bool m_owner_ended = false;
+  std::map<std::string, TimePoint> m_peers;  ///< Last call of each daemon, by address.
+  std::optional<TimePoint> m_claim_at;
+  bool m_asked_to_take_over = false;
+  std::optional<TimePoint> m_stopping_since;
+  bool m_handed_over = false;
+  TimePoint m_last_refresh{};
+  TimePoint m_callers_checked{};
+  ApiServer m_caller_server;
+  ApiServer m_ready_server;
+  ApiServer m_daemon_server;
+  ApiServer m_metrics_server;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -0,0 +1,51 @@
+#ifndef CRANBERRYPLANK_ENTRY_JOB_SETTINGS_H_
+#define CRANBERRYPLANK_ENTRY_JOB_SETTINGS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cranberryplank/daemon/settings.h"
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// Settings of a daemon that schedules jobs. docs/SETTINGS.md describes each.
+struct JobSettings {
+  std::string node;
+  std::string zone;
+  Endpoint caller_listen;
+  Endpoint ready_listen;
+  Endpoint daemon_listen;
+  Endpoint metrics_listen;
+  Endpoint store;
+  std::optional<Endpoint> machines;
+  std::optional<Endpoint> advice;
+  Duration revocation_bound{5'000};  ///< A withdrawn key must not be used for longer.
+  Duration max_lease{6'000};         ///< Longest lease that workers grant.
+  Duration stop_time{900};           ///< Longest time that a stop takes.
+  Duration retention{120'000};       ///< How long the state of an ended job is told.
+  Duration shutdown_grace{6'000};
+  Duration machine_lease{3'000};     ///< Two holders must not order one VM within this time.
+  Duration move_time{1'500};
+  Duration upkeep_time{2'000};
+  Duration notice_time{4'500};  ///< A task not at work for this long is away for any cause.
+  Duration harm_time{4'000};    ///< Longest time that fillers may slow a serving task.
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+/// Reads settings in TOML and checks them.
+class JobSettingsReader {
+ public:
+  /// @return nothing, with `last_reason()` set, if the text is not valid
+  std::optional<JobSettings> ReadText(std::string_view text);
+  std::optional<JobSettings> ReadFile(const std::string& path);
+  const std::string& last_reason() const { return m_last_reason; }
+
+ private:
+  std::string m_last_reason;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_JOB_SETTINGS_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/owner_client.h
@@ -0,0 +1,57 @@
+#ifndef CRANBERRYPLANK_ENTRY_OWNER_CLIENT_H_
+#define CRANBERRYPLANK_ENTRY_OWNER_CLIENT_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "cranberryplank/entry/owner_messages.h"
+#include "cranberryplank/model/time.h"
+#include "cranberryplank/platform/http_client.h"
+
+namespace cranberryplank {
+
+/// Calls the owner of the schedule, or another daemon, and watches whether it answers.
+class OwnerClient {
+ public:
+  using Callback = std::function<void(TimePoint now, const OwnerReply& reply)>;
+
+  /// @param self address at which this daemon takes calls
+  OwnerClient(HttpClient* http, std::string self) : m_http(http), m_self(std::move(self)) {}
+
+  /// Path of calls between daemons.
+  static constexpr const char* kPath = "/owner";
+
+  /// Follows the owner at `address`; what was known of an earlier one is forgotten.
+  void SetOwner(TimePoint now, const std::string& address);
+  /// To be called regularly: pings the owner. @param config_version of this daemon
+  void Tick(TimePoint now, std::uint64_t config_version);
+  void Call(const std::string& address, const OwnerCall& call, Duration timeout, Callback done);
+
+  /// The owner refused the connection since it last answered.
+  bool refused() const { return m_refusals >= 2; }
+  /// The daemon at the owner's address says that it is not the owner.
+  bool disowned() const { return m_disowned; }
+  bool owner_cut_from_store() const { return m_cut_from_store; }
+  TimePoint last_answer() const { return m_last_answer; }
+  std::uint64_t owner_config_version() const { return m_config_version; }
+
+ private:
+  void Observe(TimePoint now, const std::string& address, const OwnerReply& reply, bool answered,
+               bool not_sent);
+
+  HttpClient* m_http;
+  std::string m_self;
+  std::string m_address;
+  TimePoint m_last_answer{};
+  TimePoint m_next_ping{};
+  bool m_ping_in_flight = false;
+  int m_refusals = 0;
+  bool m_disowned = false;
+  bool m_cut_from_store = false;
+  std::uint64_t m_config_version = 0;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_OWNER_CLIENT_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -0,0 +1,91 @@
+#ifndef CRANBERRYPLANK_ENTRY_SCHEDULE_OWNER_H_
+#define CRANBERRYPLANK_ENTRY_SCHEDULE_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cranberryplank/entry/duty_keeper.h"
+#include "cranberryplank/entry/key_value_store.h"
+#include "cranberryplank/entry/owner_messages.h"
+#include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/state_writer.h"
+#include "cranberryplank/entry/watched_prefix.h"
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+/// A link whose answers can be redirected: answers to orders sent before the last redirection are
+/// dropped.
+class RedirectableWorkerLink : public WorkerLink {
+ public:
+  virtual void SetEvents(WorkerEvents* events) = 0;
+};
+
+struct ScheduleOwnerParts {
+  KeyValueStore* store = nullptr;
+  RedirectableWorkerLink* workers = nullptr;
+  const PlatformFormat* format = nullptr;
+  DutyKeeper* duty = nullptr;
+};
+
+/// The schedule while this daemon owns it: loads the state, runs the scheduler, stores its changes
+/// and answers the calls of all daemons.
+class ScheduleOwner {
+ public:
+  using Callback = std::function<void(TimePoint now, const OwnerReply& reply)>;
+
+  ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings);
+  ~ScheduleOwner();
+  ScheduleOwner(const ScheduleOwner&) = delete;
+  ScheduleOwner& operator=(const ScheduleOwner&) = delete;
+
+  /// Begins to load the state; `Tick` goes on.
+  void Begin(Now now);
+  void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
+  void SetSettings(const SchedulerSettings& settings);
+  void Tick(Now now);
+  void Handle(Now now, const OwnerCall& call, Callback done);
+
+  /// Answers calls that still wait: the next owner has to be asked.
+  void End(TimePoint now);
+
+  bool ready() const { return m_ready; }
+  /// Ownership was found to be another's by a worker.
+  bool fenced() const { return m_ready && m_scheduler->fenced(); }
+  Scheduler* scheduler() { return m_scheduler.get(); }
+  bool store_failing(TimePoint now) const { return m_writer.failing(now); }
+
+ private:
+  void ReadPage();
+  void OnPage(const KvReadReply& reply);
+  void NextPrefix();
+  void FinishLoad(Now now);
+  void OnWorkerItem(TimePoint now, const KvItem& item);
+  void Submit(Now now, const OwnerCall& call, Callback done);
+  void Answer(std::uint64_t waiting, OwnerReply reply);
+  std::uint64_t Wait(Callback done);
+
+  ScheduleOwnerParts m_parts;
+  std::unique_ptr<Scheduler> m_scheduler;
+  StateWriter m_writer;
+  WatchedPrefix m_workers;
+  std::shared_ptr<const ClusterConfig> m_config;
+  bool m_ready = false;
+  bool m_reading = false;
+  int m_prefix = 0;  ///< Index of the prefix being loaded.
+  std::string m_last_key;
+  TimePoint m_retry_at{};
+  std::map<std::string, JobRecord> m_records;
+  std::map<std::string, JobProgress> m_progress;
+  std::vector<RecordedWorker> m_recorded;
+  TimePoint m_begun{};
+  std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
+  std::uint64_t m_last_waiting = 0;
+  std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_SCHEDULE_OWNER_H_
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/watched_prefix.h
@@ -0,0 +1,72 @@
+#ifndef CRANBERRYPLANK_ENTRY_WATCHED_PREFIX_H_
+#define CRANBERRYPLANK_ENTRY_WATCHED_PREFIX_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cranberryplank/entry/key_value_store.h"
+
+namespace cranberryplank {
+
+/// Keeps a copy of all items below a prefix: reads them once, then follows the changes, and reads
+/// them again when the store's history does not reach back far enough. Tells how old the copy may
+/// be.
+class WatchedPrefix {
+ public:
+  using ItemCallback = std::function<void(TimePoint now, const KvItem& item)>;
+
+  /// @param wait how long a watch may wait for a change; it bounds the age of the copy
+  WatchedPrefix(KeyValueStore* store, std::string prefix, Duration wait, ItemCallback changed);
+  WatchedPrefix(const WatchedPrefix&) = delete;
+  WatchedPrefix& operator=(const WatchedPrefix&) = delete;
+
+  /// Starts to follow the prefix; `Stop` ends it. May be started again.
+  void Start(TimePoint now);
+  void Stop();
+  /// Reads all again, without waiting for the watch.
+  void Refresh(TimePoint now);
+  /// To be called regularly: repeats calls that failed.
+  void Tick(TimePoint now);
+
+  bool loaded() const { return m_loaded; }
+  /// Sending time of the newest call that the store answered: the copy holds every change that
+  /// was acknowledged before.
+  TimePoint confirmed_at() const { return m_confirmed_at; }
+
+ private:
+  struct Lifetime {};
+
+  void ReadPage(TimePoint now);
+  void OnPage(TimePoint now, TimePoint sent, const KvReadReply& reply);
+  void SendWatch(TimePoint now);
+  void OnWatch(TimePoint now, TimePoint sent, const KvReadReply& reply);
+  void FinishLoad(TimePoint now);
+  void Apply(TimePoint now, const KvItem& item);
+  void Fail(TimePoint now, KvStatus status);
+
+  KeyValueStore* m_store;
+  std::string m_prefix;
+  Duration m_wait;
+  ItemCallback m_changed;
+  std::shared_ptr<Lifetime> m_lifetime;  ///< Answers of an earlier run are ignored.
+  bool m_running = false;
+  bool m_loading = false;
+  bool m_loaded = false;
+  bool m_in_flight = false;
+  bool m_failing = false;
+  TimePoint m_retry_at{};
+  TimePoint m_load_sent{};
+  TimePoint m_confirmed_at{};
+  std::uint64_t m_revision = 0;       ///< The watch continues after this revision.
+  std::uint64_t m_load_revision = 0;  ///< Of the first page of a load.
+  std::string m_last_key;
+  std::map<std::string, std::uint64_t> m_revisions;  ///< Of the items held.
+  std::map<std::string, std::uint64_t> m_listed;     ///< During a load.
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_WATCHED_PREFIX_H_
--- /dev/null
+++ b/packages/entry/src/caller_front.cc
@@ -0,0 +1,297 @@
+#include "cranberryplank/entry/caller_front.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+constexpr Duration kDefaultPatience{3'000};
+/// Left of the caller's patience for the answer's way.
+constexpr Duration kAnswerReserve{150};
+/// A call that no owner has taken is refused after this time: a change of owner takes less.
+constexpr Duration kOwnerWait{1'700};
+constexpr Duration kOwnerRetry{60};
+constexpr Duration kAttemptTimeout{900};
+constexpr std::int64_t kDefaultRetryAfterMs = 1'000;
+
+std::string_view HostOf(const ApiRequest& request) {
+  const std::string_view host = request.Header("host");
+  return host.substr(0, host.find(':'));
+}
+
+int StatusOf(FrontRefusal refusal) {
+  switch (refusal) {
+    case FrontRefusal::kNoConfig:
+    case FrontRefusal::kStaleConfig:
+      return kUnavailable;
+    case FrontRefusal::kNoSuchQueue:
+      return kNotFound;
+    case FrontRefusal::kUnknownKey:
+      return kUnauthorized;
+    case FrontRefusal::kNone:
+      break;
+  }
+  return kOk;
+}
+
+std::string_view ReasonOf(FrontRefusal refusal) {
+  switch (refusal) {
+    case FrontRefusal::kNoConfig:
+      return "no configuration is known yet";
+    case FrontRefusal::kStaleConfig:
+      return "the configuration is too old to check keys";
+    case FrontRefusal::kNoSuchQueue:
+      return "no such queue";
+    case FrontRefusal::kUnknownKey:
+      return "unknown key";
+    case FrontRefusal::kNone:
+      break;
+  }
+  return "";
+}
+
+OwnerCallKind OwnerKindOf(CallKind kind) {
+  switch (kind) {
+    case CallKind::kSubmit:
+      return OwnerCallKind::kSubmit;
+    case CallKind::kGetState:
+      return OwnerCallKind::kGetState;
+    case CallKind::kCancel:
+      return OwnerCallKind::kCancel;
+    case CallKind::kCountWaiting:
+      return OwnerCallKind::kCountWaiting;
+  }
+  return OwnerCallKind::kGetState;
+}
+
+void SetRetryAfter(ApiResponse* response, std::int64_t milliseconds) {
+  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+  const std::int64_t seconds =
+      (milliseconds + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
+  response->headers.emplace_back("Retry-After", fmt::to_string(std::max<std::int64_t>(seconds, 1)));
+}
+
+}  // namespace
+
+FrontRefusal CheckAccess(const ClusterConfig* config, const QueueConfig* queue,
+                         std::string_view key, Duration config_age, Duration max_age) {
+  if (config == nullptr) {
+    return FrontRefusal::kNoConfig;
+  }
+  if (queue == nullptr) {
+    return FrontRefusal::kNoSuchQueue;
+  }
+  if (queue->open_to_all) {
+    return FrontRefusal::kNone;
+  }
+  if (config_age >= max_age) {
+    return FrontRefusal::kStaleConfig;
+  }
+  return config->CustomerOfKey(key) == nullptr ? FrontRefusal::kUnknownKey : FrontRefusal::kNone;
+}
+
+CallerFront::CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner)
+    : m_format(format), m_metrics(metrics), m_call_owner(std::move(call_owner)) {}
+
+void CallerFront::Handle(Now now, const ClusterConfig* config, TimePoint config_confirmed,
+                         const std::shared_ptr<ApiExchange>& exchange) {
+  const ApiRequest& request = exchange->request();
+  const QueueConfig* queue =
+      config == nullptr ? nullptr : config->Route(HostOf(request), request.path);
+  const std::string_view key = m_format->KeyOf(request);
+  const Duration age = std::chrono::duration_cast<Duration>(now.time - config_confirmed);
+  const FrontRefusal refusal = CheckAccess(config, queue, key, age, m_max_config_age);
+  if (refusal != FrontRefusal::kNone) {
+    Refuse(now.time, exchange, StatusOf(refusal), ReasonOf(refusal));
+    return;
+  }
+  const auto call = m_format->DecodeCall(
+      request.method, std::string_view(request.path).substr(queue->path_prefix.size()));
+  if (!call) {
+    Refuse(now.time, exchange, kNotFound, "no such call");
+    return;
+  }
+  Pending pending;
+  pending.exchange = exchange;
+  pending.call.kind = OwnerKindOf(call->kind);
+  pending.call.job = call->job;
+  pending.call.queue = queue->name;
+  pending.call.config_version = config->version;
+  if (call->kind == CallKind::kSubmit) {
+    JobSpec spec;
+    spec.id = call->job;
+    spec.queue = queue->name;
+    spec.pool = queue->pool;
+    spec.accepted_unix_ms = now.unix_ms;
+    if (const CustomerConfig* customer = config->CustomerOfKey(key)) {
+      spec.customer = customer->name;
+    }
+    if (const auto error = m_format->DecodeJob(request.body, &spec)) {
+      Refuse(now.time, exchange, kBadRequest, *error);
+      return;
+    }
+    pending.call.spec = std::move(spec);
+  }
+  Duration patience = m_format->PatienceOf(request);
+  if (patience <= Duration(0)) {
+    patience = kDefaultPatience;
+  }
+  pending.arrived = now.time;
+  pending.deadline = now.time + patience - kAnswerReserve;
+  pending.give_up = std::min(pending.deadline, now.time + kOwnerWait);
+  const std::uint64_t id = ++m_last_id;
+  m_pending.emplace(id, std::move(pending));
+  Send(now.time, id);
+}
+
+void CallerFront::Send(TimePoint now, std::uint64_t id) {
+  Pending& pending = m_pending.at(id);
+  pending.in_flight = true;
+  ++pending.attempts;
+  const Duration left = std::chrono::duration_cast<Duration>(pending.deadline - now);
+  const OwnerCall call = pending.call;
+  m_call_owner(call, std::clamp(left, Duration(1), kAttemptTimeout),
+               [this, id](TimePoint at, const OwnerReply& reply) { OnReply(at, id, reply); });
+}
+
+void CallerFront::OnReply(TimePoint now, std::uint64_t id, const OwnerReply& reply) {
+  const auto it = m_pending.find(id);
+  if (it == m_pending.end()) {
+    return;
+  }
+  Pending& pending = it->second;
+  pending.in_flight = false;
+  switch (reply.status) {
+    case OwnerStatus::kOk:
+    case OwnerStatus::kNoSuchJob:
+      Finish(now, id, ResponseOf(pending.call, reply), ToString(reply.status));
+      return;
+    case OwnerStatus::kRefused:
+      if (!pending.may_have_run) {
+        Finish(now, id, ResponseOf(pending.call, reply), reply.reason);
+        return;
+      }
+      break;  // An earlier attempt may have stored the job: the refusal would not be true.
+    case OwnerStatus::kUnknown:
+      pending.may_have_run = true;
+      break;
+    case OwnerStatus::kNotOwner:
+    case OwnerStatus::kNotReady:
+      break;
+  }
+  pending.retry_at = now + kOwnerRetry;
+}
+
+ApiResponse CallerFront::ResponseOf(const OwnerCall& call, const OwnerReply& reply) const {
+  ApiResponse response;
+  response.body = "{}";
+  if (reply.status == OwnerStatus::kNoSuchJob) {
+    response.status = kGone;
+    return response;
+  }
+  if (reply.status == OwnerStatus::kRefused) {
+    response.status = kUnavailable;
+    SetRetryAfter(&response, reply.retry_after_ms);
+    return response;
+  }
+  if (call.kind == OwnerCallKind::kGetState) {
+    return m_format->EncodeState(reply.state);
+  }
+  if (call.kind == OwnerCallKind::kCountWaiting) {
+    return m_format->EncodeWaiting(reply.waiting);
+  }
+  return response;
+}
+
+void CallerFront::Tick(TimePoint now) {
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, pending] : m_pending) {
+    const TimePoint limit = pending.may_have_run ? pending.deadline : pending.give_up;
+    if (now >= pending.deadline || (!pending.in_flight && now >= std::min(limit, pending.retry_at))) {
+      due.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : due) {
+    const Pending& pending = m_pending.at(id);
+    const TimePoint limit = pending.may_have_run ? pending.deadline : pending.give_up;
+    if (now >= pending.deadline || (!pending.in_flight && now >= limit)) {
+      GiveUp(now, id, "no owner of the schedule answered in time");
+    } else {
+      Send(now, id);
+    }
+  }
+}
+
+void CallerFront::GiveUp(TimePoint now, std::uint64_t id, std::string_view reason) {
+  const Pending& pending = m_pending.at(id);
+  ApiResponse response;
+  response.body = "{}";
+  const bool uncertain = pending.may_have_run || pending.in_flight;
+  const bool changes = pending.call.kind == OwnerCallKind::kSubmit ||
+                       pending.call.kind == OwnerCallKind::kCancel;
+  response.status = uncertain && changes ? kGatewayTimeout : kUnavailable;
+  if (response.status == kUnavailable) {
+    SetRetryAfter(&response, kDefaultRetryAfterMs);
+  }
+  Finish(now, id, std::move(response), reason);
+}
+
+void CallerFront::Finish(TimePoint now, std::uint64_t id, ApiResponse response,
+                         std::string_view reason) {
+  const auto node = m_pending.extract(id);
+  const Pending& pending = node.mapped();
+  const auto latency = std::chrono::duration_cast<Metrics::Latency>(now - pending.arrived);
+  LogLine(LogLevel::kInfo, "answer")
+      .Field("method", pending.exchange->request().method)
+      .Field("job", pending.call.job)
+      .Field("queue", pending.call.queue)
+      .Field("customer", pending.call.spec ? pending.call.spec->customer : "")
+      .Field("config", pending.call.config_version)
+      .Field("status", response.status)
+      .Field("attempts", pending.attempts)
+      .Field("us", latency.count())
+      .Field("reason", reason);
+  m_metrics->Count("cranberryplank_answers_total", fmt::format("status=\"{}\"", response.status));
+  m_metrics->RecordLatency(latency);
+  if (m_closing) {
+    response.headers.emplace_back("Connection", "close");
+  }
+  pending.exchange->Reply(response);
+}
+
+void CallerFront::Refuse(TimePoint /*now*/, const std::shared_ptr<ApiExchange>& exchange,
+                         int status, std::string_view reason) {
+  LogLine(LogLevel::kInfo, "refused")
+      .Field("method", exchange->request().method)
+      .Field("path", exchange->request().path)
+      .Field("status", status)
+      .Field("reason", reason);
+  m_metrics->Count("cranberryplank_answers_total", fmt::format("status=\"{}\"", status));
+  ApiResponse response;
+  response.status = status;
+  response.body = "{}";
+  if (status == kUnavailable) {
+    SetRetryAfter(&response, kDefaultRetryAfterMs);
+  }
+  if (m_closing) {
+    response.headers.emplace_back("Connection", "close");
+  }
+  exchange->Reply(response);
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/duty_keeper.cc
@@ -0,0 +1,178 @@
+#include "cranberryplank/entry/duty_keeper.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kReadRetry{150};
+/// An owner whose transactions have not confirmed it for this long reads the record.
+constexpr Duration kConfirmInterval{700};
+/// An owner is taken for dead after this silence.
+constexpr Duration kSilenceBound{1'000};
+/// Time for a new owner to begin before its silence counts.
+constexpr Duration kFirstAnswerBound{1'800};
+/// The claimer itself must have reached the store this recently.
+constexpr Duration kFreshStore{1'500};
+
+}  // namespace
+
+std::string EncodeDuty(const DutyRecord& record) {
+  return json{{"owner", record.owner},
+              {"address", record.address},
+              {"incarnation", record.incarnation},
+              {"generation", record.generation}}
+      .dump();
+}
+
+std::optional<DutyRecord> DecodeDuty(std::string_view value) {
+  const json fields = json::parse(value, nullptr, false);
+  try {
+    return DutyRecord{fields.at("owner"), fields.at("address"), fields.at("incarnation"),
+                      fields.at("generation")};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+bool ShouldClaim(const SuccessionView& view) {
+  if (view.store_age > kFreshStore) {
+    return false;
+  }
+  if (!view.owner_known || view.owner_is_earlier_self || view.disowned || view.refused) {
+    return true;
+  }
+  if (view.known_for < kFirstAnswerBound) {
+    return false;
+  }
+  return view.silence > kSilenceBound || view.owner_cut_from_store;
+}
+
+DutyKeeper::DutyKeeper(KeyValueStore* store, std::string key, DutyRecord self)
+    : m_store(store), m_key(std::move(key)), m_self(std::move(self)) {}
+
+bool DutyKeeper::is_earlier_self() const {
+  return m_record && m_record->owner == m_self.owner && m_record->incarnation != m_self.incarnation;
+}
+
+void DutyKeeper::Tick(TimePoint now) {
+  const bool unconfirmed = m_owned && now - m_confirmed > kConfirmInterval;
+  if ((!m_known || unconfirmed) && now >= m_next_read) {
+    Read(now);
+  }
+  if (m_owned && now >= authority_until()) {
+    Lose(now, "the store has not confirmed the ownership in time");
+  }
+}
+
+void DutyKeeper::Read(TimePoint now) {
+  if (m_reading) {
+    return;
+  }
+  m_reading = true;
+  m_next_read = now + kReadRetry;
+  m_store->Get(m_key, [this, now](TimePoint at, const KvReadReply& reply) {
+    m_reading = false;
+    if (reply.status != KvStatus::kOk) {
+      return;
+    }
+    m_store_answered = std::max(m_store_answered, now);
+    OnRecord(at, now, reply.items.empty() ? KvItem{} : reply.items.front());
+  });
+}
+
+void DutyKeeper::OnRecord(TimePoint now, TimePoint sent, const KvItem& item) {
+  if (m_known && item.revision < m_revision) {
+    return;  // The answer was overtaken by that to a claim.
+  }
+  const bool changed = !m_known || item.revision != m_revision;
+  m_known = true;
+  m_revision = item.revision;
+  m_record = item.revision == 0 ? std::nullopt : DecodeDuty(item.value);
+  if (changed) {
+    m_learnt = now;
+    LogLine(LogLevel::kInfo, "owner_known")
+        .Field("owner", m_record ? m_record->owner : "")
+        .Field("revision", m_revision);
+  }
+  const bool mine = m_record && m_record->incarnation == m_self.incarnation;
+  if (mine && !m_owned && changed) {
+    Acquire(now, sent);
+  } else if (mine && m_owned) {
+    Confirm(sent);
+  } else if (!mine && m_owned) {
+    Lose(now, "the record names another owner");
+  }
+}
+
+void DutyKeeper::Claim(TimePoint now) {
+  if (m_claiming || m_owned || !m_known) {
+    return;
+  }
+  m_claiming = true;
+  DutyRecord claim = m_self;
+  claim.generation = m_record ? m_record->generation + 1 : 0;
+  KvTransaction transaction;
+  transaction.preconditions.push_back({m_key, m_revision});
+  transaction.writes.push_back({m_key, EncodeDuty(claim)});
+  LogLine(LogLevel::kInfo, "claim")
+      .Field("generation", claim.generation)
+      .Field("revision", m_revision)
+      .Field("from", m_record ? m_record->owner : "");
+  m_store->Commit(transaction, [this, now, claim](TimePoint at, const KvCommitReply& reply) {
+    m_claiming = false;
+    OnClaim(at, now, claim, reply);
+  });
+}
+
+void DutyKeeper::OnClaim(TimePoint now, TimePoint sent, const DutyRecord& claim,
+                         const KvCommitReply& reply) {
+  LogLine(LogLevel::kInfo, "claim_answered").Field("status", ToString(reply.status));
+  if (reply.status == KvStatus::kOk) {
+    m_store_answered = std::max(m_store_answered, sent);
+    m_revision = reply.revision;
+    m_record = claim;
+    m_learnt = now;
+    Acquire(now, sent);
+  } else if (reply.status == KvStatus::kConflict && !reply.current.empty()) {
+    m_store_answered = std::max(m_store_answered, sent);
+    OnRecord(now, sent, reply.current.front());
+  } else {
+    m_known = false;  // A claim without an answer may succeed later: the record tells.
+    m_next_read = now + kReadRetry;
+  }
+}
+
+void DutyKeeper::Acquire(TimePoint now, TimePoint sent) {
+  m_owned = true;
+  m_confirmed = sent;
+  LogLine(LogLevel::kInfo, "duty_acquired")
+      .Field("epoch", m_revision)
+      .Field("generation", m_record->generation);
+  m_acquired.emit(now);
+}
+
+void DutyKeeper::Confirm(TimePoint sent) {
+  m_confirmed = std::max(m_confirmed, sent);
+  m_store_answered = std::max(m_store_answered, sent);
+}
+
+void DutyKeeper::Lose(TimePoint now, std::string_view reason) {
+  if (!m_owned) {
+    return;
+  }
+  m_owned = false;
+  m_known = false;
+  m_next_read = now;
+  LogLine(LogLevel::kWarning, "duty_lost").Field("reason", reason).Field("epoch", m_revision);
+  m_lost.emit(now);
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/job_service.cc
@@ -0,0 +1,394 @@
+#include "cranberryplank/entry/job_service.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr Duration kConfigWatchWait{1'000};
+/// Part of the revocation bound that is left for a request's way through the daemon.
+constexpr Duration kRevocationMargin{400};
+constexpr Duration kClaimJitter{150};
+constexpr Duration kRefreshInterval{200};
+constexpr Duration kCallerCheckInterval{500};
+/// The platform takes this long to see that a daemon is not ready.
+constexpr Duration kUnreadyTime{2'400};
+/// Part of the grace period that is left when the process ends.
+constexpr Duration kGraceReserve{900};
+constexpr Duration kTakeOverTimeout{500};
+/// The owner counts as cut from the store after this time without an answer.
+constexpr Duration kStoreSilence{1'500};
+constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxHeaderBytes = 16 << 10;
+constexpr std::size_t kMaxBodyBytes = 256 << 10;
+constexpr Duration kCallerIdle{15'000};
+constexpr Duration kDaemonIdle{60'000};
+constexpr int kUnavailable = 503;
+
+DutyRecord SelfRecord(const JobSettings& settings, const std::string& address,
+                      RandomSource* random) {
+  DutyRecord record;
+  record.owner = settings.node;
+  record.address = address;
+  record.incarnation = random->Nonce();
+  return record;
+}
+
+std::string AddressText(const Endpoint& endpoint) {
+  return fmt::format("{}:{}", endpoint.host, endpoint.port);
+}
+
+}  // namespace
+
+JobService::JobService(event_base* base, const JobSettings& settings, const JobServiceParts& parts)
+    : m_settings(settings),
+      m_parts(parts),
+      m_address(AddressText(settings.daemon_listen)),
+      m_operators(parts.store, std::string(parts.format->OperatorPrefix()), kConfigWatchWait,
+                  [this](TimePoint now, const KvItem& item) { OnOperatorItem(now, item); }),
+      m_duty(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
+      m_owner_client(parts.http, m_address),
+      m_front(parts.format, &m_metrics,
+              [this](const OwnerCall& call, Duration timeout, CallerFront::Callback done) {
+                CallOwner(call, timeout, std::move(done));
+              }),
+      m_caller_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
+                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                        m_front.Handle({now, UnixMilliseconds()}, m_config.get(),
+                                       m_operators.confirmed_at(), exchange);
+                      }),
+      m_ready_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kDaemonIdle},
+                     [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                       HandleReady(now, exchange);
+                     }),
+      m_daemon_server(base, {kMaxCallBytes, kMaxHeaderBytes, kDaemonIdle},
+                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                        HandleDaemonCall(now, exchange);
+                      }),
+      m_metrics_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kDaemonIdle},
+                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                         HandleMetrics(now, exchange);
+                       }) {
+  m_front.SetMaxConfigAge(settings.revocation_bound - kRevocationMargin);
+  m_duty.signal_acquired().connect(sigc::mem_fun(*this, &JobService::OnAcquired));
+  m_duty.signal_lost().connect(sigc::mem_fun(*this, &JobService::OnLost));
+  const TimePoint now = Clock::now();
+  m_operators.Start(now);
+  m_duty.Read(now);
+}
+
+JobService::~JobService() = default;
+
+bool JobService::Listen() {
+  const std::pair<ApiServer*, Endpoint> servers[] = {
+      {&m_caller_server, m_settings.caller_listen},
+      {&m_ready_server, m_settings.ready_listen},
+      {&m_daemon_server, m_settings.daemon_listen},
+      {&m_metrics_server, m_settings.metrics_listen},
+  };
+  for (const auto& [server, endpoint] : servers) {
+    if (!server->Listen(endpoint)) {
+      m_last_reason = server->last_reason();
+      return false;
+    }
+  }
+  return true;
+}
+
+SchedulerSettings JobService::SchedulerSettingsOf() const {
+  SchedulerSettings settings;
+  settings.max_lease = m_settings.max_lease;
+  settings.lease = std::min(settings.lease, m_settings.max_lease);
+  settings.stop_time = m_settings.stop_time;
+  settings.retention = m_settings.retention;
+  return settings;
+}
+
+void JobService::SetSettings(Now /*now*/, const JobSettings& settings) {
+  m_settings = settings;
+  m_front.SetMaxConfigAge(settings.revocation_bound - kRevocationMargin);
+  if (m_owner) {
+    m_owner->SetSettings(SchedulerSettingsOf());
+  }
+}
+
+void JobService::OnOperatorItem(TimePoint now, const KvItem& item) {
+  if (m_parts.format->IsConfigKey(item.key)) {
+    const auto config = item.deleted ? std::nullopt : m_parts.format->DecodeConfig(item);
+    if (!config) {
+      LogLine(LogLevel::kError, "unreadable_config").Field("revision", item.revision);
+      return;
+    }
+    if (m_config && config->version <= m_config->version) {
+      return;
+    }
+    m_config = std::make_shared<const ClusterConfig>(*config);
+    LogLine(LogLevel::kInfo, "config")
+        .Field("version", m_config->version)
+        .Field("revision", item.revision)
+        .Field("queues", m_config->queues.size())
+        .Field("customers", m_config->customers.size());
+    if (m_owner) {
+      m_owner->SetConfig({now, UnixMilliseconds()}, m_config);
+    }
+  }
+}
+
+void JobService::OnAcquired(TimePoint now) {
+  m_owner_ended = false;
+  m_claim_at.reset();
+  m_asked_to_take_over = false;
+  m_owner = std::make_unique<ScheduleOwner>(
+      ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty},
+      SchedulerSettingsOf());
+  const Now at{now, UnixMilliseconds()};
+  if (m_config) {
+    m_owner->SetConfig(at, m_config);
+  }
+  m_owner->Begin(at);
+}
+
+void JobService::OnLost(TimePoint /*now*/) {
+  // The owner may be in the middle of a call that led here; the next tick ends it.
+  m_owner_ended = true;
+}
+
+void JobService::Tick(Now now) {
+  if (m_owner_ended) {
+    m_owner_ended = false;
+    const auto owner = std::move(m_owner);
+    owner->End(now.time);
+  }
+  m_operators.Tick(now.time);
+  m_duty.Tick(now.time);
+  FollowOwner(now.time);
+  ConsiderClaim(now.time);
+  if (m_owner && m_duty.owned()) {
+    m_owner->Tick(now);
+    if (m_owner && m_owner->fenced()) {
+      m_duty.Read(now.time);
+      m_duty.Lose(now.time, "a worker has seen a higher fence");
+    }
+  }
+  m_front.Tick(now.time);
+  if (m_stopping_since && m_duty.owned() && !m_handed_over) {
+    HandOver(now.time);
+  }
+  if (now.time - m_callers_checked >= kCallerCheckInterval) {
+    m_callers_checked = now.time;
+    m_caller_server.CheckCallers();
+  }
+}
+
+void JobService::FollowOwner(TimePoint now) {
+  const auto& record = m_duty.record();
+  const std::string incarnation =
+      m_duty.known() && record && !m_duty.owned() ? record->incarnation : std::string();
+  if (incarnation != m_followed) {
+    m_followed = incarnation;
+    m_owner_client.SetOwner(now, incarnation.empty() ? std::string() : record->address);
+  }
+  m_owner_client.Tick(now, m_config ? m_config->version : 0);
+  NoteConfigVersion(now, m_owner_client.owner_config_version());
+  if (!incarnation.empty() && m_owner_client.disowned()) {
+    m_duty.Read(now);
+  }
+}
+
+void JobService::NoteConfigVersion(TimePoint now, std::uint64_t version) {
+  const bool behind = m_config && version > m_config->version;
+  if (behind && now - m_last_refresh >= kRefreshInterval) {
+    m_last_refresh = now;
+    LogLine(LogLevel::kInfo, "config_behind")
+        .Field("known", m_config->version)
+        .Field("newer", version);
+    m_operators.Refresh(now);
+  }
+}
+
+void JobService::ConsiderClaim(TimePoint now) {
+  if (m_duty.owned() || !m_duty.known() || m_stopping_since) {
+    return;
+  }
+  SuccessionView view;
+  view.owner_known = m_duty.record().has_value();
+  view.owner_is_earlier_self = m_duty.is_earlier_self();
+  view.disowned = m_owner_client.disowned();
+  view.refused = m_owner_client.refused();
+  view.owner_cut_from_store = m_owner_client.owner_cut_from_store();
+  view.silence = std::chrono::duration_cast<Duration>(now - m_owner_client.last_answer());
+  view.known_for = std::chrono::duration_cast<Duration>(now - m_duty.learnt_at());
+  const TimePoint answered = std::max(m_duty.store_answered(), m_operators.confirmed_at());
+  view.store_age = std::chrono::duration_cast<Duration>(now - answered);
+  if (!m_asked_to_take_over && !ShouldClaim(view)) {
+    m_claim_at.reset();
+    return;
+  }
+  if (!m_claim_at) {
+    const auto jitter = m_asked_to_take_over || view.owner_is_earlier_self
+                            ? 0
+                            : m_parts.random->Below(kClaimJitter.count());
+    m_claim_at = now + Duration(static_cast<Duration::rep>(jitter));
+  }
+  if (now >= *m_claim_at) {
+    m_claim_at.reset();
+    m_asked_to_take_over = false;
+    m_duty.Claim(now);
+  }
+}
+
+void JobService::CallOwner(const OwnerCall& call, Duration timeout, CallerFront::Callback done) {
+  const TimePoint now = Clock::now();
+  if (m_duty.owned() && m_owner) {
+    if (m_owner->ready()) {
+      m_owner->Handle({now, UnixMilliseconds()}, call, std::move(done));
+      return;
+    }
+  } else if (m_duty.known() && m_duty.record() && !m_owner_client.disowned()) {
+    m_owner_client.Call(m_duty.record()->address, call, timeout, std::move(done));
+    return;
+  }
+  OwnerReply reply;
+  reply.status = OwnerStatus::kNotReady;
+  reply.reason = "no owner of the schedule is known";
+  done(now, reply);
+}
+
+void JobService::HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+  const auto call = DecodeOwnerCall(exchange->request().body);
+  ApiResponse response;
+  response.content_type = "application/octet-stream";
+  if (!call) {
+    LogLine(LogLevel::kWarning, "unreadable_daemon_call");
+    response.status = 400;
+    exchange->Reply(response);
+    return;
+  }
+  if (!call->sender.empty()) {
+    m_peers[call->sender] = now;
+  }
+  NoteConfigVersion(now, call->config_version);
+  const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
+    reply.config_version = m_config ? m_config->version : 0;
+    reply.epoch = m_duty.revision();
+    reply.store_reached = at - m_duty.store_answered() < kStoreSilence ||
+                          at - m_operators.confirmed_at() < kStoreSilence + kConfigWatchWait;
+    ApiResponse encoded;
+    encoded.content_type = "application/octet-stream";
+    encoded.body = EncodeOwnerReply(reply);
+    exchange->Reply(encoded);
+  };
+  OwnerReply reply;
+  if (call->kind == OwnerCallKind::kTakeOver) {
+    m_asked_to_take_over = !m_stopping_since.has_value();
+    m_duty.Read(now);
+    reply.status = OwnerStatus::kOk;
+    answer(now, reply);
+    return;
+  }
+  if (!m_duty.owned() || !m_owner) {
+    reply.status = OwnerStatus::kNotOwner;
+    answer(now, reply);
+    return;
+  }
+  if (call->kind == OwnerCallKind::kPing) {
+    reply.status = OwnerStatus::kOk;
+    answer(now, reply);
+    return;
+  }
+  if (!m_owner->ready()) {
+    reply.status = OwnerStatus::kNotReady;
+    reply.reason = "the state is being loaded";
+    answer(now, reply);
+    return;
+  }
+  m_owner->Handle({now, UnixMilliseconds()}, *call, answer);
+}
+
+void JobService::HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+  const bool fresh = now - m_operators.confirmed_at() < m_settings.revocation_bound;
+  ApiResponse response;
+  response.body = "{}";
+  response.status = m_config && fresh && !m_stopping_since ? 200 : kUnavailable;
+  exchange->Reply(response);
+}
+
+void JobService::HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+  m_metrics.SetGauge("cranberryplank_owner", m_duty.owned() ? 1 : 0);
+  m_metrics.SetGauge("cranberryplank_config_version",
+                     m_config ? static_cast<double>(m_config->version) : 0);
+  m_metrics.SetGauge(
+      "cranberryplank_config_age_seconds",
+      std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
+  m_metrics.SetGauge("cranberryplank_open_requests", static_cast<double>(m_front.open_requests()));
+  if (m_owner && m_owner->ready()) {
+    const SchedulerCounters& counters = m_owner->scheduler()->counters();
+    m_metrics.SetTotal("cranberryplank_task_starts_total", counters.starts);
+    m_metrics.SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
+    m_metrics.SetTotal("cranberryplank_uncertain_starts_total", counters.uncertain_starts);
+    m_metrics.SetTotal("cranberryplank_task_stops_total", counters.stops);
+    m_metrics.SetTotal("cranberryplank_holds_total", counters.holds);
+    m_metrics.SetTotal("cranberryplank_failed_holds_total", counters.failed_holds);
+    m_metrics.SetTotal("cranberryplank_tasks_done_total", counters.tasks_done);
+    m_metrics.SetTotal("cranberryplank_tasks_failed_total", counters.tasks_failed);
+    m_metrics.SetTotal("cranberryplank_runs_lost_total", counters.runs_lost);
+    m_metrics.SetTotal("cranberryplank_reborn_workers_total", counters.reborn_workers);
+    m_metrics.SetTotal("cranberryplank_jobs_done_total", counters.jobs_done);
+    m_metrics.SetTotal("cranberryplank_jobs_failed_total", counters.jobs_failed);
+    m_metrics.SetTotal("cranberryplank_jobs_cancelled_total", counters.jobs_cancelled);
+  }
+  ApiResponse response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = m_metrics.Render();
+  exchange->Reply(response);
+}
+
+void JobService::BeginShutdown(TimePoint now) {
+  if (m_stopping_since) {
+    return;
+  }
+  m_stopping_since = now;
+  m_front.SetClosing();
+  LogLine(LogLevel::kInfo, "stopping")
+      .Field("owner", m_duty.owned())
+      .Field("open_requests", m_front.open_requests());
+}
+
+void JobService::HandOver(TimePoint now) {
+  const auto latest = std::max_element(
+      m_peers.begin(), m_peers.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  m_handed_over = true;
+  if (latest == m_peers.end()) {
+    return;
+  }
+  OwnerCall call;
+  call.kind = OwnerCallKind::kTakeOver;
+  call.sender = m_address;
+  LogLine(LogLevel::kInfo, "hand_over").Field("to", latest->first);
+  m_owner_client.Call(latest->first, call, kTakeOverTimeout,
+                      [this, address = latest->first](TimePoint, const OwnerReply& reply) {
+                        if (reply.status != OwnerStatus::kOk) {
+                          m_peers.erase(address);
+                          m_handed_over = false;
+                        }
+                      });
+  (void)now;
+}
+
+bool JobService::finished(TimePoint now) const {
+  if (!m_stopping_since) {
+    return false;
+  }
+  const auto elapsed = now - *m_stopping_since;
+  return (elapsed >= kUnreadyTime && m_front.open_requests() == 0 && !m_duty.owned()) ||
+         elapsed >= m_settings.shutdown_grace - kGraceReserve;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/job_settings.cc
@@ -0,0 +1,94 @@
+#include "cranberryplank/entry/job_settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "cranberryplank/daemon/settings_table.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr std::int64_t kHourMs = 3'600'000;
+constexpr double kHourSeconds = 3'600;
+
+void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  TableReader table(root, "listen", problems);
+  table.Address("callers", &settings->caller_listen);
+  table.Address("ready", &settings->ready_listen);
+  table.Address("daemons", &settings->daemon_listen);
+  table.Address("metrics", &settings->metrics_listen);
+  table.RefuseUnknownKeys();
+}
+
+void ReadPlatform(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  TableReader table(root, "platform", problems);
+  table.Address("store", &settings->store);
+  if (table.Has("machines")) {
+    settings->machines.emplace();
+    table.Address("machines", &*settings->machines);
+  }
+  if (table.Has("advice")) {
+    settings->advice.emplace();
+    table.Address("advice", &*settings->advice);
+  }
+  table.RefuseUnknownKeys();
+}
+
+void ReadBounds(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  TableReader table(root, "bounds", problems);
+  table.Milliseconds("revocation_ms", 100, kHourMs, &settings->revocation_bound);
+  table.Milliseconds("max_lease_ms", 500, kHourMs, &settings->max_lease);
+  table.Milliseconds("stop_ms", 0, kHourMs, &settings->stop_time);
+  table.Milliseconds("machine_lease_ms", 0, kHourMs, &settings->machine_lease);
+  table.Milliseconds("notice_ms", 0, kHourMs, &settings->notice_time);
+  table.Milliseconds("harm_ms", 0, kHourMs, &settings->harm_time);
+  table.Seconds("retention_s", 0, kHourSeconds, &settings->retention);
+  table.Seconds("shutdown_grace_s", 0, kHourSeconds, &settings->shutdown_grace);
+  table.Seconds("move_s", 0, kHourSeconds, &settings->move_time);
+  table.Seconds("upkeep_s", 0, kHourSeconds, &settings->upkeep_time);
+  table.RefuseUnknownKeys();
+}
+
+}  // namespace
+
+std::optional<JobSettings> JobSettingsReader::ReadText(std::string_view text) {
+  m_last_reason.clear();
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    m_last_reason = fmt::format("line {}: {}\n", error.source().begin.line, error.description());
+    return std::nullopt;
+  }
+  ProblemList problems("settings");
+  JobSettings settings;
+  TableReader daemon(root, "daemon", &problems);
+  daemon.Text("id", true, &settings.node);
+  daemon.Text("zone", true, &settings.zone);
+  daemon.LevelOfLog("log_level", &settings.log_level);
+  daemon.RefuseUnknownKeys();
+  ReadListen(root, &problems, &settings);
+  ReadPlatform(root, &problems, &settings);
+  ReadBounds(root, &problems, &settings);
+  if (!problems.text().empty()) {
+    m_last_reason = problems.text();
+    return std::nullopt;
+  }
+  return settings;
+}
+
+std::optional<JobSettings> JobSettingsReader::ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    m_last_reason = fmt::format("{}: cannot be read\n", path);
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ReadText(text.str());
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/owner_client.cc
@@ -0,0 +1,98 @@
+#include "cranberryplank/entry/owner_client.h"
+
+#include <utility>
+
+#include "cranberryplank/daemon/settings_table.h"
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr Duration kPingInterval{300};
+constexpr Duration kPingAfterFailure{100};
+constexpr Duration kPingTimeout{600};
+
+}  // namespace
+
+void OwnerClient::SetOwner(TimePoint now, const std::string& address) {
+  m_address = address;
+  m_last_answer = now;
+  m_next_ping = now;
+  m_ping_in_flight = false;
+  m_refusals = 0;
+  m_disowned = m_cut_from_store = false;
+  m_config_version = 0;
+}
+
+void OwnerClient::Tick(TimePoint now, std::uint64_t config_version) {
+  if (m_address.empty() || m_ping_in_flight || now < m_next_ping) {
+    return;
+  }
+  m_ping_in_flight = true;
+  OwnerCall ping;
+  ping.kind = OwnerCallKind::kPing;
+  ping.sender = m_self;
+  ping.config_version = config_version;
+  Call(m_address, ping, kPingTimeout,
+       [this, address = m_address](TimePoint at, const OwnerReply& reply) {
+         if (address == m_address) {
+           m_ping_in_flight = false;
+           m_next_ping = at + (reply.status == OwnerStatus::kOk ? kPingInterval : kPingAfterFailure);
+         }
+       });
+}
+
+void OwnerClient::Call(const std::string& address, const OwnerCall& call, Duration timeout,
+                       Callback done) {
+  OwnerReply failure;
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    failure.status = OwnerStatus::kNotOwner;
+    failure.reason = "the owner's address is not valid";
+    done(Clock::now(), failure);
+    return;
+  }
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.host = endpoint->host;
+  request.port = endpoint->port;
+  request.target = kPath;
+  request.body = EncodeOwnerCall(call);
+  request.timeout = timeout;
+  m_http->Send(std::move(request), [this, address, done = std::move(done)](TimePoint now,
+                                                                          HttpReply http) {
+    OwnerReply reply;
+    const auto decoded = http.outcome == HttpOutcome::kAnswered ? DecodeOwnerReply(http.body)
+                                                                : std::nullopt;
+    if (decoded) {
+      reply = *decoded;
+    } else {
+      const bool not_sent = http.outcome == HttpOutcome::kNotSent;
+      reply.status = not_sent ? OwnerStatus::kNotOwner : OwnerStatus::kUnknown;
+      reply.reason = http.reason.empty() ? "the answer can not be read" : http.reason;
+    }
+    Observe(now, address, reply, decoded.has_value(), http.outcome == HttpOutcome::kNotSent);
+    done(now, reply);
+  });
+}
+
+void OwnerClient::Observe(TimePoint now, const std::string& address, const OwnerReply& reply,
+                          bool answered, bool not_sent) {
+  if (address != m_address) {
+    return;
+  }
+  if (!answered) {
+    m_refusals += not_sent ? 1 : 0;
+    return;
+  }
+  m_refusals = 0;
+  m_disowned = reply.status == OwnerStatus::kNotOwner;
+  if (!m_disowned) {
+    m_last_answer = now;
+    m_cut_from_store = !reply.store_reached;
+    m_config_version = reply.config_version;
+  }
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/owner_messages.cc
@@ -0,0 +1,93 @@
+#include "cranberryplank/entry/owner_messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cranberryplank/jobs/job_codec.h"
+
+namespace cranberryplank {
+
+namespace {
+
+using nlohmann::json;
+
+std::string Pack(const json& value) {
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+json Unpack(std::string_view bytes) { return json::from_msgpack(bytes.begin(), bytes.end()); }
+
+}  // namespace
+
+std::string_view ToString(OwnerStatus status) {
+  switch (status) {
+    case OwnerStatus::kOk:
+      return "ok";
+    case OwnerStatus::kNoSuchJob:
+      return "no_such_job";
+    case OwnerStatus::kNotOwner:
+      return "not_owner";
+    case OwnerStatus::kNotReady:
+      return "not_ready";
+    case OwnerStatus::kRefused:
+      return "refused";
+    case OwnerStatus::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string EncodeOwnerCall(const OwnerCall& call) {
+  return Pack(json::array({static_cast<int>(call.kind), call.request, call.job, call.queue,
+                           call.sender, call.config_version,
+                           call.spec ? json(EncodeJob(*call.spec)) : json(nullptr)}));
+}
+
+std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
+  try {
+    const json fields = Unpack(bytes);
+    OwnerCall call;
+    call.kind = static_cast<OwnerCallKind>(fields.at(0));
+    call.request = fields.at(1);
+    call.job = fields.at(2);
+    call.queue = fields.at(3);
+    call.sender = fields.at(4);
+    call.config_version = fields.at(5);
+    if (!fields.at(6).is_null()) {
+      const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
+      if (!record || !record->spec) {
+        return std::nullopt;
+      }
+      call.spec = *record->spec;
+    }
+    return call;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeOwnerReply(const OwnerReply& reply) {
+  return Pack(json::array({static_cast<int>(reply.status), static_cast<int>(reply.state),
+                           reply.waiting, reply.retry_after_ms, reply.config_version, reply.epoch,
+                           reply.store_reached, reply.reason}));
+}
+
+std::optional<OwnerReply> DecodeOwnerReply(std::string_view bytes) {
+  try {
+    const json fields = Unpack(bytes);
+    OwnerReply reply;
+    reply.status = static_cast<OwnerStatus>(fields.at(0));
+    reply.state = static_cast<JobState>(fields.at(1));
+    reply.waiting = fields.at(2);
+    reply.retry_after_ms = fields.at(3);
+    reply.config_version = fields.at(4);
+    reply.epoch = fields.at(5);
+    reply.store_reached = fields.at(6);
+    reply.reason = fields.at(7);
+    return reply;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/entry/src/schedule_owner.cc
@@ -0,0 +1,249 @@
+#include "cranberryplank/entry/schedule_owner.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr Duration kWorkerWatchWait{10'000};
+constexpr Duration kReadRetry{100};
+/// Added to the bound after which work on workers that do not answer has ended.
+constexpr Duration kUnheardMargin{300};
+/// Workers' clocks may run slow by this factor.
+constexpr double kSlowClockFactor = 1.03;
+constexpr std::array<std::string_view, 3> kPrefixes{kJobPrefix, kProgressPrefix, kWorkersKey};
+constexpr std::int64_t kRetryWhenStoreFails = 1'000;
+
+OwnerReply ReplyOf(OwnerStatus status, std::string_view reason = {}) {
+  OwnerReply reply;
+  reply.status = status;
+  reply.reason = reason;
+  return reply;
+}
+
+}  // namespace
+
+ScheduleOwner::ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings)
+    : m_parts(parts),
+      m_scheduler(std::make_unique<Scheduler>(settings, parts.workers)),
+      m_writer(parts.store, parts.duty, m_scheduler.get()),
+      m_workers(parts.store, std::string(parts.format->WorkerPrefix()), kWorkerWatchWait,
+                [this](TimePoint now, const KvItem& item) { OnWorkerItem(now, item); }) {
+  parts.workers->SetEvents(m_scheduler.get());
+}
+
+ScheduleOwner::~ScheduleOwner() { m_parts.workers->SetEvents(nullptr); }
+
+void ScheduleOwner::Begin(Now now) {
+  m_begun = now.time;
+  m_workers.Start(now.time);
+  ReadPage();
+}
+
+void ScheduleOwner::SetSettings(const SchedulerSettings& settings) {
+  m_scheduler->SetSettings(settings);
+}
+
+void ScheduleOwner::SetConfig(Now now, std::shared_ptr<const ClusterConfig> config) {
+  m_config = config;
+  m_scheduler->SetConfig(now, std::move(config));
+}
+
+void ScheduleOwner::ReadPage() {
+  m_reading = true;
+  const std::weak_ptr<int> lifetime = m_lifetime;
+  m_parts.store->Range(kPrefixes.at(static_cast<std::size_t>(m_prefix)), m_last_key,
+                       [this, lifetime](TimePoint, const KvReadReply& reply) {
+                         if (!lifetime.expired()) {
+                           OnPage(reply);
+                         }
+                       });
+}
+
+void ScheduleOwner::OnPage(const KvReadReply& reply) {
+  m_reading = false;
+  if (reply.status != KvStatus::kOk) {
+    m_retry_at = Clock::now() + kReadRetry;
+    return;
+  }
+  for (const KvItem& item : reply.items) {
+    m_last_key = item.key;
+    const std::string_view prefix = kPrefixes.at(static_cast<std::size_t>(m_prefix));
+    const std::string id = item.key.substr(prefix.size());
+    bool readable = true;
+    if (prefix == kJobPrefix) {
+      const auto record = DecodeJob(id, item.value);
+      readable = record.has_value();
+      if (record) {
+        m_records[id] = *record;
+      }
+    } else if (prefix == kProgressPrefix) {
+      const auto progress = DecodeProgress(item.value);
+      readable = progress.has_value();
+      if (progress) {
+        m_progress[id] = *progress;
+      }
+    } else {
+      m_recorded = DecodeWorkers(item.value);
+    }
+    if (!readable) {
+      LogLine(LogLevel::kError, "unreadable_state").Field("key", item.key);
+    }
+  }
+  if (reply.more && !reply.items.empty()) {
+    ReadPage();
+    return;
+  }
+  NextPrefix();
+}
+
+void ScheduleOwner::NextPrefix() {
+  m_last_key.clear();
+  ++m_prefix;
+  if (m_prefix < static_cast<int>(kPrefixes.size())) {
+    ReadPage();
+  }
+}
+
+void ScheduleOwner::FinishLoad(Now now) {
+  for (const auto& [id, record] : m_records) {
+    const auto progress = m_progress.find(id);
+    m_scheduler->LoadJob(now, id, record,
+                         progress == m_progress.end() ? JobProgress{} : progress->second);
+  }
+  Takeover takeover;
+  takeover.epoch = m_parts.duty->revision();
+  takeover.generation = m_parts.duty->record() ? m_parts.duty->record()->generation : 0;
+  takeover.workers = std::move(m_recorded);
+  const Duration longest_lease{static_cast<std::int64_t>(
+      static_cast<double>(m_scheduler->settings().max_lease.count()) * kSlowClockFactor)};
+  takeover.unheard_bound = m_begun + DutyKeeper::kAuthority + longest_lease + kUnheardMargin;
+  m_scheduler->Begin(now, takeover);
+  m_records.clear();
+  m_progress.clear();
+  m_ready = true;
+  LogLine(LogLevel::kInfo, "owner_ready")
+      .Field("epoch", takeover.epoch)
+      .Field("load_ms", std::chrono::duration_cast<Duration>(now.time - m_begun).count());
+}
+
+void ScheduleOwner::OnWorkerItem(TimePoint now, const KvItem& item) {
+  const Now at{now, UnixMilliseconds()};
+  const std::string id = m_parts.format->WorkerIdOf(item.key);
+  if (item.deleted) {
+    m_scheduler->RemoveWorker(at, id);
+    return;
+  }
+  const auto info = m_parts.format->DecodeWorker(item);
+  if (!info) {
+    LogLine(LogLevel::kWarning, "unreadable_registration").Field("key", item.key);
+    m_scheduler->RemoveWorker(at, id);
+    return;
+  }
+  m_scheduler->SetWorker(at, *info);
+}
+
+void ScheduleOwner::Tick(Now now) {
+  m_workers.Tick(now.time);
+  const bool loaded = m_prefix >= static_cast<int>(kPrefixes.size());
+  if (!loaded && !m_reading && now.time >= m_retry_at) {
+    ReadPage();
+  }
+  if (loaded && !m_ready && m_workers.loaded() && m_config) {
+    FinishLoad(now);
+  }
+  if (!m_ready) {
+    return;
+  }
+  m_scheduler->SetAuthority(m_parts.duty->authority_until());
+  m_scheduler->Tick(now);
+  m_writer.Tick(now);
+}
+
+std::uint64_t ScheduleOwner::Wait(Callback done) {
+  m_waiting.emplace(++m_last_waiting, std::move(done));
+  return m_last_waiting;
+}
+
+void ScheduleOwner::Answer(std::uint64_t waiting, OwnerReply reply) {
+  auto node = m_waiting.extract(waiting);
+  if (!node.empty()) {
+    node.mapped()(Clock::now(), reply);
+  }
+}
+
+void ScheduleOwner::End(TimePoint now) {
+  const auto waiting = std::move(m_waiting);
+  m_waiting.clear();
+  for (const auto& [id, done] : waiting) {
+    done(now, ReplyOf(OwnerStatus::kUnknown, "the schedule has another owner"));
+  }
+}
+
+void ScheduleOwner::Submit(Now now, const OwnerCall& call, Callback done) {
+  if (!call.spec) {
+    done(now.time, ReplyOf(OwnerStatus::kRefused, "the submission has no job"));
+    return;
+  }
+  const bool known = m_scheduler->job_table().Find(call.job) != nullptr;
+  if (!known && m_writer.failing(now.time)) {
+    OwnerReply reply = ReplyOf(OwnerStatus::kRefused, "the store does not take changes");
+    reply.retry_after_ms = kRetryWhenStoreFails;
+    done(now.time, reply);
+    return;
+  }
+  const std::uint64_t waiting = Wait(std::move(done));
+  const bool taken = m_scheduler->Submit(now, *call.spec, [this, waiting](bool stored) {
+    OwnerReply reply = ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kRefused,
+                               stored ? "" : "the store refused the job");
+    reply.retry_after_ms = stored ? 0 : kRetryWhenStoreFails;
+    Answer(waiting, reply);
+  });
+  if (!taken) {
+    Answer(waiting, ReplyOf(OwnerStatus::kNotOwner));
+  }
+}
+
+void ScheduleOwner::Handle(Now now, const OwnerCall& call, Callback done) {
+  OwnerReply reply = ReplyOf(OwnerStatus::kOk);
+  switch (call.kind) {
+    case OwnerCallKind::kPing:
+    case OwnerCallKind::kTakeOver:
+      done(now.time, reply);
+      return;
+    case OwnerCallKind::kSubmit:
+      Submit(now, call, std::move(done));
+      return;
+    case OwnerCallKind::kGetState: {
+      const auto state = m_scheduler->StateOf(call.job);
+      reply.status = state && m_scheduler->QueueOf(call.job) == call.queue
+                         ? OwnerStatus::kOk
+                         : OwnerStatus::kNoSuchJob;
+      reply.state = state.value_or(JobState::kQueued);
+      done(now.time, reply);
+      return;
+    }
+    case OwnerCallKind::kCancel: {
+      if (m_scheduler->QueueOf(call.job) != call.queue) {
+        done(now.time, ReplyOf(OwnerStatus::kNoSuchJob));
+        return;
+      }
+      const std::uint64_t waiting = Wait(std::move(done));
+      m_scheduler->Cancel(now, call.job, [this, waiting](bool stored) {
+        Answer(waiting, ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kUnknown));
+      });
+      return;
+    }
+    case OwnerCallKind::kCountWaiting:
+      reply.waiting = m_scheduler->WaitingJobs(call.queue);
+      done(now.time, reply);
+      return;
+  }
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/jobs/include/cranberryplank/jobs/job_codec.h
@@ -0,0 +1,56 @@
+#ifndef CRANBERRYPLANK_JOBS_JOB_CODEC_H_
+#define CRANBERRYPLANK_JOBS_JOB_CODEC_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "cranberryplank/jobs/job.h"
+
+namespace cranberryplank {
+
+/// What is kept of a job besides its spec: enough for a new owner to go on without repeating a
+/// task whose end was acknowledged.
+struct JobProgress {
+  using StepKey = std::pair<int, int>;  ///< Occurrence and step.
+  using TaskKey = std::pair<StepKey, int>;
+
+  JobState state = JobState::kQueued;
+  std::int64_t finished_unix_ms = 0;       ///< 0 while the job is not final.
+  std::set<int> done_occurrences;          ///< Occurrences with all tasks done.
+  std::map<StepKey, std::set<int>> done;   ///< Done tasks of the other occurrences.
+  /// Failed runs of tasks that are not done. Runs, not a count: a new owner sees an end again that
+  /// was stored but not acknowledged.
+  std::map<TaskKey, std::set<int>> failures;
+};
+
+/// The smallest record of a job that has ended; it replaces the spec.
+struct EndedJob {
+  std::string queue;
+  std::string customer;
+  JobState state = JobState::kDone;
+  std::int64_t finished_unix_ms = 0;
+};
+
+/// Encodes records for the store. The encoding is MessagePack with numbered fields.
+std::string EncodeJob(const JobSpec& spec);
+std::string EncodeProgress(const JobProgress& progress);
+std::string EncodeEndedJob(const EndedJob& job);
+
+/// A decoded value of a job's key: exactly one of the two is set.
+struct JobRecord {
+  std::optional<JobSpec> spec;
+  std::optional<EndedJob> ended;
+};
+
+/// @return nothing if the value can not be read
+std::optional<JobRecord> DecodeJob(std::string_view id, std::string_view value);
+std::optional<JobProgress> DecodeProgress(std::string_view value);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_JOBS_JOB_CODEC_H_
--- a/packages/daemon/include/cranberryplank/daemon/log.h
+++ b/packages/model/include/cranberryplank/model/log.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYPLANK_DAEMON_LOG_H_
-#define CRANBERRYPLANK_DAEMON_LOG_H_
+#ifndef CRANBERRYPLANK_MODEL_LOG_H_
+#define CRANBERRYPLANK_MODEL_LOG_H_
 
 #include <fmt/format.h>
 
@@ -19,7 +19,7 @@
 /// Sets the lowest level that is written.
 void SetLogLevel(LogLevel level);
 
-/// One structured log line on standard error, written when the object goes out of scope:
+/// One structured log line for standard output, queued when the object goes out of scope:
 /// `LogLine(LogLevel::kInfo, "placement").Field("task", id).Field("vm", vm);`
 class LogLine {
  public:
@@ -46,4 +46,4 @@
 
 }  // namespace cranberryplank
 
-#endif  // CRANBERRYPLANK_DAEMON_LOG_H_
+#endif  // CRANBERRYPLANK_MODEL_LOG_H_
--- a/packages/daemon/src/log.cc
+++ b/packages/model/src/log.cc
@@ -1,11 +1,11 @@
-#include "cranberryplank/daemon/log.h"
+#include "cranberryplank/model/log.h"
 
 #include <fmt/format.h>
 
 #include <array>
 #include <atomic>
-#include <cstdio>
 
+#include "cranberryplank/model/log_buffer.h"
 #include "cranberryplank/model/text.h"
 
 namespace cranberryplank {
@@ -72,7 +72,7 @@
     return;
   }
   m_line += '\n';
-  std::fwrite(m_line.data(), 1, m_line.size(), stderr);
+  LogBuffer::Instance().Add(m_line);
 }
 
 void LogLine::Append(std::string_view key, std::string_view value) {
--- /dev/null
+++ b/packages/scheduler/include/cranberryplank/scheduler/advice_book.h
@@ -0,0 +1,51 @@
+#ifndef CRANBERRYPLANK_SCHEDULER_ADVICE_BOOK_H_
+#define CRANBERRYPLANK_SCHEDULER_ADVICE_BOOK_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/scheduler/cluster_config.h"
+#include "cranberryplank/scheduler/worker_link.h"
+
+namespace cranberryplank {
+
+/// Tickets for the steps of queues whose policy allows only some workers, and the calls to get
+/// them. The advice service handles the calls of one VM in turn, so few are under way at a time.
+class AdviceBook {
+ public:
+  /// Returns the ticket of a worker for a step, or an empty view.
+  std::string_view Ticket(TimePoint now, const std::string& step, const std::string& worker) const;
+
+  /// Tells whether an answer about any worker is held that has not expired.
+  bool Answered(TimePoint now, const std::string& step) const;
+
+  /// Prepares a call for the step unless one is under way, was just made, or too many are.
+  /// @return whether the order is to be sent
+  bool Prepare(TimePoint now, const AdvicePolicy& policy, const TaskId& step,
+               std::vector<std::string> workers, AdviceOrder* order);
+  void OnReply(TimePoint now, const AdviceOrder& order, const AdviceReply& reply);
+  /// Forgets a ticket that a worker refused.
+  void Reject(const std::string& step, const std::string& worker);
+  /// Forgets steps whose tickets have expired and for which no call is under way.
+  void Expire(TimePoint now);
+  void ForgetJob(const std::string& job);
+
+ private:
+  struct Entry {
+    std::map<std::string, std::string> tickets;  ///< By worker.
+    TimePoint valid_until{};
+    TimePoint sent{};
+    TimePoint retry_at{};
+    Duration lifetime{0};
+    bool under_way = false;
+  };
+
+  std::map<std::string, Entry> m_steps;
+  int m_under_way = 0;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SCHEDULER_ADVICE_BOOK_H_
--- /dev/null
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -0,0 +1,141 @@
+#ifndef CRANBERRYPLANK_SCHEDULER_JOB_TABLE_H_
+#define CRANBERRYPLANK_SCHEDULER_JOB_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cranberryplank/jobs/job.h"
+#include "cranberryplank/jobs/job_codec.h"
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// One task of an occurrence of a job.
+struct TaskState {
+  bool done = false;
+  int placed = 0;    ///< Runs that are, or may be, on a worker.
+  int last_run = 0;  ///< Highest run number used or seen.
+  std::set<int> failed_runs;  ///< Runs that ended as failed.
+  std::string saved;          ///< Newest saved progress; empty if there is none.
+  std::string failed_worker;  ///< Worker of the last run that did not end well.
+  TimePoint retry_at{};       ///< Not started before this time.
+  TimePoint absent_since{};   ///< Since when a long-running task has not been at work.
+  bool at_work = false;       ///< For a long-running task: its start-up is over.
+};
+
+/// One step of an occurrence.
+struct StepState {
+  std::vector<TaskState> tasks;
+  int done = 0;
+  int placed = 0;  ///< Tasks with at least one run placed.
+
+  int waiting() const { return static_cast<int>(tasks.size()) - done - placed; }
+};
+
+/// One occurrence of a job that has become due.
+struct OccurrenceState {
+  std::vector<StepState> steps;
+  std::int64_t due_unix_ms = 0;
+  TimePoint due{};
+
+  bool AllDone() const;
+};
+
+/// A job and the state of its tasks.
+struct Job {
+  JobSpec spec;
+  JobState state = JobState::kQueued;
+  JobState stored_state = JobState::kQueued;  ///< What callers are told: the stored one.
+  std::map<int, OccurrenceState> open;        ///< Due and not finished.
+  std::set<int> done_occurrences;
+  int next_occurrence = 0;
+  TimePoint accepted{};
+  std::int64_t finished_unix_ms = 0;
+  bool inherited = false;  ///< Loaded from the store: an earlier owner may have started tasks.
+  bool stored = false;     ///< The record is in the store.
+  bool ended_record = false;  ///< The record has been replaced by that of an ended job.
+  bool started = false;    ///< A task has been started.
+  bool over_share = false;  ///< Came beyond the jobs a second that its customer is owed.
+  int placed_runs = 0;
+  std::uint64_t change = 0;        ///< Number of the newest change that is not stored; 0 if none.
+  std::uint64_t first_change = 0;  ///< Lower bound of the changes that are not stored.
+  std::vector<std::function<void(bool stored)>> on_stored;
+
+  bool StepReady(const OccurrenceState& occurrence, std::size_t step) const;
+  bool HasWaitingTasks() const;
+  JobProgress Progress() const;
+};
+
+using JobPointer = std::shared_ptr<Job>;
+
+/// Names one task inside the process.
+struct TaskRef {
+  Job* job = nullptr;
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+
+  TaskId Id() const { return {job->spec.id, occurrence, step, index}; }
+  const StepSpec& spec() const { return job->spec.steps[static_cast<std::size_t>(step)]; }
+  /// Returns the state, or nullptr if the occurrence is not open.
+  TaskState* state() const;
+  StepState* step_state() const;
+
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+/// All jobs known to the owner of the schedule, with the order in which changes must be stored.
+class JobTable {
+ public:
+  /// Adds a job that was just submitted; its record is to be stored.
+  Job* Add(TimePoint now, JobSpec spec);
+  /// Adds a job from the store.
+  Job* Load(TimePoint now, std::int64_t now_unix_ms, const std::string& id,
+            const JobRecord& record, const JobProgress& progress);
+  Job* Find(std::string_view id) const;
+  void Remove(std::string_view id);
+
+  /// Returns the task that `name` names, or one without a job if there is none.
+  TaskRef Resolve(std::string_view name) const;
+
+  /// Opens the occurrences that have become due.
+  /// @return whether any was opened
+  bool OpenDue(TimePoint now, std::int64_t now_unix_ms);
+
+  /// Marks a task as done, and its occurrence and job as far as they follow.
+  void MarkDone(const TaskRef& task, std::int64_t now_unix_ms);
+  void SetState(Job* job, JobState state, std::int64_t now_unix_ms);
+  /// Notes that the job has a change to store. @return the number of the change
+  std::uint64_t Touch(Job* job);
+
+  /// Jobs with changes to store, oldest change first.
+  const std::set<std::pair<std::uint64_t, Job*>>& changed() const { return m_changed; }
+  /// Notes that the changes of `job` up to number `change` have been stored.
+  void MarkStored(Job* job, std::uint64_t change);
+  /// All changes up to this number are stored.
+  std::uint64_t StoredUpTo() const;
+
+  const std::unordered_map<std::string, JobPointer>& jobs() const { return m_jobs; }
+  /// Jobs that are not final, by id.
+  const std::map<std::string, Job*, std::less<>>& active() const { return m_active; }
+
+ private:
+  void Open(Job* job, int occurrence, TimePoint now, std::int64_t now_unix_ms);
+
+  std::unordered_map<std::string, JobPointer> m_jobs;
+  std::map<std::string, Job*, std::less<>> m_active;
+  std::set<std::pair<std::uint64_t, Job*>> m_changed;
+  std::uint64_t m_last_change = 0;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SCHEDULER_JOB_TABLE_H_
--- /dev/null
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -0,0 +1,237 @@
+#ifndef CRANBERRYPLANK_SCHEDULER_SCHEDULER_H_
+#define CRANBERRYPLANK_SCHEDULER_SCHEDULER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryplank/scheduler/advice_book.h"
+#include "cranberryplank/scheduler/cluster_config.h"
+#include "cranberryplank/scheduler/job_order.h"
+#include "cranberryplank/scheduler/job_table.h"
+#include "cranberryplank/scheduler/worker_link.h"
+#include "cranberryplank/scheduler/worker_table.h"
+
+namespace cranberryplank {
+
+/// Times of the scheduler; those that the platform sets come from the settings.
+struct SchedulerSettings {
+  Duration lease{3'000};          ///< Lease given to what runs, renewed well before it ends.
+  Duration max_lease{6'000};      ///< Longest lease that a worker grants.
+  Duration stop_time{900};        ///< Longest time that a stop takes.
+  Duration retention{120'000};    ///< How long the state of an ended job is kept.
+  Duration hold_wait{1'000};      ///< How long a worker may wait for an end before it answers.
+};
+
+/// Now on the two clocks that decisions use.
+struct Now {
+  TimePoint time{};
+  std::int64_t unix_ms = 0;
+};
+
+/// A change of one job that has to be stored.
+struct JobChange {
+  std::string job;
+  std::uint64_t number = 0;
+  std::optional<std::string> record;    ///< New value of the job's record.
+  std::optional<std::string> progress;  ///< New value of the job's progress.
+  bool remove_progress = false;
+  bool remove_record = false;
+};
+
+/// A worker on which tasks may run, as the store names it for the next owner.
+struct RecordedWorker {
+  std::string id;
+  std::string pool;
+};
+
+/// What an owner takes over from the store.
+struct Takeover {
+  std::uint64_t epoch = 0;  ///< Revision of the claim; no two owners share one.
+  int generation = 0;       ///< Number of earlier claims.
+  TimePoint unheard_bound{};  ///< What ran on workers that do not answer has ended by then.
+  std::vector<RecordedWorker> workers;
+};
+
+/// Counters of the scheduler.
+struct SchedulerCounters {
+  std::uint64_t starts = 0;
+  std::uint64_t start_failures = 0;
+  std::uint64_t uncertain_starts = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t holds = 0;
+  std::uint64_t failed_holds = 0;
+  std::uint64_t tasks_done = 0;
+  std::uint64_t tasks_failed = 0;
+  std::uint64_t runs_lost = 0;
+  std::uint64_t reborn_workers = 0;
+  std::uint64_t jobs_done = 0;
+  std::uint64_t jobs_failed = 0;
+  std::uint64_t jobs_cancelled = 0;
+};
+
+/// Runs the tasks of all jobs on the workers of their pools. It keeps the leases, learns from the
+/// workers what runs where, and decides what is started and stopped. It does no I/O: orders go to
+/// a WorkerLink, and changes to store are collected by the caller. Exactly one owner acts at a
+/// time: orders carry a fence made of the owner's epoch, and none is sent after the authority has
+/// ended.
+class Scheduler : public WorkerEvents {
+ public:
+  Scheduler(const SchedulerSettings& settings, WorkerLink* link);
+  ~Scheduler() override;
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  void SetSettings(const SchedulerSettings& settings) { m_settings = settings; }
+  const SchedulerSettings& settings() const { return m_settings; }
+
+  /// Starts as owner; jobs must have been loaded with `LoadJob`.
+  void Begin(Now now, const Takeover& takeover);
+  /// No order is sent after `until`.
+  void SetAuthority(TimePoint until) { m_authority = until; }
+  TimePoint authority() const { return m_authority; }
+
+  void LoadJob(Now now, const std::string& id, const JobRecord& record,
+               const JobProgress& progress);
+  void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
+  const ClusterConfig* config() const { return m_config.get(); }
+  void SetWorker(Now now, const WorkerInfo& info);
+  /// The worker's registration has gone; what runs there may run on.
+  void RemoveWorker(Now now, const std::string& id);
+
+  /// Takes a new job, or finds the one with that id.
+  /// @param done runs once: whether the job is stored. It does not run if false is returned.
+  /// @return false if the job is not known and the scheduler can not take it
+  bool Submit(Now now, JobSpec spec, std::function<void(bool stored)> done);
+  /// Withdraws a job that certainly was never stored; `done` of its submission runs with false.
+  void Withdraw(const std::string& id);
+  /// Cancels a job. @param done runs once the cancellation is stored
+  /// @return false if there is no such job
+  bool Cancel(Now now, const std::string& id, std::function<void(bool stored)> done);
+  /// State as it is stored. @return nothing if there is no such job
+  std::optional<JobState> StateOf(const std::string& id) const;
+  /// Queue of a job. @return an empty string if there is no such job
+  std::string QueueOf(const std::string& id) const;
+  /// Number of accepted jobs of a queue of which no task has started.
+  int WaitingJobs(std::string_view queue) const;
+
+  /// Does what is due. To be called every few milliseconds.
+  void Tick(Now now);
+
+  /// Collects changes to store, oldest first, with at most `max_entries` keys in all.
+  std::vector<JobChange> CollectChanges(std::size_t max_entries) const;
+  void OnStored(Now now, std::span<const JobChange> changes);
+  /// Returns the workers to record, if the record in the store is not up to date.
+  std::optional<std::vector<RecordedWorker>> WorkersToRecord() const;
+  void OnWorkersRecorded(std::span<const RecordedWorker> workers);
+
+  // WorkerEvents
+  void OnHold(TimePoint now, const std::string& worker, const HoldReply& reply) override;
+  void OnStart(TimePoint now, const std::string& worker, const StartOrder& order,
+               const OrderReply& reply) override;
+  void OnStop(TimePoint now, const std::string& worker, const StopOrder& order,
+              const OrderReply& reply) override;
+  void OnPace(TimePoint now, const std::string& worker, const PaceOrder& order,
+              const OrderReply& reply) override;
+  void OnAdvice(TimePoint now, const AdviceOrder& order, const AdviceReply& reply) override;
+
+  /// Tells whether a worker has refused this owner's fence: another owner acts.
+  bool fenced() const { return m_fenced; }
+  const SchedulerCounters& counters() const { return m_counters; }
+  const JobTable& job_table() const { return m_jobs; }
+  const std::map<std::string, Worker>& workers() const { return m_workers; }
+
+  /// Orders a task to stop; it will be started again elsewhere unless its job has ended.
+  void StopRun(TimePoint now, Worker* worker, const TaskRef& task, PlacedRun* run,
+               std::string_view reason);
+  /// Workers on which nothing new is started, besides those that drain.
+  void SetClosedWorkers(std::set<std::string> ids) { m_closed = std::move(ids); }
+  Worker* FindWorker(const std::string& id);
+
+ private:
+  struct WaitingStep;
+
+  bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority; }
+  QueueConfig QueueOfJob(const Job& job) const;
+
+  // Leases and lists.
+  void SendHolds(TimePoint now);
+  void SendHold(TimePoint now, Worker* worker);
+  std::int64_t GrantLease(TimePoint now, Worker* worker) const;
+  void OnHoldFailed(TimePoint now, Worker* worker, const HoldInFlight& hold, CallOutcome outcome);
+  void BeginLife(TimePoint now, Worker* worker, std::int64_t born_unix_ms);
+  void ApplyEnds(TimePoint now, Worker* worker, const HoldReply& reply);
+  void ApplyEnd(TimePoint now, Worker* worker, const ListedEnd& end);
+  void ApplyList(TimePoint now, Worker* worker, const HoldInFlight& hold, const HoldReply& reply);
+  void ApplyListedRun(TimePoint now, Worker* worker, const HoldInFlight& hold,
+                      const ListedRun& listed);
+  void Adopt(TimePoint now, Worker* worker, const TaskRef& task, const ListedRun& listed);
+  void StopStray(TimePoint now, Worker* worker, const ListedRun& listed);
+  void LoseRuns(TimePoint now, Worker* worker, std::string_view reason);
+  void ReleaseAcknowledged(TimePoint now);
+  void ExpireWorkers(TimePoint now);
+  void UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task, const ListedRun& listed);
+
+  // Runs.
+  PlacedRun* AddRun(TimePoint now, Worker* worker, const TaskRef& task, int run);
+  void RemoveRun(TimePoint now, Worker* worker, const TaskRef& task);
+  bool HasRunElsewhere(const TaskRef& task) const;
+  void TaskDone(TimePoint now, const TaskRef& task);
+  void TaskFailed(TimePoint now, Worker* worker, const TaskRef& task, int run);
+  void EndJob(TimePoint now, Job* job, JobState state);
+  void StopRunsOf(TimePoint now, Job* job, std::string_view reason);
+  void StopOtherRuns(TimePoint now, const TaskRef& task);
+  void SendStops(TimePoint now);
+  void ResolveFailedStart(TimePoint now, Worker* worker, const TaskRef& task,
+                          const StartOrder& order, CallOutcome outcome);
+
+  // Placing.
+  void Schedule(TimePoint now);
+  std::vector<WaitingStep> CollectWaiting(TimePoint now) const;
+  void PlaceStep(TimePoint now, const WaitingStep& waiting);
+  void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable);
+  std::vector<Worker*> UsableWorkers(const QueueConfig& queue, const StepSpec& step);
+  bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
+                 std::string_view ticket);
+  bool WithinCap(const Job& job, const Resources& more) const;
+  bool PoolSettled(TimePoint now, std::string_view pool) const;
+  void MoveLongRunningOffDraining(TimePoint now);
+  void RemoveOldJobs(Now now);
+
+  SchedulerSettings m_settings;
+  WorkerLink* m_link;
+  std::shared_ptr<const ClusterConfig> m_config;
+  std::map<std::string, QueueConfig, std::less<>> m_queues;  ///< Newest known, removed ones too.
+  JobTable m_jobs;
+  std::map<std::string, Worker> m_workers;
+  std::map<std::string, Resources, std::less<>> m_usage;  ///< Running, by customer.
+  std::map<std::string, double, std::less<>> m_share_tokens;  ///< Jobs still owed, by customer.
+  TimePoint m_share_refilled{};
+  AdviceBook m_advice;
+  std::set<std::string> m_closed;
+  std::map<std::string, RecordedWorker> m_unheard;  ///< Recorded by the earlier owner, not heard.
+  std::set<std::string> m_recorded;
+  bool m_record_changed = false;
+  bool m_active = false;
+  bool m_fenced = false;
+  bool m_schedule_needed = false;
+  std::uint64_t m_epoch = 0;
+  int m_run_base = 0;
+  std::uint64_t m_last_call = 0;
+  TimePoint m_authority{};
+  TimePoint m_unheard_bound{};
+  TimePoint m_last_schedule{};
+  std::int64_t m_unix_ms = 0;
+  SchedulerCounters m_counters;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SCHEDULER_SCHEDULER_H_
--- /dev/null
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -0,0 +1,171 @@
+#ifndef CRANBERRYPLANK_SCHEDULER_WORKER_LINK_H_
+#define CRANBERRYPLANK_SCHEDULER_WORKER_LINK_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cranberryplank/jobs/job.h"
+#include "cranberryplank/model/time.h"
+
+namespace cranberryplank {
+
+/// What a worker says of itself in its registration.
+struct WorkerInfo {
+  std::string id;
+  std::string pool;
+  std::string host;
+  std::uint16_t port = 0;
+  std::string zone;
+  std::string rack;                 ///< Empty if the worker names none.
+  std::vector<std::string> labels;  ///< The worker's kind and its rack.
+  Resources capacity;
+  bool draining = false;
+  std::int64_t remaining_ms = -1;  ///< While draining: the least time left; -1 if not given.
+  std::int64_t born_unix_ms = 0;   ///< Start of this life of the worker.
+};
+
+/// How a call to a worker ended.
+enum class CallOutcome {
+  kOk,
+  kFenced,         ///< The worker has seen a higher fence.
+  kStaleRun,       ///< A run that is not lower was stopped or has ended there.
+  kLate,           ///< The deadline had passed on the worker's clock.
+  kNoRoom,         ///< The worker checks its capacity, and the task did not fit.
+  kBadTicket,      ///< The ticket is missing or has expired.
+  kUnhealthy,      ///< The worker has done nothing.
+  kBadRequest,
+  kWrongWorker,    ///< Another life of a worker answered.
+  kNotSent,        ///< No byte was written.
+  kUnknown,        ///< No whole answer: the order may have been carried out, or may be later.
+};
+
+/// Tells whether the order certainly had no effect and never will.
+bool HadNoEffect(CallOutcome outcome);
+
+std::string_view ToString(CallOutcome outcome);
+
+/// A task that a worker lists as present.
+struct ListedRun {
+  std::string task;
+  int run = 0;
+  std::string saved;
+  int percent = 0;  ///< Progress; a long-running task is at work at 100.
+  std::int64_t usage = 0;     ///< Tail latency in ms if the task serves, else thousandths of a core.
+};
+
+enum class EndKind {
+  kDone,
+  kFailed,
+  kStopped,
+  kLapsed,  ///< The lease ran out.
+  kBroken,  ///< Another member of the gang ended.
+  kAlone,   ///< The other members of the gang did not come in time.
+};
+
+/// The end of a run, listed until it is acknowledged.
+struct ListedEnd {
+  std::uint64_t number = 0;
+  std::string task;
+  int run = 0;
+  EndKind kind = EndKind::kFailed;
+  std::string saved;
+};
+
+/// Renews the lease of all that runs on a worker and asks what runs there.
+struct HoldOrder {
+  std::uint64_t call = 0;  ///< Identifies the call in the reply.
+  std::uint64_t fence = 0;
+  std::optional<std::int64_t> lease_until_ms;  ///< On the worker's clock.
+  std::uint64_t acknowledged = 0;              ///< Ends up to this number may be forgotten.
+  Duration wait{0};                            ///< The worker may wait this long for an end.
+};
+
+struct HoldReply {
+  std::uint64_t call = 0;
+  CallOutcome outcome = CallOutcome::kUnknown;
+  std::int64_t clock_ms = 0;      ///< The worker's steady clock.
+  std::int64_t born_unix_ms = 0;  ///< 0 if not given.
+  std::vector<ListedRun> running;
+  std::vector<ListedEnd> ended;
+};
+
+/// Starts one run of a task.
+struct StartOrder {
+  TaskId task;
+  int run = 0;
+  std::string payload;
+  std::int64_t lease_until_ms = 0;  ///< On the worker's clock.
+  std::uint64_t fence = 0;
+  std::string saved;
+  std::string ticket;
+};
+
+struct StopOrder {
+  TaskId task;
+  int run = 0;
+  std::uint64_t fence = 0;
+};
+
+/// Lets a run work at a share of its speed.
+struct PaceOrder {
+  TaskId task;
+  int run = 0;
+  int percent = 100;
+  std::uint64_t fence = 0;
+};
+
+/// Answer to a start, stop or pace order.
+struct OrderReply {
+  CallOutcome outcome = CallOutcome::kUnknown;
+  std::int64_t clock_ms = 0;  ///< 0 if not given.
+};
+
+/// Asks which workers may run a step.
+struct AdviceOrder {
+  TaskId step;  ///< The index is not used.
+  std::vector<std::string> workers;
+  Duration timeout{0};
+};
+
+struct AdviceTicket {
+  std::string worker;
+  std::string ticket;
+};
+
+struct AdviceReply {
+  bool answered = false;
+  std::vector<AdviceTicket> tickets;
+  Duration lifetime{0};  ///< 0 if not given.
+};
+
+/// Takes the answers to the orders of a WorkerLink.
+class WorkerEvents {
+ public:
+  virtual ~WorkerEvents() = default;
+  virtual void OnHold(TimePoint now, const std::string& worker, const HoldReply& reply) = 0;
+  virtual void OnStart(TimePoint now, const std::string& worker, const StartOrder& order,
+                       const OrderReply& reply) = 0;
+  virtual void OnStop(TimePoint now, const std::string& worker, const StopOrder& order,
+                      const OrderReply& reply) = 0;
+  virtual void OnPace(TimePoint now, const std::string& worker, const PaceOrder& order,
+                      const OrderReply& reply) = 0;
+  virtual void OnAdvice(TimePoint now, const AdviceOrder& order, const AdviceReply& reply) = 0;
+};
+
+/// Sends orders to workers. Each answer is reported once, from the event loop and never from inside
+/// the call.
+class WorkerLink {
+ public:
+  virtual ~WorkerLink() = default;
+  virtual void Hold(const WorkerInfo& worker, const HoldOrder& order) = 0;
+  virtual void Start(const WorkerInfo& worker, const StartOrder& order) = 0;
+  virtual void Stop(const WorkerInfo& worker, const StopOrder& order) = 0;
+  virtual void Pace(const WorkerInfo& worker, const PaceOrder& order) = 0;
+  virtual void Advise(const AdviceOrder& order) = 0;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_SCHEDULER_WORKER_LINK_H_
--- /dev/null
+++ b/packages/scheduler/src/job_order.cc
@@ -0,0 +1,43 @@
+#include "cranberryplank/scheduler/job_order.h"
+
+namespace cranberryplank {
+
+namespace {
+
+enum Rank : int { kLongRunning, kInTime, kTooLate, kFiller, kOverShare, kHopeless };
+
+/// Work that ends later than this many times its objective is worth nothing.
+constexpr int kWorthlessFactor = 3;
+
+Rank RankOf(const OrderInput& input, TimePoint now) {
+  if (input.over_share) {
+    return kOverShare;
+  }
+  if (input.filler) {
+    return kFiller;
+  }
+  if (input.long_running) {
+    return kLongRunning;
+  }
+  const TimePoint earliest_end = now + input.remaining_chain;
+  if (earliest_end <= input.due + input.objective) {
+    return kInTime;
+  }
+  if (earliest_end <= input.due + kWorthlessFactor * input.objective) {
+    return kTooLate;
+  }
+  return kHopeless;
+}
+
+}  // namespace
+
+OrderKey OrderOf(const OrderInput& input, TimePoint now) {
+  OrderKey key;
+  key.rank = RankOf(input, now);
+  key.priority = input.priority;
+  key.objective = input.due + input.objective;
+  key.id = input.id;
+  return key;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/job_table.cc
@@ -0,0 +1,269 @@
+#include "cranberryplank/scheduler/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryplank {
+
+bool OccurrenceState::AllDone() const {
+  return std::all_of(steps.begin(), steps.end(), [](const StepState& step) {
+    return step.done == static_cast<int>(step.tasks.size());
+  });
+}
+
+bool Job::StepReady(const OccurrenceState& occurrence, std::size_t step) const {
+  const std::vector<int>& after = spec.steps[step].after;
+  return std::all_of(after.begin(), after.end(), [&](int earlier) {
+    const StepState& before = occurrence.steps[static_cast<std::size_t>(earlier)];
+    return before.done == static_cast<int>(before.tasks.size());
+  });
+}
+
+bool Job::HasWaitingTasks() const {
+  for (const auto& [number, occurrence] : open) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      if (occurrence.steps[i].waiting() > 0 && StepReady(occurrence, i)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+JobProgress Job::Progress() const {
+  JobProgress progress;
+  progress.state = state;
+  progress.finished_unix_ms = finished_unix_ms;
+  progress.done_occurrences = done_occurrences;
+  for (const auto& [number, occurrence] : open) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const JobProgress::StepKey key{number, static_cast<int>(i)};
+      const std::vector<TaskState>& tasks = occurrence.steps[i].tasks;
+      for (std::size_t t = 0; t < tasks.size(); ++t) {
+        if (tasks[t].done) {
+          progress.done[key].insert(static_cast<int>(t));
+        } else if (!tasks[t].failed_runs.empty() && !spec.steps[i].long_running) {
+          progress.failures[{key, static_cast<int>(t)}] = tasks[t].failed_runs;
+        }
+      }
+    }
+  }
+  return progress;
+}
+
+StepState* TaskRef::step_state() const {
+  const auto it = job->open.find(occurrence);
+  return it == job->open.end() ? nullptr : &it->second.steps[static_cast<std::size_t>(step)];
+}
+
+TaskState* TaskRef::state() const {
+  StepState* steps = step_state();
+  return steps == nullptr ? nullptr : &steps->tasks[static_cast<std::size_t>(index)];
+}
+
+Job* JobTable::Add(TimePoint now, JobSpec spec) {
+  auto job = std::make_shared<Job>();
+  job->spec = std::move(spec);
+  job->accepted = now;
+  Job* raw = job.get();
+  m_active.emplace(raw->spec.id, raw);
+  m_jobs.emplace(raw->spec.id, std::move(job));
+  Touch(raw);
+  return raw;
+}
+
+Job* JobTable::Load(TimePoint now, std::int64_t now_unix_ms, const std::string& id,
+                    const JobRecord& record, const JobProgress& progress) {
+  auto job = std::make_shared<Job>();
+  Job* raw = job.get();
+  job->stored = true;
+  if (record.ended) {
+    job->spec.id = id;
+    job->spec.queue = record.ended->queue;
+    job->spec.customer = record.ended->customer;
+    job->state = job->stored_state = record.ended->state;
+    job->finished_unix_ms = record.ended->finished_unix_ms;
+    job->ended_record = true;
+    m_jobs[id] = std::move(job);
+    return raw;
+  }
+  job->spec = *record.spec;
+  job->accepted =
+      now - Duration(std::clamp<std::int64_t>(now_unix_ms - job->spec.accepted_unix_ms, 0, 600'000));
+  job->state = job->stored_state = progress.state;
+  job->finished_unix_ms = progress.finished_unix_ms;
+  job->inherited = true;
+  job->done_occurrences = progress.done_occurrences;
+  m_jobs[id] = job;
+  if (IsFinal(job->state)) {
+    return raw;
+  }
+  m_active.emplace(id, raw);
+  if (!job->spec.timed() && job->done_occurrences.empty()) {
+    Open(raw, 0, job->accepted, now_unix_ms);
+  }
+  while (job->spec.timed() && job->next_occurrence < job->spec.occurrence_count() &&
+         job->spec.first_due_unix_ms + job->next_occurrence * job->spec.interval_ms <=
+             now_unix_ms) {
+    Open(raw, job->next_occurrence, now, now_unix_ms);
+  }
+  for (const auto& [key, tasks] : progress.done) {
+    const auto occurrence = job->open.find(key.first);
+    if (occurrence == job->open.end() ||
+        static_cast<std::size_t>(key.second) >= occurrence->second.steps.size()) {
+      continue;
+    }
+    StepState& step = occurrence->second.steps[static_cast<std::size_t>(key.second)];
+    for (const int task : tasks) {
+      if (static_cast<std::size_t>(task) < step.tasks.size()) {
+        step.tasks[static_cast<std::size_t>(task)].done = true;
+        ++step.done;
+      }
+    }
+    job->started = true;
+  }
+  for (const auto& [key, runs] : progress.failures) {
+    const TaskRef ref{raw, key.first.first, key.first.second, key.second};
+    const bool valid = job->open.contains(ref.occurrence) && ref.step >= 0 && ref.index >= 0 &&
+                       static_cast<std::size_t>(ref.step) < job->spec.steps.size() &&
+                       ref.index < job->spec.steps[static_cast<std::size_t>(ref.step)].count;
+    if (valid) {
+      ref.state()->failed_runs = runs;
+    }
+  }
+  return raw;
+}
+
+Job* JobTable::Find(std::string_view id) const {
+  const auto it = m_jobs.find(std::string(id));
+  return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+void JobTable::Remove(std::string_view id) {
+  const auto it = m_jobs.find(std::string(id));
+  if (it == m_jobs.end()) {
+    return;
+  }
+  m_changed.erase({it->second->first_change, it->second.get()});
+  if (const auto active = m_active.find(id); active != m_active.end()) {
+    m_active.erase(active);
+  }
+  m_jobs.erase(it);
+}
+
+TaskRef JobTable::Resolve(std::string_view name) const {
+  const auto id = TaskId::Parse(name);
+  if (!id) {
+    return {};
+  }
+  Job* job = Find(id->job);
+  if (job == nullptr || static_cast<std::size_t>(id->step) >= job->spec.steps.size() ||
+      id->index >= job->spec.steps[static_cast<std::size_t>(id->step)].count) {
+    return {};
+  }
+  return {job, id->occurrence, id->step, id->index};
+}
+
+void JobTable::Open(Job* job, int occurrence, TimePoint now, std::int64_t now_unix_ms) {
+  job->next_occurrence = std::max(job->next_occurrence, occurrence + 1);
+  if (job->done_occurrences.contains(occurrence)) {
+    return;
+  }
+  OccurrenceState state;
+  state.due_unix_ms = job->spec.timed()
+                          ? job->spec.first_due_unix_ms + occurrence * job->spec.interval_ms
+                          : job->spec.accepted_unix_ms;
+  state.due = now - Duration(job->spec.timed() ? std::max<std::int64_t>(
+                                                     now_unix_ms - state.due_unix_ms, 0)
+                                               : 0);
+  for (const StepSpec& step : job->spec.steps) {
+    StepState steps;
+    steps.tasks.resize(static_cast<std::size_t>(step.count));
+    for (TaskState& task : steps.tasks) {
+      task.absent_since = now;
+    }
+    state.steps.push_back(std::move(steps));
+  }
+  job->open.emplace(occurrence, std::move(state));
+}
+
+bool JobTable::OpenDue(TimePoint now, std::int64_t now_unix_ms) {
+  bool opened = false;
+  for (const auto& [id, job] : m_active) {
+    if (!job->stored) {
+      continue;
+    }
+    if (!job->spec.timed()) {
+      if (job->next_occurrence == 0) {
+        Open(job, 0, job->accepted, now_unix_ms);
+        opened = true;
+      }
+      continue;
+    }
+    while (job->next_occurrence < job->spec.occurrences &&
+           job->spec.first_due_unix_ms + job->next_occurrence * job->spec.interval_ms <=
+               now_unix_ms) {
+      Open(job, job->next_occurrence, now, now_unix_ms);
+      opened = true;
+    }
+  }
+  return opened;
+}
+
+void JobTable::MarkDone(const TaskRef& task, std::int64_t now_unix_ms) {
+  TaskState* state = task.state();
+  if (state == nullptr || state->done) {
+    return;
+  }
+  state->done = true;
+  StepState* step = task.step_state();
+  ++step->done;
+  if (state->placed > 0) {
+    --step->placed;
+  }
+  const auto occurrence = task.job->open.find(task.occurrence);
+  if (occurrence->second.AllDone()) {
+    task.job->done_occurrences.insert(task.occurrence);
+    task.job->open.erase(occurrence);
+  }
+  if (static_cast<int>(task.job->done_occurrences.size()) == task.job->spec.occurrence_count()) {
+    SetState(task.job, JobState::kDone, now_unix_ms);
+    return;
+  }
+  Touch(task.job);
+}
+
+void JobTable::SetState(Job* job, JobState state, std::int64_t now_unix_ms) {
+  job->state = state;
+  if (IsFinal(state)) {
+    job->finished_unix_ms = now_unix_ms;
+    m_active.erase(job->spec.id);
+  }
+  Touch(job);
+}
+
+std::uint64_t JobTable::Touch(Job* job) {
+  job->change = ++m_last_change;
+  if (job->first_change == 0) {
+    job->first_change = job->change;
+    m_changed.emplace(job->first_change, job);
+  }
+  return job->change;
+}
+
+void JobTable::MarkStored(Job* job, std::uint64_t change) {
+  job->stored = true;
+  m_changed.erase({job->first_change, job});
+  if (job->change == change) {
+    job->change = job->first_change = 0;
+    return;
+  }
+  job->first_change = change + 1;
+  m_changed.emplace(job->first_change, job);
+}
+
+std::uint64_t JobTable::StoredUpTo() const {
+  return m_changed.empty() ? m_last_change : m_changed.begin()->first - 1;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/scheduler.cc
@@ -0,0 +1,340 @@
+#include "cranberryplank/scheduler/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// The fence counts the orders of one owner below its epoch.
+constexpr std::uint64_t kFencesPerEpoch = 65'536;
+/// Run numbers of a later owner are above those of all earlier ones.
+constexpr int kRunsPerGeneration = 1'000;
+constexpr Duration kScheduleInterval{100};
+/// Records of ended jobs are kept a little longer than promised.
+constexpr Duration kRetentionMargin{10'000};
+
+}  // namespace
+
+Scheduler::Scheduler(const SchedulerSettings& settings, WorkerLink* link)
+    : m_settings(settings), m_link(link) {}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::Begin(Now now, const Takeover& takeover) {
+  m_active = true;
+  m_epoch = takeover.epoch;
+  m_run_base = takeover.generation * kRunsPerGeneration;
+  m_unheard_bound = takeover.unheard_bound;
+  m_unix_ms = now.unix_ms;
+  for (const RecordedWorker& worker : takeover.workers) {
+    m_unheard.emplace(worker.id, worker);
+    m_recorded.insert(worker.id);
+  }
+  for (auto& [id, worker] : m_workers) {
+    worker.fence = m_epoch * kFencesPerEpoch;
+    worker.recorded = m_recorded.contains(id);
+    worker.lease_bound = m_unheard_bound;
+  }
+  m_record_changed = true;
+  m_share_refilled = now.time;
+  LogLine(LogLevel::kInfo, "schedule_begin")
+      .Field("epoch", m_epoch)
+      .Field("generation", takeover.generation)
+      .Field("jobs", m_jobs.jobs().size())
+      .Field("recorded_workers", takeover.workers.size());
+}
+
+void Scheduler::LoadJob(Now now, const std::string& id, const JobRecord& record,
+                        const JobProgress& progress) {
+  m_jobs.Load(now.time, now.unix_ms, id, record, progress);
+}
+
+void Scheduler::SetConfig(Now /*now*/, std::shared_ptr<const ClusterConfig> config) {
+  m_config = std::move(config);
+  for (const QueueConfig& queue : m_config->queues) {
+    m_queues[queue.name] = queue;
+  }
+  m_schedule_needed = true;
+}
+
+QueueConfig Scheduler::QueueOfJob(const Job& job) const {
+  const auto it = m_queues.find(job.spec.queue);
+  if (it != m_queues.end()) {
+    return it->second;
+  }
+  // The queue was removed before this owner began: the job still goes to the pool it was meant for.
+  QueueConfig queue;
+  queue.name = job.spec.queue;
+  queue.pool = job.spec.pool;
+  queue.priority = 1;
+  queue.max_attempts = 3;
+  queue.stretch = 2;
+  queue.objective = Duration(1'000);
+  return queue;
+}
+
+void Scheduler::SetWorker(Now now, const WorkerInfo& info) {
+  auto [it, added] = m_workers.try_emplace(info.id);
+  Worker& worker = it->second;
+  const bool moved = worker.info.host != info.host || worker.info.port != info.port;
+  const bool drains = info.draining && !worker.info.draining;
+  if (added || !worker.registered || drains || moved) {
+    LogLine(LogLevel::kInfo, "worker_registered")
+        .Field("worker", info.id)
+        .Field("pool", info.pool)
+        .Field("rack", info.rack)
+        .Field("draining", info.draining)
+        .Field("born", info.born_unix_ms);
+  }
+  const bool reborn = worker.info.born_unix_ms != 0 && info.born_unix_ms != 0 &&
+                      worker.info.born_unix_ms != info.born_unix_ms;
+  const std::int64_t known_birth = worker.info.born_unix_ms;
+  worker.info = info;
+  worker.registered = true;
+  if (added) {
+    worker.fence = m_epoch * kFencesPerEpoch;
+    worker.recorded = m_recorded.contains(info.id);
+    worker.lease_bound = m_unheard.contains(info.id) ? m_unheard_bound : TimePoint{};
+    m_record_changed = true;
+  }
+  if (reborn) {
+    // A list of the new life confirms it; until then the old life may still run.
+    worker.info.born_unix_ms = known_birth;
+    worker.next_hold = now.time;
+  }
+  m_schedule_needed = true;
+}
+
+void Scheduler::RemoveWorker(Now /*now*/, const std::string& id) {
+  if (Worker* worker = FindWorker(id)) {
+    if (worker->registered) {
+      LogLine(LogLevel::kInfo, "worker_unregistered")
+          .Field("worker", id)
+          .Field("runs", worker->runs.size());
+    }
+    worker->registered = false;
+  }
+}
+
+Worker* Scheduler::FindWorker(const std::string& id) {
+  const auto it = m_workers.find(id);
+  return it == m_workers.end() ? nullptr : &it->second;
+}
+
+bool Scheduler::Submit(Now now, JobSpec spec, std::function<void(bool stored)> done) {
+  m_unix_ms = now.unix_ms;
+  if (Job* known = m_jobs.Find(spec.id)) {
+    if (known->stored) {
+      done(true);
+    } else {
+      known->on_stored.push_back(std::move(done));
+    }
+    return true;
+  }
+  if (!m_active || m_fenced) {
+    return false;
+  }
+  const std::string customer = spec.customer;
+  Job* job = m_jobs.Add(now.time, std::move(spec));
+  job->on_stored.push_back(std::move(done));
+  const CustomerConfig* config = m_config ? m_config->FindCustomer(customer) : nullptr;
+  if (config != nullptr && config->weight > 0) {
+    double& tokens = m_share_tokens.try_emplace(customer, config->weight).first->second;
+    job->over_share = tokens < 1;
+    tokens -= job->over_share ? 0 : 1;
+  }
+  return true;
+}
+
+void Scheduler::Withdraw(const std::string& id) {
+  Job* job = m_jobs.Find(id);
+  if (job == nullptr || job->stored) {
+    return;
+  }
+  const auto callbacks = std::move(job->on_stored);
+  m_jobs.Remove(id);
+  for (const auto& done : callbacks) {
+    done(false);
+  }
+}
+
+bool Scheduler::Cancel(Now now, const std::string& id, std::function<void(bool stored)> done) {
+  m_unix_ms = now.unix_ms;
+  Job* job = m_jobs.Find(id);
+  if (job == nullptr) {
+    return false;
+  }
+  if (IsFinal(job->state)) {
+    if (job->change == 0) {
+      done(true);
+    } else {
+      job->on_stored.push_back(std::move(done));
+    }
+    return true;
+  }
+  job->on_stored.push_back(std::move(done));
+  ++m_counters.jobs_cancelled;
+  EndJob(now.time, job, JobState::kCancelled);
+  return true;
+}
+
+std::optional<JobState> Scheduler::StateOf(const std::string& id) const {
+  const Job* job = m_jobs.Find(id);
+  if (job == nullptr || !job->stored) {
+    return std::nullopt;
+  }
+  if (IsFinal(job->stored_state)) {
+    return job->stored_state;
+  }
+  return job->started ? JobState::kRunning : JobState::kQueued;
+}
+
+std::string Scheduler::QueueOf(const std::string& id) const {
+  const Job* job = m_jobs.Find(id);
+  return job == nullptr ? std::string() : job->spec.queue;
+}
+
+int Scheduler::WaitingJobs(std::string_view queue) const {
+  int count = 0;
+  for (const auto& [id, job] : m_jobs.active()) {
+    if (job->spec.queue == queue && job->stored && !job->started) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+void Scheduler::Tick(Now now) {
+  m_unix_ms = now.unix_ms;
+  if (!m_active) {
+    return;
+  }
+  const double refill = std::chrono::duration<double>(now.time - m_share_refilled).count();
+  m_share_refilled = now.time;
+  if (m_config) {
+    for (const CustomerConfig& customer : m_config->customers) {
+      double& tokens = m_share_tokens.try_emplace(customer.name, customer.weight).first->second;
+      tokens = std::min(tokens + refill * customer.weight, customer.weight);
+    }
+  }
+  if (m_jobs.OpenDue(now.time, now.unix_ms)) {
+    m_schedule_needed = true;
+  }
+  ExpireWorkers(now.time);
+  MoveLongRunningOffDraining(now.time);
+  if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval) {
+    Schedule(now.time);
+  }
+  SendStops(now.time);
+  SendHolds(now.time);
+  RemoveOldJobs(now);
+}
+
+void Scheduler::RemoveOldJobs(Now now) {
+  const std::int64_t oldest = now.unix_ms - (m_settings.retention + kRetentionMargin).count();
+  std::vector<Job*> old;
+  for (const auto& [id, job] : m_jobs.jobs()) {
+    if (job->ended_record && job->change == 0 && job->finished_unix_ms < oldest) {
+      old.push_back(job.get());
+    }
+  }
+  for (Job* job : old) {
+    job->finished_unix_ms = 0;
+    m_jobs.Touch(job);
+  }
+}
+
+std::vector<JobChange> Scheduler::CollectChanges(std::size_t max_entries) const {
+  std::vector<JobChange> changes;
+  std::size_t entries = 0;
+  for (const auto& [number, job] : m_jobs.changed()) {
+    JobChange change;
+    change.job = job->spec.id;
+    change.number = job->change;
+    if (job->ended_record) {
+      change.remove_record = true;
+      entries += 1;
+    } else if (IsFinal(job->state)) {
+      change.record = EncodeEndedJob(
+          {job->spec.queue, job->spec.customer, job->state, job->finished_unix_ms});
+      change.remove_progress = job->stored;
+      entries += 2;
+    } else if (!job->stored) {
+      change.record = EncodeJob(job->spec);
+      entries += 1;
+    } else {
+      change.progress = EncodeProgress(job->Progress());
+      entries += 1;
+    }
+    if (entries > max_entries) {
+      break;
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+void Scheduler::OnStored(Now now, std::span<const JobChange> changes) {
+  for (const JobChange& change : changes) {
+    Job* job = m_jobs.Find(change.job);
+    if (job == nullptr) {
+      continue;
+    }
+    const bool current = job->change == change.number;
+    m_jobs.MarkStored(job, change.number);
+    if (change.remove_record) {
+      m_jobs.Remove(change.job);
+      continue;
+    }
+    if (current && IsFinal(job->state)) {
+      job->stored_state = job->state;
+      job->ended_record = true;
+    }
+    if (!current) {
+      continue;
+    }
+    const auto callbacks = std::move(job->on_stored);
+    job->on_stored.clear();
+    for (const auto& done : callbacks) {
+      done(true);
+    }
+  }
+  m_schedule_needed = true;
+  ReleaseAcknowledged(now.time);
+}
+
+std::optional<std::vector<RecordedWorker>> Scheduler::WorkersToRecord() const {
+  if (!m_active || !m_record_changed) {
+    return std::nullopt;
+  }
+  std::vector<RecordedWorker> workers;
+  for (const auto& [id, worker] : m_workers) {
+    workers.push_back({id, worker.info.pool});
+  }
+  for (const auto& [id, worker] : m_unheard) {
+    if (!m_workers.contains(id)) {
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
+void Scheduler::OnWorkersRecorded(std::span<const RecordedWorker> workers) {
+  m_recorded.clear();
+  for (const RecordedWorker& worker : workers) {
+    m_recorded.insert(worker.id);
+  }
+  bool all = true;
+  for (auto& [id, worker] : m_workers) {
+    worker.recorded = m_recorded.contains(id);
+    all = all && worker.recorded;
+  }
+  m_record_changed = !all;
+  m_schedule_needed = true;
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -0,0 +1,376 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// Wait before a worker that did not answer is asked again; it doubles up to the second value.
+constexpr Duration kFirstRetry{60};
+constexpr Duration kMaxRetry{400};
+/// A hold with ends that are not acknowledged would be answered at once: it waits for the store.
+constexpr Duration kUnstoredEndsWait{150};
+/// A worker with more ends than this lists only a part.
+constexpr std::size_t kListedEndsLimit = 500;
+constexpr Duration kStrayStopInterval{500};
+constexpr std::size_t kMaxHoldsInFlight = 3;
+
+}  // namespace
+
+std::int64_t Scheduler::GrantLease(TimePoint now, Worker* worker) const {
+  const std::int64_t until =
+      EstimateClockMs(worker->clock, now) + std::min(m_settings.lease, m_settings.max_lease).count();
+  worker->lease_until_ms = std::max(worker->lease_until_ms, until);
+  worker->lease_bound =
+      std::max(worker->lease_bound, LatestTimeOf(worker->clock, worker->lease_until_ms));
+  return worker->lease_until_ms;
+}
+
+void Scheduler::SendHolds(TimePoint now) {
+  if (!MayAct(now)) {
+    return;
+  }
+  for (auto& [id, worker] : m_workers) {
+    if (worker.holds.empty() && now >= worker.next_hold) {
+      SendHold(now, &worker);
+    }
+  }
+}
+
+void Scheduler::SendHold(TimePoint now, Worker* worker) {
+  if (!MayAct(now) || worker->holds.size() >= kMaxHoldsInFlight) {
+    return;
+  }
+  HoldOrder order;
+  order.call = ++m_last_call;
+  order.fence = worker->fence;
+  order.acknowledged = worker->acknowledged;
+  const bool trusted = worker->heard && worker->clock.known && worker->failed_holds == 0;
+  if (trusted && !worker->runs.empty()) {
+    order.lease_until_ms = GrantLease(now, worker);
+  }
+  const bool settles = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
+    return item.second.phase == RunPhase::kUncertain;
+  });
+  if (trusted && !settles && worker->pending_ends.empty()) {
+    order.wait = m_settings.hold_wait;
+  }
+  worker->holds[order.call] = {now, order.fence};
+  worker->last_hold_sent = now;
+  worker->acknowledged_sent = order.acknowledged;
+  ++m_counters.holds;
+  m_link->Hold(worker->info, order);
+}
+
+void Scheduler::OnHold(TimePoint now, const std::string& id, const HoldReply& reply) {
+  Worker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto sent = worker->holds.find(reply.call);
+  if (sent == worker->holds.end()) {
+    return;
+  }
+  const HoldInFlight hold = sent->second;
+  worker->holds.erase(sent);
+  if (!m_active) {
+    return;
+  }
+  if (reply.outcome != CallOutcome::kOk) {
+    OnHoldFailed(now, worker, hold, reply.outcome);
+    return;
+  }
+  if (reply.born_unix_ms != 0 && reply.born_unix_ms != worker->info.born_unix_ms) {
+    BeginLife(now, worker, reply.born_unix_ms);
+  }
+  if (worker->failed_holds > 0) {
+    LogLine(LogLevel::kInfo, "worker_answers")
+        .Field("worker", id)
+        .Field("failed_holds", worker->failed_holds);
+  }
+  worker->failed_holds = 0;
+  worker->last_reply = now;
+  worker->clock = {reply.clock_ms, now, true};
+  if (!worker->heard) {
+    worker->heard = true;
+    m_unheard.erase(id);
+  }
+  ApplyEnds(now, worker, reply);
+  if (hold.sent >= worker->last_list_sent) {
+    worker->last_list_sent = hold.sent;
+    ApplyList(now, worker, hold, reply);
+  }
+  ReleaseAcknowledged(now);
+  worker->next_hold = worker->pending_ends.empty() ? now : now + kUnstoredEndsWait;
+  m_schedule_needed = true;
+}
+
+void Scheduler::OnHoldFailed(TimePoint now, Worker* worker, const HoldInFlight& hold,
+                             CallOutcome outcome) {
+  ++m_counters.failed_holds;
+  if (outcome == CallOutcome::kFenced) {
+    if (hold.fence == worker->fence) {
+      LogLine(LogLevel::kWarning, "fenced")
+          .Field("worker", worker->info.id)
+          .Field("fence", hold.fence)
+          .Field("epoch", m_epoch);
+      m_fenced = true;
+    }
+    return;
+  }
+  if (worker->failed_holds == 0) {
+    LogLine(LogLevel::kInfo, "worker_silent")
+        .Field("worker", worker->info.id)
+        .Field("outcome", ToString(outcome))
+        .Field("runs", worker->runs.size())
+        .Field("registered", worker->registered);
+  }
+  const int doublings = std::min(worker->failed_holds, 4);
+  ++worker->failed_holds;
+  worker->next_hold = now + std::min(kFirstRetry * (1 << doublings), kMaxRetry);
+}
+
+void Scheduler::BeginLife(TimePoint now, Worker* worker, std::int64_t born_unix_ms) {
+  const bool reborn = worker->info.born_unix_ms != 0 && worker->heard;
+  worker->info.born_unix_ms = born_unix_ms;
+  worker->last_end = worker->acknowledged = worker->acknowledged_sent = 0;
+  worker->pending_ends.clear();
+  worker->stray_stops.clear();
+  worker->lease_until_ms = 0;
+  worker->failure_streak = 0;
+  if (reborn) {
+    ++m_counters.reborn_workers;
+    LogLine(LogLevel::kInfo, "worker_reborn")
+        .Field("worker", worker->info.id)
+        .Field("born", born_unix_ms)
+        .Field("lost_runs", worker->runs.size());
+    LoseRuns(now, worker, "the worker started anew");
+  }
+}
+
+void Scheduler::ApplyEnds(TimePoint now, Worker* worker, const HoldReply& reply) {
+  for (const ListedEnd& end : reply.ended) {
+    if (end.number > worker->last_end) {
+      ApplyEnd(now, worker, end);
+      worker->last_end = end.number;
+    }
+  }
+}
+
+void Scheduler::ApplyEnd(TimePoint now, Worker* worker, const ListedEnd& end) {
+  const TaskRef task = m_jobs.Resolve(end.task);
+  std::uint64_t change = 0;
+  if (task.job != nullptr) {
+    const JobPointer keep = m_jobs.jobs().at(task.job->spec.id);
+    TaskState* state = task.state();
+    if (state != nullptr) {
+      state->last_run = std::max(state->last_run, end.run);
+      if (!end.saved.empty()) {
+        state->saved = end.saved;
+      }
+    }
+    const auto placed = worker->runs.find(task);
+    const bool ours = placed != worker->runs.end() && placed->second.run <= end.run;
+    LogLine(LogLevel::kInfo, "task_ended")
+        .Field("task", end.task)
+        .Field("run", end.run)
+        .Field("how", static_cast<int>(end.kind))
+        .Field("worker", worker->info.id);
+    if (ours) {
+      RemoveRun(now, worker, task);
+    }
+    if (end.kind == EndKind::kDone) {
+      worker->failure_streak = 0;
+      if (state != nullptr && !task.spec().long_running && !IsFinal(task.job->state)) {
+        TaskDone(now, task);
+        change = task.job->change;
+      }
+    } else if (end.kind == EndKind::kFailed && state != nullptr && !state->done &&
+               !IsFinal(task.job->state)) {
+      TaskFailed(now, worker, task, end.run);
+      change = task.job->change;
+    }
+  }
+  worker->pending_ends.push_back({end.number, change});
+}
+
+void Scheduler::ApplyList(TimePoint now, Worker* worker, const HoldInFlight& hold,
+                          const HoldReply& reply) {
+  std::set<TaskRef> listed_tasks;
+  for (const ListedRun& listed : reply.running) {
+    const TaskRef task = m_jobs.Resolve(listed.task);
+    if (task.job != nullptr) {
+      listed_tasks.insert(task);
+    }
+    ApplyListedRun(now, worker, hold, listed);
+  }
+  if (reply.ended.size() >= kListedEndsLimit) {
+    return;
+  }
+  std::vector<TaskRef> gone;
+  for (const auto& [task, run] : worker->runs) {
+    const bool settled =
+        (run.phase == RunPhase::kRunning && run.settled_at < hold.sent) ||
+        (run.phase == RunPhase::kUncertain && hold.fence >= run.fence_needed);
+    if (settled && !listed_tasks.contains(task)) {
+      gone.push_back(task);
+    }
+  }
+  for (const TaskRef& task : gone) {
+    LogLine(LogLevel::kInfo, "run_not_listed")
+        .Field("task", task.Id().Name())
+        .Field("run", worker->runs.at(task).run)
+        .Field("worker", worker->info.id)
+        .Field("uncertain", worker->runs.at(task).phase == RunPhase::kUncertain);
+    RemoveRun(now, worker, task);
+  }
+}
+
+void Scheduler::ApplyListedRun(TimePoint now, Worker* worker, const HoldInFlight& hold,
+                               const ListedRun& listed) {
+  const TaskRef task = m_jobs.Resolve(listed.task);
+  if (task.job == nullptr) {
+    StopStray(now, worker, listed);
+    return;
+  }
+  const auto placed = worker->runs.find(task);
+  if (placed != worker->runs.end()) {
+    if (placed->second.run == listed.run) {
+      UpdateRun(now, &placed->second, task, listed);
+    } else if (placed->second.run < listed.run) {
+      placed->second.run = listed.run;
+      UpdateRun(now, &placed->second, task, listed);
+    }
+    return;
+  }
+  if (worker->last_removed > hold.sent) {
+    return;  // The list may be older than the end that removed the run.
+  }
+  TaskState* state = task.state();
+  const bool wanted = state != nullptr && !state->done && !IsFinal(task.job->state);
+  if (!wanted) {
+    StopStray(now, worker, listed);
+    return;
+  }
+  // A gang's members and copies of speculative tasks may be elsewhere; a second run of any other
+  // task is stopped.
+  if (state->placed > 0) {
+    StopStray(now, worker, listed);
+    return;
+  }
+  Adopt(now, worker, task, listed);
+}
+
+void Scheduler::UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task,
+                          const ListedRun& listed) {
+  if (run->phase != RunPhase::kRunning) {
+    run->phase = RunPhase::kRunning;
+    run->settled_at = now;
+    run->progressed_at = now;
+  }
+  if (listed.percent != run->percent) {
+    run->percent = listed.percent;
+    run->progressed_at = now;
+  }
+  run->usage = listed.usage;
+  TaskState* state = task.state();
+  if (state == nullptr) {
+    return;
+  }
+  if (!listed.saved.empty()) {
+    state->saved = listed.saved;
+  }
+  const bool at_work = listed.percent >= 100;
+  if (task.spec().long_running && at_work != state->at_work) {
+    state->at_work = at_work;
+    state->absent_since = now;
+  }
+}
+
+void Scheduler::Adopt(TimePoint now, Worker* worker, const TaskRef& task,
+                      const ListedRun& listed) {
+  LogLine(LogLevel::kInfo, "run_adopted")
+      .Field("task", listed.task)
+      .Field("run", listed.run)
+      .Field("worker", worker->info.id);
+  task.state()->last_run = std::max(task.state()->last_run, listed.run);
+  PlacedRun* run = AddRun(now, worker, task, listed.run);
+  UpdateRun(now, run, task, listed);
+  task.job->started = true;
+}
+
+void Scheduler::StopStray(TimePoint now, Worker* worker, const ListedRun& listed) {
+  const auto id = TaskId::Parse(listed.task);
+  TimePoint& sent = worker->stray_stops[listed.task];
+  if (!id || now - sent < kStrayStopInterval || !MayAct(now)) {
+    return;
+  }
+  sent = now;
+  ++m_counters.stops;
+  LogLine(LogLevel::kInfo, "stop")
+      .Field("task", listed.task)
+      .Field("run", listed.run)
+      .Field("worker", worker->info.id)
+      .Field("reason", "the run is not wanted");
+  m_link->Stop(worker->info, {*id, listed.run, worker->fence});
+}
+
+void Scheduler::LoseRuns(TimePoint now, Worker* worker, std::string_view reason) {
+  std::vector<TaskRef> lost;
+  for (const auto& [task, run] : worker->runs) {
+    lost.push_back(task);
+  }
+  for (const TaskRef& task : lost) {
+    ++m_counters.runs_lost;
+    LogLine(LogLevel::kInfo, "run_lost")
+        .Field("task", task.Id().Name())
+        .Field("worker", worker->info.id)
+        .Field("reason", reason);
+    RemoveRun(now, worker, task);
+  }
+}
+
+void Scheduler::ReleaseAcknowledged(TimePoint now) {
+  const std::uint64_t stored = m_jobs.StoredUpTo();
+  for (auto& [id, worker] : m_workers) {
+    while (!worker.pending_ends.empty() && worker.pending_ends.front().change <= stored) {
+      worker.acknowledged = worker.pending_ends.front().number;
+      worker.pending_ends.pop_front();
+    }
+    if (worker.pending_ends.empty() && worker.acknowledged > worker.acknowledged_sent &&
+        worker.failed_holds == 0) {
+      worker.next_hold = std::min(worker.next_hold, now);
+    }
+  }
+}
+
+void Scheduler::ExpireWorkers(TimePoint now) {
+  for (auto it = m_workers.begin(); it != m_workers.end();) {
+    Worker& worker = it->second;
+    const bool silent = worker.failed_holds > 0 || !worker.heard;
+    if (silent && now > worker.lease_bound && !worker.runs.empty()) {
+      LoseRuns(now, &worker, "the lease has ended on a silent worker");
+      m_schedule_needed = true;
+    }
+    const bool erasable =
+        !worker.registered && silent && worker.runs.empty() && now > worker.lease_bound;
+    if (erasable) {
+      LogLine(LogLevel::kInfo, "worker_gone").Field("worker", it->first);
+      m_unheard.erase(it->first);
+      m_record_changed = true;
+      it = m_workers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (!m_unheard.empty() && now > m_unheard_bound) {
+    m_unheard.clear();
+    m_record_changed = true;
+    m_schedule_needed = true;
+  }
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -0,0 +1,302 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+#include "cranberryplank/scheduler/placement.h"
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+/// A step with tasks that wait, and its place in the order.
+struct Scheduler::WaitingStep {
+  OrderKey key;
+  TaskRef step;  ///< The index is not used.
+};
+
+namespace {
+
+/// Workers named in one call for advice.
+constexpr std::size_t kMaxAdvisedWorkers = 30;
+
+Duration ObjectiveOf(const JobSpec& spec, const QueueConfig& queue) {
+  const auto stretched = static_cast<std::int64_t>(
+      static_cast<double>(spec.ChainEstimateMs()) * queue.stretch);
+  return Duration(stretched) + queue.objective;
+}
+
+/// Longest chain of the steps that are not done, by the submitter's estimates.
+Duration RemainingChain(const JobSpec& spec, const OccurrenceState& occurrence) {
+  std::vector<std::int64_t> end(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    std::int64_t start = 0;
+    for (const int earlier : spec.steps[i].after) {
+      start = std::max(start, end[static_cast<std::size_t>(earlier)]);
+    }
+    const StepState& state = occurrence.steps[i];
+    const bool done = state.done == static_cast<int>(state.tasks.size());
+    end[i] = start + (done ? 0 : spec.steps[i].estimate_ms);
+    longest = std::max(longest, end[i]);
+  }
+  return Duration(longest);
+}
+
+bool HasLabel(const WorkerInfo& info, std::string_view label) {
+  return label.empty() ||
+         std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
+int RunsOfStep(const Worker& worker, const TaskRef& step) {
+  return static_cast<int>(std::count_if(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& item) {
+        const TaskRef& task = item.first;
+        return task.job == step.job && task.occurrence == step.occurrence &&
+               task.step == step.step;
+      }));
+}
+
+std::vector<PlacementCandidate> CandidatesOf(TimePoint now, std::span<Worker* const> workers,
+                                             const TaskRef& step) {
+  std::vector<PlacementCandidate> candidates;
+  for (const Worker* worker : workers) {
+    PlacementCandidate candidate;
+    candidate.id = worker->info.id;
+    candidate.rack = worker->info.rack;
+    candidate.capacity = worker->info.capacity;
+    candidate.free = worker->free();
+    candidate.runs_of_step = step.spec().max_per_vm > 0 ? RunsOfStep(*worker, step) : 0;
+    candidate.serving_runs = worker->serving_runs;
+    candidate.filler_runs = worker->filler_runs;
+    candidate.suspect = now < worker->avoid_until;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+/// Counts a placed task against the candidate, for the step's next tasks.
+void Occupy(PlacementCandidate* candidate, const StepSpec& step) {
+  candidate->free -= step.Footprint();
+  ++candidate->runs_of_step;
+  candidate->serving_runs += step.latency_target_ms > 0 ? 1 : 0;
+  candidate->filler_runs += step.uses_leftover_cpu ? 1 : 0;
+}
+
+/// Rack for the tasks of a step that are slower when they span racks: the one with most free CPU.
+std::string RoomiestRack(std::span<const PlacementCandidate> candidates) {
+  std::map<std::string, std::int64_t> free;
+  for (const PlacementCandidate& candidate : candidates) {
+    free[candidate.rack] += candidate.free.cpu_millis;
+  }
+  const auto best = std::max_element(free.begin(), free.end(), [](const auto& a, const auto& b) {
+    return a.second < b.second;
+  });
+  return best == free.end() ? std::string() : best->first;
+}
+
+/// Rack of a run of the step that is placed already, or an empty string.
+std::string RackInUse(std::span<Worker* const> workers, const TaskRef& step) {
+  for (const Worker* worker : workers) {
+    if (RunsOfStep(*worker, step) > 0) {
+      return worker->info.rack;
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+std::vector<Scheduler::WaitingStep> Scheduler::CollectWaiting(TimePoint now) const {
+  std::vector<WaitingStep> waiting;
+  for (const auto& [id, job] : m_jobs.active()) {
+    if (!job->stored) {
+      continue;
+    }
+    const QueueConfig queue = QueueOfJob(*job);
+    for (const auto& [number, occurrence] : job->open) {
+      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        if (occurrence.steps[i].waiting() <= 0 || !job->StepReady(occurrence, i)) {
+          continue;
+        }
+        OrderInput input;
+        input.long_running = job->spec.steps[i].long_running;
+        input.filler = job->spec.steps[i].uses_leftover_cpu;
+        input.over_share = job->over_share;
+        input.priority = queue.priority;
+        input.due = occurrence.due;
+        input.objective = ObjectiveOf(job->spec, queue);
+        input.remaining_chain = RemainingChain(job->spec, occurrence);
+        input.id = id;
+        waiting.push_back({OrderOf(input, now), {job, number, static_cast<int>(i), 0}});
+      }
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const WaitingStep& a, const WaitingStep& b) { return a.key < b.key; });
+  return waiting;
+}
+
+void Scheduler::Schedule(TimePoint now) {
+  m_schedule_needed = false;
+  m_last_schedule = now;
+  if (!MayAct(now) || !m_config) {
+    return;
+  }
+  m_advice.Expire(now);
+  for (const WaitingStep& waiting : CollectWaiting(now)) {
+    PlaceStep(now, waiting);
+  }
+}
+
+bool Scheduler::PoolSettled(TimePoint now, std::string_view pool) const {
+  if (m_unheard.empty() || now > m_unheard_bound) {
+    return true;
+  }
+  return std::none_of(m_unheard.begin(), m_unheard.end(),
+                      [&](const auto& item) { return item.second.pool == pool; });
+}
+
+std::vector<Worker*> Scheduler::UsableWorkers(const QueueConfig& queue, const StepSpec& step) {
+  std::vector<Worker*> usable;
+  for (auto& [id, worker] : m_workers) {
+    const bool in_use = worker.registered && !worker.info.draining && !m_closed.contains(id);
+    const bool trusted = worker.heard && worker.recorded && worker.clock.known &&
+                         worker.failed_holds == 0;
+    if (in_use && trusted && worker.info.pool == queue.pool &&
+        HasLabel(worker.info, step.required_label)) {
+      usable.push_back(&worker);
+    }
+  }
+  return usable;
+}
+
+bool Scheduler::WithinCap(const Job& job, const Resources& more) const {
+  const CustomerConfig* customer = m_config->FindCustomer(job.spec.customer);
+  if (customer == nullptr) {
+    return true;
+  }
+  const auto it = m_usage.find(job.spec.customer);
+  const Resources total = (it == m_usage.end() ? Resources{} : it->second) + more;
+  const auto within = [](std::int64_t used, std::int64_t cap) { return cap == 0 || used <= cap; };
+  return within(total.cpu_millis, customer->cap.cpu_millis) &&
+         within(total.memory_mb, customer->cap.memory_mb) &&
+         within(total.gpus, customer->cap.gpus);
+}
+
+void Scheduler::PlaceStep(TimePoint now, const WaitingStep& waiting) {
+  const TaskRef& step = waiting.step;
+  Job* job = step.job;
+  const StepSpec& spec = step.spec();
+  const QueueConfig queue = QueueOfJob(*job);
+  if (job->inherited && (!PoolSettled(now, job->spec.pool) || !PoolSettled(now, queue.pool))) {
+    return;
+  }
+  std::vector<Worker*> usable = UsableWorkers(queue, spec);
+  const std::string step_name = step.Id().StepName();
+  if (queue.advice) {
+    std::vector<std::string> ids;
+    for (const Worker* worker : usable) {
+      if (ids.size() < kMaxAdvisedWorkers) {
+        ids.push_back(worker->info.id);
+      }
+    }
+    AdviceOrder order;
+    if (!m_advice.Answered(now, step_name) &&
+        m_advice.Prepare(now, *queue.advice, step.Id(), std::move(ids), &order)) {
+      m_link->Advise(order);
+    }
+    std::erase_if(usable, [&](const Worker* worker) {
+      return m_advice.Ticket(now, step_name, worker->info.id).empty();
+    });
+  }
+  if (spec.gang) {
+    PlaceGang(now, waiting, usable);
+    return;
+  }
+  std::vector<PlacementCandidate> candidates = CandidatesOf(now, usable, step);
+  std::string rack = spec.same_rack ? RackInUse(usable, step) : std::string();
+  if (spec.same_rack && rack.empty()) {
+    rack = RoomiestRack(candidates);
+  }
+  TaskRef task = step;
+  std::vector<TaskState>& tasks = step.step_state()->tasks;
+  for (task.index = 0; task.index < spec.count; ++task.index) {
+    TaskState& state = tasks[static_cast<std::size_t>(task.index)];
+    if (state.done || state.placed > 0 || now < state.retry_at) {
+      continue;
+    }
+    if (!WithinCap(*job, spec.per_task)) {
+      return;
+    }
+    for (PlacementCandidate& candidate : candidates) {
+      candidate.failed_this = candidate.id == state.failed_worker;
+    }
+    const int chosen = ChoosePlacement(candidates, spec, rack);
+    if (chosen < 0) {
+      return;
+    }
+    Worker* worker = usable[static_cast<std::size_t>(chosen)];
+    const int run = std::max(state.last_run, m_run_base) + 1;
+    if (!StartTask(now, worker, task, run, m_advice.Ticket(now, step_name, worker->info.id))) {
+      return;
+    }
+    Occupy(&candidates[static_cast<std::size_t>(chosen)], spec);
+  }
+}
+
+void Scheduler::PlaceGang(TimePoint now, const WaitingStep& waiting,
+                          std::span<Worker* const> usable) {
+  const TaskRef& step = waiting.step;
+  const StepSpec& spec = step.spec();
+  StepState& state = *step.step_state();
+  // A new run of the gang starts only when nothing of the last one is left.
+  if (state.placed > 0 || state.waiting() < spec.count) {
+    return;
+  }
+  Resources all;
+  int run = m_run_base;
+  std::string saved;
+  for (const TaskState& task : state.tasks) {
+    if (now < task.retry_at) {
+      return;
+    }
+    all += spec.per_task;
+    run = std::max(run, task.last_run);
+    saved = std::max(saved, task.saved);
+  }
+  if (!WithinCap(*step.job, all)) {
+    return;
+  }
+  std::vector<PlacementCandidate> candidates = CandidatesOf(now, usable, step);
+  const std::string rack = spec.same_rack ? RoomiestRack(candidates) : std::string();
+  std::vector<int> chosen;
+  for (int i = 0; i < spec.count; ++i) {
+    const int candidate = ChoosePlacement(candidates, spec, rack);
+    if (candidate < 0) {
+      return;
+    }
+    chosen.push_back(candidate);
+    Occupy(&candidates[static_cast<std::size_t>(candidate)], spec);
+  }
+  const std::string step_name = step.Id().StepName();
+  TaskRef task = step;
+  for (task.index = 0; task.index < spec.count; ++task.index) {
+    Worker* worker = usable[static_cast<std::size_t>(chosen[static_cast<std::size_t>(task.index)])];
+    state.tasks[static_cast<std::size_t>(task.index)].saved = saved;
+    StartTask(now, worker, task, run + 1, m_advice.Ticket(now, step_name, worker->info.id));
+  }
+}
+
+void Scheduler::MoveLongRunningOffDraining(TimePoint now) {
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.info.draining || worker.failed_holds > 0) {
+      continue;
+    }
+    for (auto& [task, run] : worker.runs) {
+      if (task.spec().long_running && !run.stopping && run.phase == RunPhase::kRunning) {
+        StopRun(now, &worker, task, &run, "the worker drains");
+      }
+    }
+  }
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/worker_link.cc
@@ -0,0 +1,37 @@
+#include "cranberryplank/scheduler/worker_link.h"
+
+namespace cranberryplank {
+
+bool HadNoEffect(CallOutcome outcome) {
+  return outcome != CallOutcome::kOk && outcome != CallOutcome::kUnknown;
+}
+
+std::string_view ToString(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kOk:
+      return "ok";
+    case CallOutcome::kFenced:
+      return "fenced";
+    case CallOutcome::kStaleRun:
+      return "stale_run";
+    case CallOutcome::kLate:
+      return "late";
+    case CallOutcome::kNoRoom:
+      return "no_room";
+    case CallOutcome::kBadTicket:
+      return "bad_ticket";
+    case CallOutcome::kUnhealthy:
+      return "unhealthy";
+    case CallOutcome::kBadRequest:
+      return "bad_request";
+    case CallOutcome::kWrongWorker:
+      return "wrong_worker";
+    case CallOutcome::kNotSent:
+      return "not_sent";
+    case CallOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace cranberryplank
--- /dev/null
+++ b/packages/scheduler/src/worker_table.cc
@@ -0,0 +1,24 @@
+#include "cranberryplank/scheduler/worker_table.h"
+
+#include <algorithm>
+
+namespace cranberryplank {
+
+namespace {
+
+/// Workers' steady clocks may run 2% slow; 3% leaves room for rounding.
+constexpr double kSlowClockFactor = 1.03;
+constexpr Duration kClockMargin{60};
+
+}  // namespace
+
+std::int64_t EstimateClockMs(const ClockSample& sample, TimePoint now) {
+  return sample.clock_ms + std::chrono::duration_cast<Duration>(now - sample.at).count();
+}
+
+TimePoint LatestTimeOf(const ClockSample& sample, std::int64_t worker_ms) {
+  const auto ahead = static_cast<double>(std::max<std::int64_t>(worker_ms - sample.clock_ms, 0));
+  return sample.at + Duration(static_cast<std::int64_t>(ahead * kSlowClockFactor)) + kClockMargin;
+}
+
+}  // namespace cranberryplank
