Carry out waves of upkeep and move VMs with the demand

Change: VmFleet vacates VMs, orders moves and upkeep, and stores the waves' progress; PlanMoves follows running, waiting and arriving work.

Ruled out: stopping short tasks at once on a VM to be taken down: their work is thrown away.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -66,6 +66,7 @@
   void HandOver(TimePoint now);
   void NoteConfigVersion(TimePoint now, std::uint64_t version);
   SchedulerSettings SchedulerSettingsOf() const;
+  VmFleetSettings FleetSettingsOf() const;
 
   JobSettings m_settings;
   JobServiceParts m_parts;
@@ -74,6 +75,7 @@
   Metrics m_metrics;
   WatchedPrefix m_operators;
   std::shared_ptr<const ClusterConfig> m_config;
+  std::map<std::int64_t, UpkeepWave> m_waves;
   DutyKeeper m_duty;
   OwnerClient m_owner_client;
   std::string m_followed;  ///< Incarnation of the owner that is followed.
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -11,6 +11,7 @@
 #include "cranberryplank/entry/owner_messages.h"
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/state_writer.h"
+#include "cranberryplank/entry/vm_fleet.h"
 #include "cranberryplank/entry/watched_prefix.h"
 #include "cranberryplank/scheduler/scheduler.h"
 
@@ -28,6 +29,7 @@
   RedirectableWorkerLink* workers = nullptr;
   const PlatformFormat* format = nullptr;
   DutyKeeper* duty = nullptr;
+  MachineControl* machines = nullptr;  ///< nullptr if VMs can not be moved.
 };
 
 /// The schedule while this daemon owns it: loads the state, runs the scheduler, stores its changes
@@ -36,7 +38,8 @@
  public:
   using Callback = std::function<void(TimePoint now, const OwnerReply& reply)>;
 
-  ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings);
+  ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings,
+                const VmFleetSettings& fleet_settings);
   ~ScheduleOwner();
   ScheduleOwner(const ScheduleOwner&) = delete;
   ScheduleOwner& operator=(const ScheduleOwner&) = delete;
@@ -44,6 +47,7 @@
   /// Begins to load the state; `Tick` goes on.
   void Begin(Now now);
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
+  void SetWave(TimePoint now, const UpkeepWave& wave);
   void SetSettings(const SchedulerSettings& settings);
   void Tick(Now now);
   void Handle(Now now, const OwnerCall& call, Callback done);
@@ -55,11 +59,13 @@
   /// Ownership was found to be another's by a worker.
   bool fenced() const { return m_ready && m_scheduler->fenced(); }
   Scheduler* scheduler() { return m_scheduler.get(); }
+  const VmFleet* fleet() const { return m_fleet.get(); }
   bool store_failing(TimePoint now) const { return m_writer.failing(now); }
 
  private:
   void ReadPage();
   void OnPage(const KvReadReply& reply);
+  void LoadItem(const KvItem& item);
   void NextPrefix();
   void FinishLoad(Now now);
   void OnWorkerItem(TimePoint now, const KvItem& item);
@@ -71,6 +77,10 @@
   std::unique_ptr<Scheduler> m_scheduler;
   StateWriter m_writer;
   WatchedPrefix m_workers;
+  VmFleetSettings m_fleet_settings;
+  std::unique_ptr<VmFleet> m_fleet;  ///< Once the state is loaded.
+  std::map<std::int64_t, UpkeepWave> m_waves;
+  std::map<std::int64_t, std::set<std::string>> m_wave_progress;
   std::shared_ptr<const ClusterConfig> m_config;
   bool m_ready = false;
   bool m_reading = false;
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -0,0 +1,130 @@
+#ifndef CRANBERRYPLANK_ENTRY_VM_FLEET_H_
+#define CRANBERRYPLANK_ENTRY_VM_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cranberryplank/entry/duty_keeper.h"
+#include "cranberryplank/entry/key_value_store.h"
+#include "cranberryplank/entry/machine_control.h"
+#include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/scheduler/scheduler.h"
+#include "cranberryplank/scheduler/upkeep_planner.h"
+
+namespace cranberryplank {
+
+/// Times and names of the VM fleet.
+struct VmFleetSettings {
+  std::string holder;  ///< Name under which orders are given.
+  Duration machine_lease{3'000};
+  Duration move_time{1'500};
+  Duration upkeep_time{2'000};
+};
+
+struct VmFleetParts {
+  MachineControl* machines = nullptr;
+  KeyValueStore* store = nullptr;
+  const PlatformFormat* format = nullptr;
+  DutyKeeper* duty = nullptr;
+  Scheduler* scheduler = nullptr;
+};
+
+/// Moves VMs between pools as the load asks, and takes them down for the operators' waves of
+/// upkeep. Each VM is vacated first: nothing new is started on it, short tasks end, long-running
+/// ones are moved one by one. Belongs to the owner of the schedule.
+class VmFleet {
+ public:
+  VmFleet(const VmFleetParts& parts, const VmFleetSettings& settings, TimePoint begun);
+  VmFleet(const VmFleet&) = delete;
+  VmFleet& operator=(const VmFleet&) = delete;
+
+  /// Takes the newest request for a wave. @param begun VMs whose upkeep has begun, as stored
+  void SetWave(TimePoint now, const UpkeepWave& wave);
+  /// Takes the stored progress of a wave.
+  void LoadWaveProgress(std::int64_t wave, const std::set<std::string>& begun);
+  void Tick(TimePoint now);
+
+  std::uint64_t moves() const { return m_moves; }
+  std::uint64_t upkeeps() const { return m_upkeeps; }
+
+ private:
+  enum class Phase { kVacating, kOrdering, kAway };
+
+  struct Operation {
+    bool upkeep = false;
+    std::int64_t wave = 0;
+    std::string pool;  ///< Target of a move.
+    std::string worker;
+    Phase phase = Phase::kVacating;
+    TimePoint since{};
+    TimePoint retry_at{};
+    TimePoint away_until{};
+    bool in_flight = false;
+    bool uncertain = false;  ///< An order got no answer: it is repeated until it does.
+    std::uint64_t token = 0;
+  };
+
+  struct Wave {
+    UpkeepWave request;
+    TimePoint seen{};
+    std::set<std::string> begun;
+    std::set<std::string> given_up;  ///< Not part of the wave any more, by the platform's word.
+    bool running_told = false;
+    bool done_told = false;
+    bool stored = true;  ///< The progress in the store is up to date.
+  };
+
+  void ReadList(TimePoint now);
+  void OnPage(TimePoint now, const VmPage& page);
+  void FinishList(TimePoint now);
+  void PlanWaves(TimePoint now);
+  void PlanPoolMoves(TimePoint now);
+  void Advance(TimePoint now);
+  void AdvanceOne(TimePoint now, const std::string& vm, Operation* operation);
+  void SendOrder(TimePoint now, const std::string& vm, Operation* operation);
+  void OnOrder(TimePoint now, const std::string& vm, std::uint64_t token, VmOrderOutcome outcome);
+  void CloseWorkers();
+  bool MayOrder(TimePoint now) const;
+  bool IsEmpty(const std::string& worker) const;
+  int AwayForWave(std::int64_t wave) const;
+  std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave, TimePoint now) const;
+  void UpdateWave(TimePoint now, Wave* wave);
+  void StoreWave(TimePoint now, Wave* wave);
+  std::map<std::string, std::vector<std::string>> MovableVms() const;
+
+  VmFleetParts m_parts;
+  VmFleetSettings m_settings;
+  TimePoint m_begun;
+  std::map<std::string, ListedVm> m_vms;
+  std::map<std::string, ListedVm> m_listing;
+  std::map<std::string, TimePoint> m_missing_since;
+  std::map<std::string, std::string> m_home;  ///< Pool in which a VM was first seen.
+  bool m_listed = false;
+  bool m_list_in_flight = false;
+  TimePoint m_list_sent{};
+  TimePoint m_next_list{};
+  std::map<std::string, Operation> m_operations;  ///< By VM.
+  std::map<std::string, TimePoint> m_idle_since;  ///< Workers without runs.
+  std::map<std::int64_t, Wave> m_waves;
+  std::uint64_t m_last_token = 0;
+  bool m_storing = false;
+  TimePoint m_store_retry{};
+  TimePoint m_next_plan{};
+  std::uint64_t m_moves = 0;
+  std::uint64_t m_upkeeps = 0;
+  std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
+};
+
+/// Key and value of the progress of a wave.
+constexpr std::string_view kWavePrefix = "wave/";
+std::string EncodeWaveProgress(const std::set<std::string>& begun);
+std::set<std::string> DecodeWaveProgress(std::string_view value);
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_VM_FLEET_H_
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -110,6 +110,15 @@
   return settings;
 }
 
+VmFleetSettings JobService::FleetSettingsOf() const {
+  VmFleetSettings settings;
+  settings.holder = m_settings.node;
+  settings.machine_lease = m_settings.machine_lease;
+  settings.move_time = m_settings.move_time;
+  settings.upkeep_time = m_settings.upkeep_time;
+  return settings;
+}
+
 void JobService::SetSettings(Now /*now*/, const JobSettings& settings) {
   m_settings = settings;
   m_front.SetMaxConfigAge(settings.revocation_bound - kRevocationMargin);
@@ -137,6 +146,19 @@
     if (m_owner) {
       m_owner->SetConfig({now, UnixMilliseconds()}, m_config);
     }
+    return;
+  }
+  if (!m_parts.format->IsWaveKey(item.key) || item.deleted) {
+    return;
+  }
+  const auto wave = m_parts.format->DecodeWave(item);
+  if (!wave) {
+    LogLine(LogLevel::kError, "unreadable_wave").Field("key", item.key);
+    return;
+  }
+  m_waves[wave->number] = *wave;
+  if (m_owner) {
+    m_owner->SetWave(now, *wave);
   }
 }
 
@@ -145,9 +167,13 @@
   m_claim_at.reset();
   m_asked_to_take_over = false;
   m_owner = std::make_unique<ScheduleOwner>(
-      ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty},
-      SchedulerSettingsOf());
+      ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty,
+                         m_parts.machines},
+      SchedulerSettingsOf(), FleetSettingsOf());
   const Now at{now, UnixMilliseconds()};
+  for (const auto& [number, wave] : m_waves) {
+    m_owner->SetWave(now, wave);
+  }
   if (m_config) {
     m_owner->SetConfig(at, m_config);
   }
@@ -328,6 +354,10 @@
       std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
   m_metrics.SetGauge("cranberryplank_open_requests", static_cast<double>(m_front.open_requests()));
   if (m_owner && m_owner->ready()) {
+    if (const VmFleet* fleet = m_owner->fleet()) {
+      m_metrics.SetTotal("cranberryplank_vm_moves_total", fleet->moves());
+      m_metrics.SetTotal("cranberryplank_vm_upkeeps_total", fleet->upkeeps());
+    }
     const SchedulerCounters& counters = m_owner->scheduler()->counters();
     m_metrics.SetTotal("cranberryplank_task_starts_total", counters.starts);
     m_metrics.SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cranberryplank/model/log.h"
+#include "cranberryplank/model/text.h"
 
 namespace cranberryplank {
 
@@ -16,7 +17,8 @@
 constexpr Duration kUnheardMargin{300};
 /// Workers' clocks may run slow by this factor.
 constexpr double kSlowClockFactor = 1.03;
-constexpr std::array<std::string_view, 3> kPrefixes{kJobPrefix, kProgressPrefix, kWorkersKey};
+constexpr std::array<std::string_view, 4> kPrefixes{kJobPrefix, kProgressPrefix, kWorkersKey,
+                                                    kWavePrefix};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 
 OwnerReply ReplyOf(OwnerStatus status, std::string_view reason = {}) {
@@ -28,12 +30,14 @@
 
 }  // namespace
 
-ScheduleOwner::ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings)
+ScheduleOwner::ScheduleOwner(const ScheduleOwnerParts& parts, const SchedulerSettings& settings,
+                             const VmFleetSettings& fleet_settings)
     : m_parts(parts),
       m_scheduler(std::make_unique<Scheduler>(settings, parts.workers)),
       m_writer(parts.store, parts.duty, m_scheduler.get()),
       m_workers(parts.store, std::string(parts.format->WorkerPrefix()), kWorkerWatchWait,
-                [this](TimePoint now, const KvItem& item) { OnWorkerItem(now, item); }) {
+                [this](TimePoint now, const KvItem& item) { OnWorkerItem(now, item); }),
+      m_fleet_settings(fleet_settings) {
   parts.workers->SetEvents(m_scheduler.get());
 }
 
@@ -54,6 +58,13 @@
   m_scheduler->SetConfig(now, std::move(config));
 }
 
+void ScheduleOwner::SetWave(TimePoint now, const UpkeepWave& wave) {
+  m_waves[wave.number] = wave;
+  if (m_fleet) {
+    m_fleet->SetWave(now, wave);
+  }
+}
+
 void ScheduleOwner::ReadPage() {
   m_reading = true;
   const std::weak_ptr<int> lifetime = m_lifetime;
@@ -73,27 +84,7 @@
   }
   for (const KvItem& item : reply.items) {
     m_last_key = item.key;
-    const std::string_view prefix = kPrefixes.at(static_cast<std::size_t>(m_prefix));
-    const std::string id = item.key.substr(prefix.size());
-    bool readable = true;
-    if (prefix == kJobPrefix) {
-      const auto record = DecodeJob(id, item.value);
-      readable = record.has_value();
-      if (record) {
-        m_records[id] = *record;
-      }
-    } else if (prefix == kProgressPrefix) {
-      const auto progress = DecodeProgress(item.value);
-      readable = progress.has_value();
-      if (progress) {
-        m_progress[id] = *progress;
-      }
-    } else {
-      m_recorded = DecodeWorkers(item.value);
-    }
-    if (!readable) {
-      LogLine(LogLevel::kError, "unreadable_state").Field("key", item.key);
-    }
+    LoadItem(item);
   }
   if (reply.more && !reply.items.empty()) {
     ReadPage();
@@ -102,6 +93,34 @@
   NextPrefix();
 }
 
+void ScheduleOwner::LoadItem(const KvItem& item) {
+  const std::string_view prefix = kPrefixes.at(static_cast<std::size_t>(m_prefix));
+  const std::string id = item.key.substr(prefix.size());
+  if (prefix == kWorkersKey) {
+    m_recorded = DecodeWorkers(item.value);
+    return;
+  }
+  if (prefix == kWavePrefix) {
+    if (const auto number = ParseNumber<std::int64_t>(id)) {
+      m_wave_progress[*number] = DecodeWaveProgress(item.value);
+    }
+    return;
+  }
+  bool readable = false;
+  if (prefix == kJobPrefix) {
+    if (const auto record = DecodeJob(id, item.value)) {
+      m_records[id] = *record;
+      readable = true;
+    }
+  } else if (const auto progress = DecodeProgress(item.value)) {
+    m_progress[id] = *progress;
+    readable = true;
+  }
+  if (!readable) {
+    LogLine(LogLevel::kError, "unreadable_state").Field("key", item.key);
+  }
+}
+
 void ScheduleOwner::NextPrefix() {
   m_last_key.clear();
   ++m_prefix;
@@ -127,6 +146,18 @@
   m_records.clear();
   m_progress.clear();
   m_ready = true;
+  if (m_parts.machines != nullptr) {
+    m_fleet = std::make_unique<VmFleet>(
+        VmFleetParts{m_parts.machines, m_parts.store, m_parts.format, m_parts.duty,
+                     m_scheduler.get()},
+        m_fleet_settings, now.time);
+    for (const auto& [number, begun] : m_wave_progress) {
+      m_fleet->LoadWaveProgress(number, begun);
+    }
+    for (const auto& [number, wave] : m_waves) {
+      m_fleet->SetWave(now.time, wave);
+    }
+  }
   LogLine(LogLevel::kInfo, "owner_ready")
       .Field("epoch", takeover.epoch)
       .Field("load_ms", std::chrono::duration_cast<Duration>(now.time - m_begun).count());
@@ -162,6 +193,9 @@
   }
   m_scheduler->SetAuthority(m_parts.duty->authority_until());
   m_scheduler->Tick(now);
+  if (m_fleet) {
+    m_fleet->Tick(now.time);
+  }
   m_writer.Tick(now);
 }
 
--- /dev/null
+++ b/packages/entry/src/vm_fleet.cc
@@ -0,0 +1,502 @@
+#include "cranberryplank/entry/vm_fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+#include "cranberryplank/scheduler/pool_planner.h"
+#include "cranberryplank/scheduler/upkeep_planner.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr Duration kListInterval{1'000};
+constexpr Duration kListRetry{400};
+constexpr Duration kPlanInterval{100};
+constexpr Duration kOrderRetry{300};
+constexpr Duration kStoreRetry{200};
+/// A VM that is missing from the list for this long has left.
+constexpr Duration kMissingBound{3'000};
+/// Short tasks on a VM to be taken down are stopped after this time.
+constexpr Duration kVacateBound{3'500};
+constexpr Duration kMoveVacateBound{2'500};
+/// A VM that can not be vacated is left for another time.
+constexpr Duration kVacateGiveUp{12'000};
+/// Added to the time for which a VM counts as away.
+constexpr Duration kAwayMargin{400};
+constexpr std::uint64_t kTokensPerEpoch = 65'536;
+/// A VM is moved to a standby pool only after this time without work.
+constexpr Duration kIdleBeforeParking{600};
+/// Moves under way at a time.
+constexpr std::size_t kMaxMovesAtOnce = 24;
+
+}  // namespace
+
+std::string EncodeWaveProgress(const std::set<std::string>& begun) {
+  return nlohmann::json(begun).dump();
+}
+
+std::set<std::string> DecodeWaveProgress(std::string_view value) {
+  const auto rows = nlohmann::json::parse(value, nullptr, false);
+  try {
+    return rows.get<std::set<std::string>>();
+  } catch (const nlohmann::json::exception& error) {
+    LogLine(LogLevel::kError, "unreadable_wave_progress").Field("reason", error.what());
+    return {};
+  }
+}
+
+VmFleet::VmFleet(const VmFleetParts& parts, const VmFleetSettings& settings, TimePoint begun)
+    : m_parts(parts),
+      m_settings(settings),
+      m_begun(begun),
+      m_last_token(parts.duty->revision() * kTokensPerEpoch) {}
+
+void VmFleet::SetWave(TimePoint now, const UpkeepWave& request) {
+  auto [it, added] = m_waves.try_emplace(request.number);
+  it->second.request = request;
+  if (added || it->second.seen == TimePoint{}) {
+    it->second.seen = now;
+    LogLine(LogLevel::kInfo, "wave")
+        .Field("wave", request.number)
+        .Field("vms", request.vms.size())
+        .Field("within_ms", request.within.count())
+        .Field("at_once", request.max_at_once);
+  }
+  m_next_list = now;
+}
+
+void VmFleet::LoadWaveProgress(std::int64_t wave, const std::set<std::string>& begun) {
+  m_waves[wave].begun.insert(begun.begin(), begun.end());
+}
+
+bool VmFleet::MayOrder(TimePoint now) const {
+  // An earlier owner that is still in touch may have ordered until its authority ended; two
+  // holders must not take turns on a VM within the lease.
+  return m_parts.scheduler->may_act(now) && now - m_begun >= m_settings.machine_lease;
+}
+
+void VmFleet::Tick(TimePoint now) {
+  if (!m_list_in_flight && now >= m_next_list) {
+    m_listing.clear();
+    m_list_sent = now;
+    ReadList(now);
+  }
+  if (!m_listed) {
+    return;
+  }
+  if (now >= m_next_plan) {
+    m_next_plan = now + kPlanInterval;
+    for (const auto& [id, worker] : m_parts.scheduler->workers()) {
+      if (worker.runs.empty()) {
+        m_idle_since.try_emplace(id, now);
+      } else {
+        m_idle_since.erase(id);
+      }
+    }
+    PlanWaves(now);
+    PlanPoolMoves(now);
+  }
+  Advance(now);
+  CloseWorkers();
+}
+
+void VmFleet::ReadList(TimePoint /*now*/) {
+  m_list_in_flight = true;
+  const std::weak_ptr<int> lifetime = m_lifetime;
+  m_parts.machines->List({}, [this, lifetime](TimePoint at, const VmPage& reply) {
+    if (!lifetime.expired()) {
+      OnPage(at, reply);
+    }
+  });
+}
+
+void VmFleet::OnPage(TimePoint now, const VmPage& page) {
+  if (!page.answered) {
+    m_list_in_flight = false;
+    m_next_list = now + kListRetry;
+    return;
+  }
+  for (const ListedVm& vm : page.vms) {
+    m_listing[vm.id] = vm;
+  }
+  if (page.next.empty()) {
+    m_list_in_flight = false;
+    FinishList(now);
+    return;
+  }
+  const std::weak_ptr<int> lifetime = m_lifetime;
+  m_parts.machines->List(page.next, [this, lifetime](TimePoint at, const VmPage& reply) {
+    if (!lifetime.expired()) {
+      OnPage(at, reply);
+    }
+  });
+}
+
+void VmFleet::FinishList(TimePoint now) {
+  m_next_list = now + kListInterval;
+  for (const auto& [id, vm] : m_vms) {
+    if (!m_listing.contains(id)) {
+      m_missing_since.try_emplace(id, now);
+    }
+  }
+  for (const auto& [id, vm] : m_listing) {
+    m_missing_since.erase(id);
+    m_home.try_emplace(id, vm.pool);
+  }
+  m_vms = std::move(m_listing);
+  m_listing.clear();
+  if (!m_listed) {
+    LogLine(LogLevel::kInfo, "vm_list").Field("vms", m_vms.size());
+  }
+  m_listed = true;
+}
+
+int VmFleet::AwayForWave(std::int64_t wave) const {
+  return static_cast<int>(
+      std::count_if(m_operations.begin(), m_operations.end(), [&](const auto& item) {
+        return item.second.upkeep && item.second.wave == wave;
+      }));
+}
+
+std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave, TimePoint now) const {
+  std::map<std::string, double> pressure;
+  std::map<std::string, int> sizes;
+  std::map<std::string, int> away;
+  for (const PoolLoad& load : m_parts.scheduler->PoolLoads(now)) {
+    pressure[load.pool] = load.backlog_core_s;
+  }
+  for (const auto& [id, vm] : m_vms) {
+    ++sizes[vm.pool];
+    away[vm.pool] += m_operations.contains(id) ? 1 : 0;
+  }
+  std::vector<UpkeepCandidate> candidates;
+  for (const std::string& id : wave.request.vms) {
+    const auto vm = m_vms.find(id);
+    const bool open = !wave.begun.contains(id) && !wave.given_up.contains(id);
+    if (vm == m_vms.end() || !open || m_operations.contains(id)) {
+      continue;
+    }
+    const ClusterConfig* config = m_parts.scheduler->config();
+    UpkeepCandidate candidate;
+    candidate.vm = id;
+    candidate.standby = config != nullptr && config->IsStandby(vm->second.pool);
+    if (vm->second.state != VmState::kUp && !candidate.standby) {
+      continue;
+    }
+    candidate.pool_size = sizes[vm->second.pool];
+    candidate.pool_away = away[vm->second.pool];
+    if (const Worker* worker = m_parts.scheduler->FindWorker(vm->second.worker)) {
+      candidate.runs = static_cast<int>(worker->runs.size());
+      for (const auto& [task, run] : worker->runs) {
+        candidate.long_running += task.spec().long_running ? 1 : 0;
+      }
+      const double cores = static_cast<double>(worker->info.capacity.cpu_millis) / 1'000;
+      candidate.pool_pressure =
+          pressure[vm->second.pool] / std::max(cores * candidate.pool_size, 1.0);
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void VmFleet::PlanWaves(TimePoint now) {
+  for (auto& [number, wave] : m_waves) {
+    if (wave.request.vms.empty()) {
+      continue;
+    }
+    UpdateWave(now, &wave);
+    if (!MayOrder(now) || wave.done_told) {
+      continue;
+    }
+    WaveView view;
+    view.max_at_once = wave.request.max_at_once;
+    view.away = AwayForWave(number);
+    view.time_left =
+        std::chrono::duration_cast<Duration>(wave.seen + wave.request.within - now);
+    const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, now);
+    view.remaining = static_cast<int>(candidates.size());
+    for (const std::string& vm : ChooseUpkeep(view, candidates)) {
+      Operation operation;
+      operation.upkeep = true;
+      operation.wave = number;
+      operation.worker = m_vms.at(vm).worker;
+      operation.since = now;
+      m_operations.emplace(vm, operation);
+      LogLine(LogLevel::kInfo, "vacate")
+          .Field("vm", vm)
+          .Field("worker", operation.worker)
+          .Field("wave", number);
+    }
+  }
+}
+
+void VmFleet::UpdateWave(TimePoint now, Wave* wave) {
+  const bool done = std::all_of(
+      wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
+        const auto missing = m_missing_since.find(vm);
+        const bool left = !m_vms.contains(vm) &&
+                          (missing == m_missing_since.end()
+                               ? now - m_begun >= kMissingBound
+                               : now - missing->second >= kMissingBound);
+        return wave->begun.contains(vm) || wave->given_up.contains(vm) || left;
+      });
+  const bool tell = (!wave->running_told && !done) || (done && !wave->done_told);
+  if ((tell || !wave->stored) && !m_storing && now >= m_store_retry) {
+    StoreWave(now, wave);
+  }
+}
+
+void VmFleet::StoreWave(TimePoint now, Wave* wave) {
+  const std::int64_t number = wave->request.number;
+  const bool done = std::all_of(
+      wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
+        return wave->begun.contains(vm) || wave->given_up.contains(vm) || !m_vms.contains(vm);
+      });
+  KvTransaction transaction;
+  transaction.preconditions.push_back({m_parts.duty->key(), m_parts.duty->revision()});
+  transaction.writes.push_back(m_parts.format->EncodeWaveStatus(number, done));
+  transaction.writes.push_back(
+      {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave->begun)});
+  m_storing = true;
+  const std::size_t stored = wave->begun.size();
+  const std::weak_ptr<int> lifetime = m_lifetime;
+  m_parts.store->Commit(transaction, [this, lifetime, number, done, stored,
+                                      now](TimePoint at, const KvCommitReply& reply) {
+    if (lifetime.expired()) {
+      return;
+    }
+    m_storing = false;
+    if (reply.status != KvStatus::kOk) {
+      m_store_retry = at + kStoreRetry;
+      return;
+    }
+    m_parts.duty->Confirm(now);
+    Wave& told = m_waves.at(number);
+    told.running_told = true;
+    told.done_told = done;
+    told.stored = stored == told.begun.size();
+    LogLine(LogLevel::kInfo, "wave_status")
+        .Field("wave", number)
+        .Field("begun", stored)
+        .Field("done", done);
+  });
+}
+
+std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
+  std::map<std::string, std::vector<std::string>> movable;
+  for (const auto& [id, vm] : m_vms) {
+    const ClusterConfig* config = m_parts.scheduler->config();
+    const bool standby = config->IsStandby(vm.pool);
+    if (m_operations.contains(id) || (vm.state != VmState::kUp && !standby)) {
+      continue;
+    }
+    if (standby) {
+      movable[vm.pool].push_back(id);
+      continue;
+    }
+    const Worker* worker = m_parts.scheduler->FindWorker(vm.worker);
+    if (worker != nullptr && worker->registered && !worker->info.draining && worker->heard &&
+        worker->runs.empty()) {
+      movable[vm.pool].push_back(id);
+    }
+  }
+  return movable;
+}
+
+void VmFleet::PlanPoolMoves(TimePoint now) {
+  if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
+    return;
+  }
+  std::vector<PoolLoad> loads = m_parts.scheduler->PoolLoads(now);
+  std::size_t under_way = 0;
+  std::map<std::string, int> sizes;
+  for (const auto& [id, vm] : m_vms) {
+    const auto operation = m_operations.find(id);
+    if (operation != m_operations.end() && !operation->second.upkeep) {
+      ++sizes[operation->second.pool];
+      ++under_way;
+    } else if (vm.state != VmState::kDown || m_parts.scheduler->config()->IsStandby(vm.pool)) {
+      ++sizes[vm.pool];
+    }
+  }
+  for (PoolLoad& load : loads) {
+    load.vms = sizes[load.pool];
+    if (load.vm_cores <= 0) {
+      load.vm_cores = 1;
+      for (const PoolLoad& other : loads) {
+        load.vm_cores = std::max(load.vm_cores, other.vm_cores);
+      }
+    }
+  }
+  auto movable = MovableVms();
+  std::map<std::string, int> counts;
+  for (const auto& [pool, vms] : movable) {
+    counts[pool] = static_cast<int>(vms.size());
+  }
+  for (const PlannedMove& move : PlanMoves(loads, counts)) {
+    std::vector<std::string>& vms = movable[move.from];
+    if (vms.empty() || under_way >= kMaxMovesAtOnce) {
+      continue;
+    }
+    const std::string vm = vms.back();
+    vms.pop_back();
+    const std::string worker = m_vms.at(vm).worker;
+    const bool parks = m_parts.scheduler->config()->IsStandby(move.to);
+    const auto idle = m_idle_since.find(worker);
+    if (parks && (idle == m_idle_since.end() || now - idle->second < kIdleBeforeParking)) {
+      continue;
+    }
+    ++under_way;
+    Operation operation;
+    operation.pool = move.to;
+    operation.worker = worker;
+    operation.since = now;
+    m_operations.emplace(vm, operation);
+    LogLine(LogLevel::kInfo, "move")
+        .Field("vm", vm)
+        .Field("worker", worker)
+        .Field("from", move.from)
+        .Field("to", move.to);
+  }
+}
+
+void VmFleet::CloseWorkers() {
+  std::set<std::string> closed;
+  for (const auto& [vm, operation] : m_operations) {
+    closed.insert(operation.worker);
+  }
+  m_parts.scheduler->SetClosedWorkers(std::move(closed));
+}
+
+bool VmFleet::IsEmpty(const std::string& worker) const {
+  const Worker* known = m_parts.scheduler->FindWorker(worker);
+  return known == nullptr || known->runs.empty();
+}
+
+void VmFleet::Advance(TimePoint now) {
+  std::vector<std::string> ended;
+  for (auto& [vm, operation] : m_operations) {
+    AdvanceOne(now, vm, &operation);
+    const bool gave_up = operation.phase == Phase::kVacating &&
+                         now - operation.since > kVacateGiveUp;
+    const auto listed = m_vms.find(vm);
+    // A VM counts as away until a list read after that time shows it.
+    const bool back = operation.phase == Phase::kAway && now >= operation.away_until &&
+                      m_list_sent >= operation.away_until - kAwayMargin &&
+                      (listed == m_vms.end() || listed->second.state != VmState::kInUpkeep);
+    if (gave_up || back) {
+      ended.push_back(vm);
+    }
+  }
+  for (const std::string& vm : ended) {
+    m_operations.erase(vm);
+  }
+}
+
+void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, Operation* operation) {
+  if (operation->phase == Phase::kVacating) {
+    if (!IsEmpty(operation->worker)) {
+      const Duration bound = operation->upkeep ? kVacateBound : kMoveVacateBound;
+      m_parts.scheduler->VacateWorker(now, operation->worker, now - operation->since > bound);
+      return;
+    }
+    operation->phase = Phase::kOrdering;
+  }
+  if (operation->phase == Phase::kOrdering && !operation->in_flight && now >= operation->retry_at &&
+      MayOrder(now)) {
+    if (!IsEmpty(operation->worker)) {
+      operation->phase = Phase::kVacating;
+      return;
+    }
+    SendOrder(now, vm, operation);
+  }
+}
+
+void VmFleet::SendOrder(TimePoint now, const std::string& vm, Operation* operation) {
+  if (operation->token == 0) {
+    operation->token = ++m_last_token;
+  }
+  operation->in_flight = true;
+  operation->retry_at = now + kOrderRetry;
+  const std::weak_ptr<int> lifetime = m_lifetime;
+  const auto done = [this, lifetime, vm, token = operation->token](TimePoint at,
+                                                                   VmOrderOutcome outcome) {
+    if (!lifetime.expired()) {
+      OnOrder(at, vm, token, outcome);
+    }
+  };
+  const VmOrderFence fence{m_settings.holder, operation->token};
+  if (operation->upkeep) {
+    m_parts.machines->Upkeep(vm, operation->wave, fence, done);
+  } else {
+    m_parts.machines->Move(vm, operation->pool, fence, done);
+  }
+}
+
+void VmFleet::OnOrder(TimePoint now, const std::string& vm, std::uint64_t token,
+                      VmOrderOutcome outcome) {
+  const auto it = m_operations.find(vm);
+  if (it == m_operations.end() || it->second.token != token) {
+    return;
+  }
+  Operation& operation = it->second;
+  operation.in_flight = false;
+  LogLine(LogLevel::kInfo, "vm_order")
+      .Field("vm", vm)
+      .Field("wave", operation.wave)
+      .Field("pool", operation.pool)
+      .Field("token", token)
+      .Field("outcome", static_cast<int>(outcome));
+  const auto wave = m_waves.find(operation.wave);
+  switch (outcome) {
+    case VmOrderOutcome::kDone:
+      operation.phase = Phase::kAway;
+      operation.away_until =
+          now + (operation.upkeep ? m_settings.upkeep_time : m_settings.move_time) + kAwayMargin;
+      m_parts.scheduler->RetireWorker(now, operation.worker);
+      m_next_list = std::min(m_next_list, operation.away_until);
+      if (operation.upkeep) {
+        ++m_upkeeps;
+        wave->second.begun.insert(vm);
+        wave->second.stored = false;
+      } else {
+        ++m_moves;
+        if (const auto listed = m_vms.find(vm); listed != m_vms.end()) {
+          listed->second.pool = operation.pool;
+          listed->second.state = VmState::kMoving;
+        }
+      }
+      return;
+    case VmOrderOutcome::kNotDue:
+      if (operation.upkeep) {
+        wave->second.given_up.insert(vm);
+      }
+      m_operations.erase(it);
+      return;
+    case VmOrderOutcome::kFenced:
+      m_parts.duty->Read(now);
+      m_operations.erase(it);
+      return;
+    case VmOrderOutcome::kBusy:
+    case VmOrderOutcome::kRefused:
+      if (!operation.uncertain) {
+        m_operations.erase(it);
+        m_next_list = now;
+        return;
+      }
+      operation.retry_at = now + kOrderRetry;
+      return;
+    case VmOrderOutcome::kUnknown:
+      operation.uncertain = true;
+      return;
+    case VmOrderOutcome::kLater:
+      return;
+  }
+}
+
+}  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -16,6 +16,7 @@
 #include "cranberryplank/scheduler/cluster_config.h"
 #include "cranberryplank/scheduler/job_order.h"
 #include "cranberryplank/scheduler/job_table.h"
+#include "cranberryplank/scheduler/pool_planner.h"
 #include "cranberryplank/scheduler/worker_link.h"
 #include "cranberryplank/scheduler/worker_table.h"
 
@@ -151,6 +152,14 @@
   /// Orders a task to stop; it will be started again elsewhere unless its job has ended.
   void StopRun(TimePoint now, Worker* worker, const TaskRef& task, PlacedRun* run,
                std::string_view reason);
+  /// The worker's VM has been taken down: nothing runs there any more.
+  void RetireWorker(TimePoint now, const std::string& id);
+  /// Orders what runs on a worker to stop as far as that is allowed now: a long-running task only
+  /// while its step can do without it, others only if `all`.
+  void VacateWorker(TimePoint now, const std::string& id, bool all);
+  /// Load of each pool of the configuration; the numbers of VMs are left at 0.
+  std::vector<PoolLoad> PoolLoads(TimePoint now) const;
+  bool may_act(TimePoint now) const { return MayAct(now); }
   /// Workers on which nothing new is started, besides those that drain.
   void SetClosedWorkers(std::set<std::string> ids) { m_closed = std::move(ids); }
   Worker* FindWorker(const std::string& id);
@@ -214,6 +223,7 @@
   std::map<std::string, Resources, std::less<>> m_usage;  ///< Running, by customer.
   std::map<std::string, double, std::less<>> m_share_tokens;  ///< Jobs still owed, by customer.
   TimePoint m_share_refilled{};
+  std::map<std::string, ArrivalRate, std::less<>> m_arrivals;  ///< By pool.
   AdviceBook m_advice;
   std::set<std::string> m_closed;
   std::map<std::string, RecordedWorker> m_unheard;  ///< Recorded by the earlier owner, not heard.
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -88,6 +88,7 @@
   TimePoint avoid_until{};
   int serving_runs = 0;  ///< Runs with a latency target.
   int filler_runs = 0;   ///< Runs that use leftover CPU.
+  int long_running_runs = 0;
 
   Resources free() const { return info.capacity - used; }
 };
--- a/packages/scheduler/src/placement.cc
+++ b/packages/scheduler/src/placement.cc
@@ -33,7 +33,8 @@
   const bool far_from_data =
       !step.preferred_rack.empty() && step.preferred_rack != candidate.rack;
   preference.far = far_from_data || (!rack.empty() && rack != candidate.rack);
-  preference.load = UsedShare(candidate.capacity, candidate.free);
+  preference.load = step.long_running ? -candidate.long_running_runs
+                                      : UsedShare(candidate.capacity, candidate.free);
   return preference;
 }
 
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -283,7 +283,7 @@
   if (!listed.saved.empty()) {
     state->saved = listed.saved;
   }
-  const bool at_work = listed.percent >= 100;
+  const bool at_work = listed.percent >= 100 && !run->stopping;
   if (task.spec().long_running && at_work != state->at_work) {
     state->at_work = at_work;
     state->absent_since = now;
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -67,6 +67,7 @@
     candidate.runs_of_step = step.spec().max_per_vm > 0 ? RunsOfStep(*worker, step) : 0;
     candidate.serving_runs = worker->serving_runs;
     candidate.filler_runs = worker->filler_runs;
+    candidate.long_running_runs = worker->long_running_runs;
     candidate.suspect = now < worker->avoid_until;
     candidates.push_back(std::move(candidate));
   }
@@ -79,6 +80,7 @@
   ++candidate->runs_of_step;
   candidate->serving_runs += step.latency_target_ms > 0 ? 1 : 0;
   candidate->filler_runs += step.uses_leftover_cpu ? 1 : 0;
+  candidate->long_running_runs += step.long_running ? 1 : 0;
 }
 
 /// Rack for the tasks of a step that are slower when they span racks: the one with most free CPU.
--- /dev/null
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -0,0 +1,123 @@
+#include <algorithm>
+
+#include "cranberryplank/model/log.h"
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+namespace {
+
+constexpr double kMillisPerUnit = 1'000;
+
+/// Work of the tasks of a step that are not done, in core-seconds.
+double RemainingWork(const StepSpec& spec, const StepState& state) {
+  const auto tasks = static_cast<double>(state.tasks.size()) - state.done;
+  return tasks * (static_cast<double>(spec.estimate_ms) / kMillisPerUnit) *
+         (static_cast<double>(spec.per_task.cpu_millis) / kMillisPerUnit);
+}
+
+void AddJob(const Job& job, PoolLoad* load) {
+  for (const auto& [number, occurrence] : job.open) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const StepSpec& spec = job.spec.steps[i];
+      const double cores = static_cast<double>(spec.Footprint().cpu_millis) / kMillisPerUnit;
+      if (spec.long_running) {
+        load->long_running_cores += spec.count * cores;
+        if (spec.max_per_vm > 0) {
+          const int vms = (spec.count + spec.max_per_vm - 1) / spec.max_per_vm;
+          load->long_running_vms = std::max(load->long_running_vms, vms);
+        }
+      } else if (!spec.uses_leftover_cpu) {
+        load->backlog_core_s += RemainingWork(spec, occurrence.steps[i]);
+        load->running_cores += occurrence.steps[i].placed * cores;
+      }
+    }
+  }
+}
+
+/// Tells whether a step can do without one more of its tasks.
+bool CanMissOneMore(const TaskRef& task) {
+  const StepSpec& spec = task.spec();
+  const StepState* step = task.step_state();
+  int others_away = 0;
+  for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+    const bool other = static_cast<int>(i) != task.index;
+    others_away += other && !step->tasks[i].at_work ? 1 : 0;
+  }
+  return others_away < std::max(spec.max_unavailable, 1);
+}
+
+}  // namespace
+
+void Scheduler::RetireWorker(TimePoint now, const std::string& id) {
+  Worker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  LoseRuns(now, worker, "the VM was taken down");
+  worker->registered = false;
+  worker->failed_holds = std::max(worker->failed_holds, 1);
+  worker->lease_bound = now;
+  m_unheard.erase(id);
+  m_schedule_needed = true;
+}
+
+void Scheduler::VacateWorker(TimePoint now, const std::string& id, bool all) {
+  Worker* worker = FindWorker(id);
+  if (worker == nullptr || worker->failed_holds > 0) {
+    return;
+  }
+  for (auto& [task, run] : worker->runs) {
+    if (run.stopping || run.phase != RunPhase::kRunning) {
+      continue;
+    }
+    const TaskState* state = task.state();
+    if (state == nullptr) {
+      continue;
+    }
+    if (!task.spec().long_running) {
+      if (all) {
+        StopRun(now, worker, task, &run, "the VM is to be taken down");
+      }
+      continue;
+    }
+    if (CanMissOneMore(task)) {
+      task.state()->at_work = false;
+      StopRun(now, worker, task, &run, "the VM is to be taken down");
+    }
+  }
+}
+
+std::vector<PoolLoad> Scheduler::PoolLoads(TimePoint now) const {
+  std::map<std::string, PoolLoad> loads;
+  if (!m_config) {
+    return {};
+  }
+  for (const auto& [name, pool] : m_config->pools) {
+    PoolLoad& load = loads[name];
+    load.pool = name;
+    load.standby = pool.standby;
+    if (const auto it = m_arrivals.find(name); it != m_arrivals.end()) {
+      load.arriving_cores = it->second.Current(now);
+    }
+  }
+  for (const auto& [id, job] : m_jobs.active()) {
+    if (const auto it = loads.find(QueueOfJob(*job).pool); it != loads.end()) {
+      AddJob(*job, &it->second);
+    }
+  }
+  for (const auto& [id, worker] : m_workers) {
+    const auto it = loads.find(worker.info.pool);
+    if (it != loads.end()) {
+      it->second.vm_cores = std::max(
+          it->second.vm_cores, static_cast<double>(worker.info.capacity.cpu_millis) / kMillisPerUnit);
+    }
+  }
+  std::vector<PoolLoad> result;
+  for (auto& [name, load] : loads) {
+    result.push_back(std::move(load));
+  }
+  return result;
+}
+
+}  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -34,6 +34,7 @@
   worker->used += placed.footprint;
   worker->serving_runs += task.spec().latency_target_ms > 0 ? 1 : 0;
   worker->filler_runs += task.spec().uses_leftover_cpu ? 1 : 0;
+  worker->long_running_runs += task.spec().long_running ? 1 : 0;
   m_usage[placed.customer] += task.spec().per_task;
   ++task.job->placed_runs;
   if (TaskState* state = task.state(); state != nullptr && !state->done) {
@@ -53,6 +54,7 @@
   worker->used -= it->second.footprint;
   worker->serving_runs -= task.spec().latency_target_ms > 0 ? 1 : 0;
   worker->filler_runs -= task.spec().uses_leftover_cpu ? 1 : 0;
+  worker->long_running_runs -= task.spec().long_running ? 1 : 0;
   m_usage[it->second.customer] -= task.spec().per_task;
   --task.job->placed_runs;
   worker->runs.erase(it);
