Bound the wait for silent workers by proof of the earlier owner's end

LIMIT: runs that are not wanted took room that was not counted.

Change: a recorded worker is dropped once its lease has ended; a heard worker has the bound of one lease; another process at the earlier owner's address, or its hand-over, ends the wait early; nothing starts beside stray runs.

--- a/packages/entry/include/cranberryplank/entry/duty_keeper.h
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -54,6 +54,8 @@
   void Claim(TimePoint now);
   /// A transaction that names the record's revision succeeded; it was sent at `sent`.
   void Confirm(TimePoint sent);
+  /// Ends the authority for good, before the duty is handed over.
+  void Abdicate() { m_abdicated = true; }
   /// The duty is another's: a transaction or a worker said so.
   void Lose(TimePoint now, std::string_view reason);
 
@@ -62,11 +64,16 @@
   const std::optional<DutyRecord>& record() const { return m_record; }
   std::uint64_t revision() const { return m_revision; }
   const std::string& key() const { return m_key; }
-  TimePoint authority_until() const { return m_confirmed + kAuthority; }
+  TimePoint authority_until() const {
+    return m_abdicated ? TimePoint{} : m_confirmed + kAuthority;
+  }
   TimePoint learnt_at() const { return m_learnt; }
   /// Sending time of the newest call that the store answered.
   TimePoint store_answered() const { return m_store_answered; }
   bool is_earlier_self() const;
+  const std::string& incarnation() const { return m_self.incarnation; }
+  /// The owner before this daemon; nothing if there was none.
+  const std::optional<DutyRecord>& predecessor() const { return m_predecessor; }
 
   /// This daemon has become the owner.
   sigc::signal<void, TimePoint>& signal_acquired() { return m_acquired; }
@@ -82,9 +89,11 @@
   std::string m_key;
   DutyRecord m_self;
   std::optional<DutyRecord> m_record;
+  std::optional<DutyRecord> m_predecessor;
   std::uint64_t m_revision = 0;
   bool m_known = false;
   bool m_owned = false;
+  bool m_abdicated = false;
   bool m_reading = false;
   bool m_claiming = false;
   TimePoint m_confirmed{};
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -64,6 +64,7 @@
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerFront::Callback done);
   void HandOver(TimePoint now);
+  void AskPredecessor(TimePoint now);
   void NoteConfigVersion(TimePoint now, std::uint64_t version);
   SchedulerSettings SchedulerSettingsOf() const;
   VmFleetSettings FleetSettingsOf() const;
@@ -86,7 +87,10 @@
   std::optional<TimePoint> m_claim_at;
   bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
-  bool m_handed_over = false;
+  TimePoint m_next_hand_over{};
+  std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and acts no more.
+  bool m_predecessor_ended = false;
+  TimePoint m_predecessor_asked{};
   TimePoint m_last_refresh{};
   TimePoint m_callers_checked{};
   ApiServer m_caller_server;
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -16,7 +16,7 @@
 /// A call from a daemon to the owner.
 struct OwnerCall {
   OwnerCallKind kind = OwnerCallKind::kPing;
-  std::string request;  ///< Id of the caller's request, for the logs of both sides.
+  std::string incarnation;  ///< Of the owner that hands over and acts no more.
   std::string job;
   std::string queue;
   std::string sender;          ///< Address for calls to the sender.
@@ -44,6 +44,7 @@
   std::uint64_t config_version = 0;
   std::uint64_t epoch = 0;
   bool store_reached = true;  ///< In the answer to a ping: the owner's calls are answered.
+  std::string incarnation;    ///< Of the daemon that answers.
   std::string reason;
 };
 
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cranberryplank/entry/duty_keeper.h"
@@ -49,6 +50,8 @@
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
   void SetWave(TimePoint now, const UpkeepWave& wave);
   void SetSettings(const SchedulerSettings& settings);
+  /// The earlier owner acts no more since `now`, by its own word or because its process ended.
+  void EarlierOwnerEnded(TimePoint now);
   void Tick(Now now);
   void Handle(Now now, const OwnerCall& call, Callback done);
 
@@ -91,6 +94,7 @@
   std::map<std::string, JobProgress> m_progress;
   std::vector<RecordedWorker> m_recorded;
   TimePoint m_begun{};
+  std::optional<TimePoint> m_earlier_ended;
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
--- a/packages/entry/src/duty_keeper.cc
+++ b/packages/entry/src/duty_keeper.cc
@@ -67,7 +67,7 @@
   if ((!m_known || unconfirmed) && now >= m_next_read) {
     Read(now);
   }
-  if (m_owned && now >= authority_until()) {
+  if (m_owned && !m_abdicated && now >= authority_until()) {
     Lose(now, "the store has not confirmed the ownership in time");
   }
 }
@@ -117,6 +117,7 @@
     return;
   }
   m_claiming = true;
+  m_predecessor = m_record;
   DutyRecord claim = m_self;
   claim.generation = m_record ? m_record->generation + 1 : 0;
   KvTransaction transaction;
@@ -152,6 +153,7 @@
 
 void DutyKeeper::Acquire(TimePoint now, TimePoint sent) {
   m_owned = true;
+  m_abdicated = false;
   m_confirmed = sent;
   LogLine(LogLevel::kInfo, "duty_acquired")
       .Field("epoch", m_revision)
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -21,7 +21,11 @@
 constexpr Duration kUnreadyTime{2'400};
 /// Part of the grace period that is left when the process ends.
 constexpr Duration kGraceReserve{900};
-constexpr Duration kTakeOverTimeout{500};
+constexpr Duration kTakeOverTimeout{300};
+constexpr Duration kHandOverInterval{500};
+/// A daemon that called within this time can take over the duty.
+constexpr Duration kRecentCall{1'000};
+constexpr Duration kPredecessorInterval{250};
 /// The owner counts as cut from the store after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
 constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
@@ -178,6 +182,38 @@
     m_owner->SetConfig(at, m_config);
   }
   m_owner->Begin(at);
+  m_predecessor_asked = now;
+  const auto& predecessor = m_duty.predecessor();
+  const bool ended = !predecessor || predecessor->owner == m_settings.node ||
+                     predecessor->incarnation == m_stopped_owner;
+  if (ended) {
+    m_owner->EarlierOwnerEnded(now);
+  }
+  m_predecessor_ended = ended;
+}
+
+void JobService::AskPredecessor(TimePoint now) {
+  if (m_predecessor_ended || now < m_predecessor_asked + kPredecessorInterval) {
+    return;
+  }
+  m_predecessor_asked = now;
+  OwnerCall ping;
+  ping.kind = OwnerCallKind::kPing;
+  ping.config_version = m_config ? m_config->version : 0;
+  const DutyRecord predecessor = *m_duty.predecessor();
+  m_owner_client.Call(predecessor.address, ping, kTakeOverTimeout,
+                      [this, predecessor](TimePoint at, const OwnerReply& reply) {
+                        // Another process at that address: the earlier one has ended. The same
+                        // process answers as not the owner only after it has stopped to act.
+                        const bool ended =
+                            !reply.incarnation.empty() &&
+                            (reply.incarnation != predecessor.incarnation ||
+                             reply.status == OwnerStatus::kNotOwner);
+                        if (ended && m_owner && !m_predecessor_ended) {
+                          m_predecessor_ended = true;
+                          m_owner->EarlierOwnerEnded(at);
+                        }
+                      });
 }
 
 void JobService::OnLost(TimePoint /*now*/) {
@@ -196,6 +232,7 @@
   FollowOwner(now.time);
   ConsiderClaim(now.time);
   if (m_owner && m_duty.owned()) {
+    AskPredecessor(now.time);
     m_owner->Tick(now);
     if (m_owner && m_owner->fenced()) {
       m_duty.Read(now.time);
@@ -203,7 +240,7 @@
     }
   }
   m_front.Tick(now.time);
-  if (m_stopping_since && m_duty.owned() && !m_handed_over) {
+  if (m_stopping_since && m_duty.owned() && now.time >= m_next_hand_over) {
     HandOver(now.time);
   }
   if (now.time - m_callers_checked >= kCallerCheckInterval) {
@@ -303,6 +340,7 @@
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
     reply.config_version = m_config ? m_config->version : 0;
     reply.epoch = m_duty.revision();
+    reply.incarnation = m_duty.incarnation();
     reply.store_reached = at - m_duty.store_answered() < kStoreSilence ||
                           at - m_operators.confirmed_at() < kStoreSilence + kConfigWatchWait;
     ApiResponse encoded;
@@ -312,9 +350,12 @@
   };
   OwnerReply reply;
   if (call->kind == OwnerCallKind::kTakeOver) {
-    m_asked_to_take_over = !m_stopping_since.has_value();
-    m_duty.Read(now);
-    reply.status = OwnerStatus::kOk;
+    reply.status = m_stopping_since || !m_config ? OwnerStatus::kNotReady : OwnerStatus::kOk;
+    if (reply.status == OwnerStatus::kOk) {
+      m_asked_to_take_over = true;
+      m_stopped_owner = call->incarnation;
+      m_duty.Read(now);
+    }
     answer(now, reply);
     return;
   }
@@ -391,25 +432,28 @@
 }
 
 void JobService::HandOver(TimePoint now) {
+  m_next_hand_over = now + kHandOverInterval;
   const auto latest = std::max_element(
       m_peers.begin(), m_peers.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
-  m_handed_over = true;
-  if (latest == m_peers.end()) {
+  if (latest == m_peers.end() || now - latest->second > kRecentCall) {
     return;
   }
+  // The successor may take this daemon's leases as given no later than now: nothing is ordered
+  // any more, whether or not the successor claims the duty.
+  m_duty.Abdicate();
   OwnerCall call;
   call.kind = OwnerCallKind::kTakeOver;
   call.sender = m_address;
+  call.incarnation = m_duty.incarnation();
   LogLine(LogLevel::kInfo, "hand_over").Field("to", latest->first);
   m_owner_client.Call(latest->first, call, kTakeOverTimeout,
-                      [this, address = latest->first](TimePoint, const OwnerReply& reply) {
+                      [this, address = latest->first](TimePoint at, const OwnerReply& reply) {
                         if (reply.status != OwnerStatus::kOk) {
                           m_peers.erase(address);
-                          m_handed_over = false;
+                          m_next_hand_over = at;
                         }
                       });
-  (void)now;
 }
 
 bool JobService::finished(TimePoint now) const {
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -38,7 +38,7 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return Pack(json::array({static_cast<int>(call.kind), call.request, call.job, call.queue,
+  return Pack(json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue,
                            call.sender, call.config_version,
                            call.spec ? json(EncodeJob(*call.spec)) : json(nullptr)}));
 }
@@ -48,7 +48,7 @@
     const json fields = Unpack(bytes);
     OwnerCall call;
     call.kind = static_cast<OwnerCallKind>(fields.at(0));
-    call.request = fields.at(1);
+    call.incarnation = fields.at(1);
     call.job = fields.at(2);
     call.queue = fields.at(3);
     call.sender = fields.at(4);
@@ -69,7 +69,7 @@
 std::string EncodeOwnerReply(const OwnerReply& reply) {
   return Pack(json::array({static_cast<int>(reply.status), static_cast<int>(reply.state),
                            reply.waiting, reply.retry_after_ms, reply.config_version, reply.epoch,
-                           reply.store_reached, reply.reason}));
+                           reply.store_reached, reply.reason, reply.incarnation}));
 }
 
 std::optional<OwnerReply> DecodeOwnerReply(std::string_view bytes) {
@@ -84,6 +84,7 @@
     reply.epoch = fields.at(5);
     reply.store_reached = fields.at(6);
     reply.reason = fields.at(7);
+    reply.incarnation = fields.at(8);
     return reply;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -15,8 +15,6 @@
 constexpr Duration kReadRetry{100};
 /// Added to the bound after which work on workers that do not answer has ended.
 constexpr Duration kUnheardMargin{300};
-/// Workers' clocks may run slow by this factor.
-constexpr double kSlowClockFactor = 1.03;
 constexpr std::array<std::string_view, 4> kPrefixes{kJobPrefix, kProgressPrefix, kWorkersKey,
                                                     kWavePrefix};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
@@ -65,6 +63,16 @@
   }
 }
 
+void ScheduleOwner::EarlierOwnerEnded(TimePoint now) {
+  if (m_earlier_ended) {
+    return;
+  }
+  m_earlier_ended = now;
+  if (m_ready) {
+    m_scheduler->EarlierOwnerEnded(now);
+  }
+}
+
 void ScheduleOwner::ReadPage() {
   m_reading = true;
   const std::weak_ptr<int> lifetime = m_lifetime;
@@ -139,10 +147,12 @@
   takeover.epoch = m_parts.duty->revision();
   takeover.generation = m_parts.duty->record() ? m_parts.duty->record()->generation : 0;
   takeover.workers = std::move(m_recorded);
-  const Duration longest_lease{static_cast<std::int64_t>(
-      static_cast<double>(m_scheduler->settings().max_lease.count()) * kSlowClockFactor)};
-  takeover.unheard_bound = m_begun + DutyKeeper::kAuthority + longest_lease + kUnheardMargin;
+  takeover.unheard_bound =
+      m_begun + DutyKeeper::kAuthority + m_scheduler->LongestLease() + kUnheardMargin;
   m_scheduler->Begin(now, takeover);
+  if (m_earlier_ended) {
+    m_scheduler->EarlierOwnerEnded(*m_earlier_ended);
+  }
   m_records.clear();
   m_progress.clear();
   m_ready = true;
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -95,6 +95,10 @@
 
   /// Starts as owner; jobs must have been loaded with `LoadJob`.
   void Begin(Now now, const Takeover& takeover);
+  /// The process of the earlier owner has ended: no lease that it gave is newer than `now`.
+  void EarlierOwnerEnded(TimePoint now);
+  /// Longest time, on this daemon's clock, for which a lease given by an owner lasts.
+  Duration LongestLease() const;
   /// No order is sent after `until`.
   void SetAuthority(TimePoint until) { m_authority = until; }
   TimePoint authority() const { return m_authority; }
@@ -189,6 +193,7 @@
   void UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task, const ListedRun& listed);
 
   // Runs.
+  bool CanMissOneMore(const TaskRef& task) const;
   PlacedRun* AddRun(TimePoint now, Worker* worker, const TaskRef& task, int run);
   void RemoveRun(TimePoint now, Worker* worker, const TaskRef& task);
   bool HasRunElsewhere(const TaskRef& task) const;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -77,6 +77,7 @@
   TimePoint last_list_sent{};  ///< Sending time of the newest hold whose list was applied.
   TimePoint last_removed{};    ///< When a run was last found to have ended.
   int failed_holds = 0;
+  bool strays = false;  ///< The newest list named runs that are not wanted.
   std::uint64_t last_end = 0;
   std::uint64_t acknowledged = 0;
   std::uint64_t acknowledged_sent = 0;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -14,6 +14,9 @@
 /// Run numbers of a later owner are above those of all earlier ones.
 constexpr int kRunsPerGeneration = 1'000;
 constexpr Duration kScheduleInterval{100};
+/// Workers' steady clocks may run 2% slow; 3% leaves room for rounding.
+constexpr double kSlowClockFactor = 1.03;
+constexpr Duration kLeaseMargin{150};
 /// Records of ended jobs are kept a little longer than promised.
 constexpr Duration kRetentionMargin{10'000};
 
@@ -61,6 +64,25 @@
   m_schedule_needed = true;
 }
 
+void Scheduler::EarlierOwnerEnded(TimePoint now) {
+  const TimePoint bound = now + LongestLease();
+  if (bound >= m_unheard_bound) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "earlier_owner_ended").Field("unheard_workers", m_unheard.size());
+  m_unheard_bound = bound;
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.heard) {
+      worker.lease_bound = std::min(worker.lease_bound, bound);
+    }
+  }
+}
+
+Duration Scheduler::LongestLease() const {
+  const auto lease = static_cast<double>(std::min(m_settings.lease, m_settings.max_lease).count());
+  return Duration(static_cast<Duration::rep>(lease * kSlowClockFactor)) + kLeaseMargin;
+}
+
 QueueConfig Scheduler::QueueOfJob(const Job& job) const {
   const auto it = m_queues.find(job.spec.queue);
   if (it != m_queues.end()) {
@@ -318,7 +340,9 @@
   }
   std::vector<RecordedWorker> workers;
   for (const auto& [id, worker] : m_workers) {
-    workers.push_back({id, worker.info.pool});
+    if (worker.recorded || worker.failed_holds == 0 || !worker.runs.empty()) {
+      workers.push_back({id, worker.info.pool});
+    }
   }
   for (const auto& [id, worker] : m_unheard) {
     if (!m_workers.contains(id)) {
@@ -333,12 +357,11 @@
   for (const RecordedWorker& worker : workers) {
     m_recorded.insert(worker.id);
   }
-  bool all = true;
+  m_record_changed = false;
   for (auto& [id, worker] : m_workers) {
     worker.recorded = m_recorded.contains(id);
-    all = all && worker.recorded;
+    m_record_changed = m_record_changed || (!worker.recorded && worker.failed_holds == 0);
   }
-  m_record_changed = !all;
   m_schedule_needed = true;
 }
 
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -16,6 +16,8 @@
 /// A worker with more ends than this lists only a part.
 constexpr std::size_t kListedEndsLimit = 500;
 constexpr Duration kStrayStopInterval{500};
+/// A worker with runs that are not wanted is asked this often whether they have ended.
+constexpr Duration kStrayLookInterval{100};
 constexpr std::size_t kMaxHoldsInFlight = 3;
 
 }  // namespace
@@ -55,7 +57,7 @@
   const bool settles = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
     return item.second.phase == RunPhase::kUncertain;
   });
-  if (trusted && !settles && worker->pending_ends.empty()) {
+  if (trusted && !settles && !worker->strays && worker->pending_ends.empty()) {
     order.wait = m_settings.hold_wait;
   }
   worker->holds[order.call] = {now, order.fence};
@@ -87,6 +89,7 @@
     BeginLife(now, worker, reply.born_unix_ms);
   }
   if (worker->failed_holds > 0) {
+    m_record_changed = m_record_changed || !worker->recorded;
     LogLine(LogLevel::kInfo, "worker_answers")
         .Field("worker", id)
         .Field("failed_holds", worker->failed_holds);
@@ -95,16 +98,22 @@
   worker->last_reply = now;
   worker->clock = {reply.clock_ms, now, true};
   if (!worker->heard) {
+    // Orders of earlier owners are refused from now on: no lease is longer than one given just now.
     worker->heard = true;
+    worker->lease_bound = now + LongestLease();
     m_unheard.erase(id);
   }
   ApplyEnds(now, worker, reply);
+  worker->strays = false;
   if (hold.sent >= worker->last_list_sent) {
     worker->last_list_sent = hold.sent;
     ApplyList(now, worker, hold, reply);
   }
   ReleaseAcknowledged(now);
   worker->next_hold = worker->pending_ends.empty() ? now : now + kUnstoredEndsWait;
+  if (worker->strays) {
+    worker->next_hold = now + kStrayLookInterval;
+  }
   m_schedule_needed = true;
 }
 
@@ -303,6 +312,8 @@
 }
 
 void Scheduler::StopStray(TimePoint now, Worker* worker, const ListedRun& listed) {
+  // What a stray run takes up is not known: nothing is started beside it.
+  worker->strays = true;
   const auto id = TaskId::Parse(listed.task);
   TimePoint& sent = worker->stray_stops[listed.task];
   if (!id || now - sent < kStrayStopInterval || !MayAct(now)) {
@@ -355,6 +366,12 @@
       LoseRuns(now, &worker, "the lease has ended on a silent worker");
       m_schedule_needed = true;
     }
+    if (silent && now > worker.lease_bound && worker.recorded) {
+      // Nothing runs there: the next owner need not wait for it.
+      worker.recorded = false;
+      m_recorded.erase(it->first);
+      m_record_changed = true;
+    }
     const bool erasable =
         !worker.registered && silent && worker.runs.empty() && now > worker.lease_bound;
     if (erasable) {
@@ -367,6 +384,7 @@
     }
   }
   if (!m_unheard.empty() && now > m_unheard_bound) {
+    LogLine(LogLevel::kInfo, "unheard_workers_expired").Field("workers", m_unheard.size());
     m_unheard.clear();
     m_record_changed = true;
     m_schedule_needed = true;
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -162,7 +162,7 @@
   for (auto& [id, worker] : m_workers) {
     const bool in_use = worker.registered && !worker.info.draining && !m_closed.contains(id);
     const bool trusted = worker.heard && worker.recorded && worker.clock.known &&
-                         worker.failed_holds == 0;
+                         worker.failed_holds == 0 && !worker.strays;
     if (in_use && trusted && worker.info.pool == queue.pool &&
         HasLabel(worker.info, step.required_label)) {
       usable.push_back(&worker);
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -35,20 +35,28 @@
   }
 }
 
-/// Tells whether a step can do without one more of its tasks.
-bool CanMissOneMore(const TaskRef& task) {
-  const StepSpec& spec = task.spec();
-  const StepState* step = task.step_state();
-  int others_away = 0;
-  for (std::size_t i = 0; i < step->tasks.size(); ++i) {
-    const bool other = static_cast<int>(i) != task.index;
-    others_away += other && !step->tasks[i].at_work ? 1 : 0;
+}  // namespace
+
+/// Tells whether a step can do without one more of its tasks. A task counts as at work only while
+/// its worker answers.
+bool Scheduler::CanMissOneMore(const TaskRef& task) const {
+  std::set<int> at_work;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.failed_holds > 0) {
+      continue;
+    }
+    for (const auto& [other, run] : worker.runs) {
+      const bool same_step = other.job == task.job && other.occurrence == task.occurrence &&
+                             other.step == task.step && other.index != task.index;
+      if (same_step && !run.stopping && other.state() != nullptr && other.state()->at_work) {
+        at_work.insert(other.index);
+      }
+    }
   }
-  return others_away < std::max(spec.max_unavailable, 1);
+  const int others_away = task.spec().count - 1 - static_cast<int>(at_work.size());
+  return others_away < std::max(task.spec().max_unavailable, 1);
 }
 
-}  // namespace
-
 void Scheduler::RetireWorker(TimePoint now, const std::string& id) {
   Worker* worker = FindWorker(id);
   if (worker == nullptr) {
