Repeat a transaction without an answer until its outcome is known

Change: every transaction also names and writes a cursor, and is repeated unchanged until its outcome is known. Progress of waves goes the same way.

Ruled out: a revision per job key, which costs a precondition per job and leaves removals open.

--- a/packages/entry/include/cranberryplank/entry/duty_keeper.h
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -20,6 +20,10 @@
   int generation = 0;       ///< Number of earlier claims.
 };
 
+/// Key of the cursor that every transaction of the owner writes; a claim writes it too, so that its
+/// revision is known to the new owner.
+constexpr std::string_view kCursorKey = "schedule/cursor";
+
 std::string EncodeDuty(const DutyRecord& record);
 std::optional<DutyRecord> DecodeDuty(std::string_view value);
 
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -1,9 +1,9 @@
 #ifndef CRANBERRYPLANK_ENTRY_STATE_WRITER_H_
 #define CRANBERRYPLANK_ENTRY_STATE_WRITER_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -25,7 +25,9 @@
 std::vector<RecordedWorker> DecodeWorkers(std::string_view value);
 
 /// Stores the changes of the schedule in batches, one transaction at a time. Each names the
-/// revision of the duty's record, so that none takes effect after another daemon's claim.
+/// revision of the duty's record, so that none takes effect after another daemon's claim, and that
+/// of a cursor which each transaction writes: a transaction that got no answer may be carried out
+/// seconds later, and must not overwrite what a newer one has written.
 class StateWriter {
  public:
   StateWriter(KeyValueStore* store, DutyKeeper* duty, Scheduler* scheduler);
@@ -33,13 +35,25 @@
   StateWriter& operator=(const StateWriter&) = delete;
 
   void Tick(Now now);
+  /// Stores values under keys of their own with the next transaction. @param done runs once stored
+  void Put(std::vector<KvWrite> writes, std::function<void()> done);
   /// Tells whether the store has not taken changes for a while: submissions are refused at once.
   bool failing(TimePoint now) const;
 
  private:
-  void Send(Now now);
+  struct ExtraWrites {
+    std::vector<KvWrite> writes;
+    std::function<void()> done;
+  };
+
+  /// Collects what is to be stored. @return whether there is anything
+  bool Build();
+  void Send(TimePoint now);
   void OnReply(TimePoint now, const KvCommitReply& reply);
-  void WithdrawRefused();
+  void OnConflict(TimePoint now, const KvCommitReply& reply);
+  void Finish(TimePoint now, std::uint64_t cursor_revision);
+  void NoteFailure(TimePoint now, KvStatus status);
+  void Withdraw();
 
   KeyValueStore* m_store;
   DutyKeeper* m_duty;
@@ -50,10 +64,17 @@
   TimePoint m_failing_since{};
   bool m_failing = false;
   TimePoint m_retry_at{};
-  std::vector<JobChange> m_changes;        ///< Of the transaction under way.
-  std::vector<RecordedWorker> m_workers;   ///< Of the transaction under way.
+  std::deque<ExtraWrites> m_extra;
+  // The transaction under way. It is repeated unchanged until its outcome is known.
+  bool m_built = false;
+  bool m_uncertain = false;  ///< It may have been carried out, or may be later.
+  KvTransaction m_transaction;
+  std::vector<JobChange> m_changes;
+  std::vector<RecordedWorker> m_workers;
+  std::vector<ExtraWrites> m_built_extra;
   bool m_writes_workers = false;
-  std::set<std::string> m_uncertain;  ///< Jobs that were part of a transaction without an answer.
+  std::uint64_t m_batch = 0;            ///< Number of the transaction; the cursor's value.
+  std::uint64_t m_cursor_revision = 0;  ///< 0 before the first transaction.
 };
 
 }  // namespace cranberryplank
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "cranberryplank/entry/duty_keeper.h"
-#include "cranberryplank/entry/key_value_store.h"
 #include "cranberryplank/entry/machine_control.h"
 #include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/state_writer.h"
 #include "cranberryplank/scheduler/scheduler.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
 
@@ -28,7 +28,7 @@
 
 struct VmFleetParts {
   MachineControl* machines = nullptr;
-  KeyValueStore* store = nullptr;
+  StateWriter* writer = nullptr;
   const PlatformFormat* format = nullptr;
   DutyKeeper* duty = nullptr;
   Scheduler* scheduler = nullptr;
@@ -94,7 +94,8 @@
   int AwayForWave(std::int64_t wave) const;
   std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave, TimePoint now) const;
   void UpdateWave(TimePoint now, Wave* wave);
-  void StoreWave(TimePoint now, Wave* wave);
+  void StoreWave(Wave* wave);
+  void OnWaveStored(std::int64_t number, bool done, std::size_t begun);
   std::map<std::string, std::vector<std::string>> MovableVms() const;
 
   VmFleetParts m_parts;
@@ -113,7 +114,6 @@
   std::map<std::int64_t, Wave> m_waves;
   std::uint64_t m_last_token = 0;
   bool m_storing = false;
-  TimePoint m_store_retry{};
   TimePoint m_next_plan{};
   std::uint64_t m_moves = 0;
   std::uint64_t m_upkeeps = 0;
--- a/packages/entry/src/duty_keeper.cc
+++ b/packages/entry/src/duty_keeper.cc
@@ -123,6 +123,7 @@
   KvTransaction transaction;
   transaction.preconditions.push_back({m_key, m_revision});
   transaction.writes.push_back({m_key, EncodeDuty(claim)});
+  transaction.writes.push_back({std::string(kCursorKey), "0"});
   LogLine(LogLevel::kInfo, "claim")
       .Field("generation", claim.generation)
       .Field("revision", m_revision)
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -15,8 +15,8 @@
 /// Least time between the beginnings of two transactions, so that changes share calls.
 constexpr Duration kBatchInterval{20};
 constexpr Duration kRetryInterval{100};
-/// One entry is the duty's precondition, one may be the list of workers.
-constexpr std::size_t kEntriesForJobs = kMaxTransactionEntries - 2;
+/// Preconditions on the duty and the cursor, and the cursor's new value.
+constexpr std::size_t kEntriesForState = kMaxTransactionEntries - 3;
 constexpr Duration kFailingBound{250};
 /// A transaction that takes longer counts as failing.
 constexpr Duration kSlowCall{600};
@@ -57,43 +57,71 @@
          (m_in_flight && now - m_sent > kSlowCall);
 }
 
+void StateWriter::Put(std::vector<KvWrite> writes, std::function<void()> done) {
+  m_extra.push_back({std::move(writes), std::move(done)});
+}
+
 void StateWriter::Tick(Now now) {
-  if (!m_in_flight && now.time >= m_retry_at && now.time - m_sent >= kBatchInterval) {
-    Send(now);
+  if (m_in_flight || now.time < m_retry_at || now.time - m_sent < kBatchInterval) {
+    return;
+  }
+  if (m_built || Build()) {
+    Send(now.time);
   }
 }
 
-void StateWriter::Send(Now now) {
-  m_changes = m_scheduler->CollectChanges(kEntriesForJobs);
+bool StateWriter::Build() {
+  std::size_t room = kEntriesForState;
+  m_transaction = {};
+  m_built_extra.clear();
   const auto workers = m_scheduler->WorkersToRecord();
   m_writes_workers = workers.has_value();
-  if (m_changes.empty() && !m_writes_workers) {
-    return;
-  }
-  KvTransaction transaction;
-  transaction.preconditions.push_back({m_duty->key(), m_duty->revision()});
   if (m_writes_workers) {
     m_workers = *workers;
-    transaction.writes.push_back({std::string(kWorkersKey), EncodeWorkers(m_workers)});
+    m_transaction.writes.push_back({std::string(kWorkersKey), EncodeWorkers(m_workers)});
+    --room;
   }
+  while (!m_extra.empty() && m_extra.front().writes.size() <= room) {
+    const std::vector<KvWrite>& writes = m_extra.front().writes;
+    room -= writes.size();
+    m_transaction.writes.insert(m_transaction.writes.end(), writes.begin(), writes.end());
+    m_built_extra.push_back(std::move(m_extra.front()));
+    m_extra.pop_front();
+  }
+  m_changes = m_scheduler->CollectChanges(room);
   for (const JobChange& change : m_changes) {
     if (change.record) {
-      transaction.writes.push_back({JobKey(change.job), *change.record});
+      m_transaction.writes.push_back({JobKey(change.job), *change.record});
     }
     if (change.progress) {
-      transaction.writes.push_back({ProgressKey(change.job), *change.progress});
+      m_transaction.writes.push_back({ProgressKey(change.job), *change.progress});
     }
     if (change.remove_progress) {
-      transaction.removals.push_back(ProgressKey(change.job));
+      m_transaction.removals.push_back(ProgressKey(change.job));
     }
     if (change.remove_record) {
-      transaction.removals.push_back(JobKey(change.job));
+      m_transaction.removals.push_back(JobKey(change.job));
     }
   }
+  if (m_transaction.writes.empty() && m_transaction.removals.empty()) {
+    return false;
+  }
+  if (m_cursor_revision == 0) {
+    m_cursor_revision = m_duty->revision();  // The claim wrote both.
+  }
+  m_transaction.preconditions.push_back({m_duty->key(), m_duty->revision()});
+  m_transaction.preconditions.push_back({std::string(kCursorKey), m_cursor_revision});
+  m_transaction.writes.push_back({std::string(kCursorKey), fmt::to_string(++m_batch)});
+  m_built = true;
+  m_uncertain = false;
+  return true;
+}
+
+void StateWriter::Send(TimePoint now) {
   m_in_flight = true;
-  m_sent = now.time;
+  m_sent = now;
   const std::weak_ptr<int> lifetime = m_lifetime;
-  m_store->Commit(transaction, [this, lifetime](TimePoint at, const KvCommitReply& reply) {
+  m_store->Commit(m_transaction, [this, lifetime](TimePoint at, const KvCommitReply& reply) {
     if (!lifetime.expired()) {
       OnReply(at, reply);
     }
@@ -102,45 +130,77 @@
 
 void StateWriter::OnReply(TimePoint now, const KvCommitReply& reply) {
   m_in_flight = false;
-  if (reply.status == KvStatus::kOk) {
-    if (m_failing) {
-      LogLine(LogLevel::kInfo, "store_writes_regained");
-    }
-    m_failing = false;
-    for (const JobChange& change : m_changes) {
-      m_uncertain.erase(change.job);
-    }
+  switch (reply.status) {
+    case KvStatus::kOk:
+      m_duty->Confirm(m_sent);
+      Finish(now, reply.revision);
+      return;
+    case KvStatus::kConflict:
+      OnConflict(now, reply);
+      return;
+    case KvStatus::kUnknown:
+      m_uncertain = true;
+      NoteFailure(now, reply.status);
+      return;
+    case KvStatus::kRefused:
+    case KvStatus::kCompacted:
+      NoteFailure(now, reply.status);
+      if (!m_uncertain) {
+        Withdraw();
+      }
+      return;
+  }
+}
+
+void StateWriter::OnConflict(TimePoint now, const KvCommitReply& reply) {
+  const KvItem* duty = nullptr;
+  const KvItem* cursor = nullptr;
+  for (const KvItem& item : reply.current) {
+    duty = item.key == m_duty->key() ? &item : duty;
+    cursor = item.key == kCursorKey ? &item : cursor;
+  }
+  const bool owned = duty != nullptr && duty->revision == m_duty->revision();
+  if (owned && cursor != nullptr && cursor->value == fmt::to_string(m_batch)) {
+    // An attempt without an answer was carried out.
     m_duty->Confirm(m_sent);
-    if (m_writes_workers) {
-      m_scheduler->OnWorkersRecorded(m_workers);
-    }
-    m_scheduler->OnStored({now, UnixMilliseconds()}, m_changes);
+    Finish(now, cursor->revision);
     return;
   }
+  NoteFailure(now, reply.status);
+  m_duty->Lose(now, "a transaction found another owner");
+}
+
+void StateWriter::Finish(TimePoint now, std::uint64_t cursor_revision) {
+  if (m_failing) {
+    LogLine(LogLevel::kInfo, "store_writes_regained");
+  }
+  m_failing = m_built = m_uncertain = false;
+  m_cursor_revision = cursor_revision;
+  if (m_writes_workers) {
+    m_scheduler->OnWorkersRecorded(m_workers);
+  }
+  for (const ExtraWrites& extra : m_built_extra) {
+    extra.done();
+  }
+  m_scheduler->OnStored({now, UnixMilliseconds()}, m_changes);
+}
+
+void StateWriter::NoteFailure(TimePoint now, KvStatus status) {
   if (!m_failing) {
     m_failing = true;
     m_failing_since = now;
-    LogLine(LogLevel::kWarning, "store_writes_fail").Field("status", ToString(reply.status));
+    LogLine(LogLevel::kWarning, "store_writes_fail").Field("status", ToString(status));
   }
   m_retry_at = now + kRetryInterval;
-  if (reply.status == KvStatus::kConflict) {
-    m_duty->Lose(now, "a transaction found another owner");
-    return;  // The writer may have been destroyed.
-  }
-  if (reply.status == KvStatus::kUnknown) {
-    for (const JobChange& change : m_changes) {
-      m_uncertain.insert(change.job);
-    }
-    return;
-  }
-  WithdrawRefused();
 }
 
-void StateWriter::WithdrawRefused() {
+/// Takes back a transaction that was never carried out: new jobs are refused, other changes are
+/// collected again.
+void StateWriter::Withdraw() {
+  m_built = false;
+  m_extra.insert(m_extra.begin(), m_built_extra.begin(), m_built_extra.end());
   for (const JobChange& change : m_changes) {
-    if (!m_uncertain.contains(change.job)) {
-      m_scheduler->Withdraw(change.job);
-    }
+    m_scheduler->Withdraw(change.job);
   }
 }
 
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -18,7 +18,6 @@
 constexpr Duration kListRetry{400};
 constexpr Duration kPlanInterval{100};
 constexpr Duration kOrderRetry{300};
-constexpr Duration kStoreRetry{200};
 /// A VM that is missing from the list for this long has left.
 constexpr Duration kMissingBound{3'000};
 /// Short tasks on a VM to be taken down are stopped after this time.
@@ -246,45 +245,39 @@
         return wave->begun.contains(vm) || wave->given_up.contains(vm) || left;
       });
   const bool tell = (!wave->running_told && !done) || (done && !wave->done_told);
-  if ((tell || !wave->stored) && !m_storing && now >= m_store_retry) {
-    StoreWave(now, wave);
+  if ((tell || !wave->stored) && !m_storing) {
+    StoreWave(wave);
   }
 }
 
-void VmFleet::StoreWave(TimePoint now, Wave* wave) {
+void VmFleet::StoreWave(Wave* wave) {
   const std::int64_t number = wave->request.number;
   const bool done = std::all_of(
       wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
         return wave->begun.contains(vm) || wave->given_up.contains(vm) || !m_vms.contains(vm);
       });
-  KvTransaction transaction;
-  transaction.preconditions.push_back({m_parts.duty->key(), m_parts.duty->revision()});
-  transaction.writes.push_back(m_parts.format->EncodeWaveStatus(number, done));
-  transaction.writes.push_back(
-      {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave->begun)});
   m_storing = true;
   const std::size_t stored = wave->begun.size();
   const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.store->Commit(transaction, [this, lifetime, number, done, stored,
-                                      now](TimePoint at, const KvCommitReply& reply) {
-    if (lifetime.expired()) {
-      return;
-    }
-    m_storing = false;
-    if (reply.status != KvStatus::kOk) {
-      m_store_retry = at + kStoreRetry;
-      return;
-    }
-    m_parts.duty->Confirm(now);
-    Wave& told = m_waves.at(number);
-    told.running_told = true;
-    told.done_told = done;
-    told.stored = stored == told.begun.size();
-    LogLine(LogLevel::kInfo, "wave_status")
-        .Field("wave", number)
-        .Field("begun", stored)
-        .Field("done", done);
-  });
+  m_parts.writer->Put({m_parts.format->EncodeWaveStatus(number, done),
+                       {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave->begun)}},
+                      [this, lifetime, number, done, stored]() {
+                        if (!lifetime.expired()) {
+                          OnWaveStored(number, done, stored);
+                        }
+                      });
+}
+
+void VmFleet::OnWaveStored(std::int64_t number, bool done, std::size_t begun) {
+  m_storing = false;
+  Wave& wave = m_waves.at(number);
+  wave.running_told = true;
+  wave.done_told = done;
+  wave.stored = begun == wave.begun.size();
+  LogLine(LogLevel::kInfo, "wave_status")
+      .Field("wave", number)
+      .Field("begun", begun)
+      .Field("done", done);
 }
 
 std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
