Pack short tasks and size pools by running and waiting work

Change: a task goes to the fullest VM that fits; a pool wants VMs for its running and waiting tasks or for what arrives, and three more.

--- a/packages/daemon/src/admin_api.cc
+++ b/packages/daemon/src/admin_api.cc
@@ -12,8 +12,8 @@
 #include "cranberryplank/daemon/admin_edits.h"
 #include "cranberryplank/daemon/admin_reads.h"
 #include "cranberryplank/daemon/caller_api.h"
-#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/digest.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/text.h"
 
 namespace cranberryplank {
--- a/packages/daemon/src/pending_requests.cc
+++ b/packages/daemon/src/pending_requests.cc
@@ -4,8 +4,8 @@
 
 #include <utility>
 
-#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/daemon/src/request_router.cc
+++ b/packages/daemon/src/request_router.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/policy/retry_after.h"
 
 namespace cranberryplank {
--- a/packages/daemon/src/task_runner.cc
+++ b/packages/daemon/src/task_runner.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/invariant.h"
+#include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
 
--- a/packages/entry/include/cranberryplank/entry/caller_front.h
+++ b/packages/entry/include/cranberryplank/entry/caller_front.h
@@ -18,8 +18,8 @@
 /// Why a caller's request is refused before it reaches the owner.
 enum class FrontRefusal {
   kNone,
-  kNoConfig,       ///< No configuration is known yet.
-  kStaleConfig,    ///< The configuration is too old to tell whether the key still holds.
+  kNoConfig,     ///< No configuration is known yet.
+  kStaleConfig,  ///< The configuration is too old to tell whether the key still holds.
   kNoSuchQueue,
   kUnknownKey,
 };
@@ -53,8 +53,8 @@
     std::shared_ptr<ApiExchange> exchange;
     OwnerCall call;
     TimePoint arrived{};
-    TimePoint deadline{};     ///< The caller has to be answered by then.
-    TimePoint give_up{};      ///< Without any sign of an owner the call is refused then.
+    TimePoint deadline{};  ///< The caller has to be answered by then.
+    TimePoint give_up{};   ///< Without any sign of an owner the call is refused then.
     TimePoint retry_at{};
     bool in_flight = false;
     bool may_have_run = false;
--- a/packages/entry/include/cranberryplank/entry/duty_keeper.h
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -36,7 +36,7 @@
   bool owner_cut_from_store = false;   ///< The owner says that the store does not answer it.
   Duration silence{0};                 ///< Since the owner last answered this daemon.
   Duration known_for{0};               ///< Since this daemon learnt of the present record.
-  Duration store_age{0};  ///< Since sending the newest call that the store answered.
+  Duration store_age{0};               ///< Since sending the newest call that the store answered.
 };
 
 /// Tells whether to claim the duty. A claim is safe at any time, since each has an epoch of its
@@ -68,9 +68,7 @@
   const std::optional<DutyRecord>& record() const { return m_record; }
   std::uint64_t revision() const { return m_revision; }
   const std::string& key() const { return m_key; }
-  TimePoint authority_until() const {
-    return m_abdicated ? TimePoint{} : m_confirmed + kAuthority;
-  }
+  TimePoint authority_until() const { return m_abdicated ? TimePoint{} : m_confirmed + kAuthority; }
   TimePoint learnt_at() const { return m_learnt; }
   /// Sending time of the newest call that the store answered.
   TimePoint store_answered() const { return m_store_answered; }
--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -26,7 +26,7 @@
   Duration stop_time{900};           ///< Longest time that a stop takes.
   Duration retention{120'000};       ///< How long the state of an ended job is told.
   Duration shutdown_grace{6'000};
-  Duration machine_lease{3'000};     ///< Two holders must not order one VM within this time.
+  Duration machine_lease{3'000};  ///< Two holders must not order one VM within this time.
   Duration move_time{1'500};
   Duration upkeep_time{2'000};
   Duration notice_time{4'500};  ///< A task not at work for this long is away for any cause.
--- a/packages/entry/include/cranberryplank/entry/machine_control.h
+++ b/packages/entry/include/cranberryplank/entry/machine_control.h
@@ -49,7 +49,7 @@
 struct UpkeepWave {
   std::int64_t number = 0;
   std::vector<std::string> vms;
-  Duration within{0};     ///< From the request.
+  Duration within{0};  ///< From the request.
   int max_at_once = 0;
 };
 
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -19,7 +19,7 @@
   std::string incarnation;  ///< Of the owner that hands over and acts no more.
   std::string job;
   std::string queue;
-  std::string sender;          ///< Address for calls to the sender.
+  std::string sender;  ///< Address for calls to the sender.
   std::uint64_t config_version = 0;
   std::optional<JobSpec> spec;  ///< For a submission.
 };
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,7 @@
   void AdvanceOne(TimePoint now, const std::string& vm, Operation* operation);
   void SendOrder(TimePoint now, const std::string& vm, Operation* operation);
   void OnOrder(TimePoint now, const std::string& vm, std::uint64_t token, VmOrderOutcome outcome);
+  void LogPools(TimePoint now, std::span<const PoolLoad> loads);
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
   bool IsEmpty(const std::string& worker) const;
@@ -115,6 +117,7 @@
   std::uint64_t m_last_token = 0;
   bool m_storing = false;
   TimePoint m_next_plan{};
+  TimePoint m_next_log{};
   std::uint64_t m_moves = 0;
   std::uint64_t m_upkeeps = 0;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
--- a/packages/entry/src/caller_front.cc
+++ b/packages/entry/src/caller_front.cc
@@ -81,8 +81,7 @@
 
 void SetRetryAfter(ApiResponse* response, std::int64_t milliseconds) {
   constexpr std::int64_t kMillisecondsPerSecond = 1'000;
-  const std::int64_t seconds =
-      (milliseconds + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
+  const std::int64_t seconds = (milliseconds + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
   response->headers.emplace_back("Retry-After", fmt::to_string(std::max<std::int64_t>(seconds, 1)));
 }
 
@@ -222,7 +221,8 @@
   std::vector<std::uint64_t> due;
   for (const auto& [id, pending] : m_pending) {
     const TimePoint limit = pending.may_have_run ? pending.deadline : pending.give_up;
-    if (now >= pending.deadline || (!pending.in_flight && now >= std::min(limit, pending.retry_at))) {
+    if (now >= pending.deadline ||
+        (!pending.in_flight && now >= std::min(limit, pending.retry_at))) {
       due.push_back(id);
     }
   }
@@ -242,8 +242,8 @@
   ApiResponse response;
   response.body = "{}";
   const bool uncertain = pending.may_have_run || pending.in_flight;
-  const bool changes = pending.call.kind == OwnerCallKind::kSubmit ||
-                       pending.call.kind == OwnerCallKind::kCancel;
+  const bool changes =
+      pending.call.kind == OwnerCallKind::kSubmit || pending.call.kind == OwnerCallKind::kCancel;
   response.status = uncertain && changes ? kGatewayTimeout : kUnavailable;
   if (response.status == kUnavailable) {
     SetRetryAfter(&response, kDefaultRetryAfterMs);
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -171,8 +171,7 @@
   m_claim_at.reset();
   m_asked_to_take_over = false;
   m_owner = std::make_unique<ScheduleOwner>(
-      ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty,
-                         m_parts.machines},
+      ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty, m_parts.machines},
       SchedulerSettingsOf(), FleetSettingsOf());
   const Now at{now, UnixMilliseconds()};
   for (const auto& [number, wave] : m_waves) {
@@ -205,10 +204,9 @@
                       [this, predecessor](TimePoint at, const OwnerReply& reply) {
                         // Another process at that address: the earlier one has ended. The same
                         // process answers as not the owner only after it has stopped to act.
-                        const bool ended =
-                            !reply.incarnation.empty() &&
-                            (reply.incarnation != predecessor.incarnation ||
-                             reply.status == OwnerStatus::kNotOwner);
+                        const bool ended = !reply.incarnation.empty() &&
+                                           (reply.incarnation != predecessor.incarnation ||
+                                            reply.status == OwnerStatus::kNotOwner);
                         if (ended && m_owner && !m_predecessor_ended) {
                           m_predecessor_ended = true;
                           m_owner->EarlierOwnerEnded(at);
@@ -390,9 +388,8 @@
   m_metrics.SetGauge("cranberryplank_owner", m_duty.owned() ? 1 : 0);
   m_metrics.SetGauge("cranberryplank_config_version",
                      m_config ? static_cast<double>(m_config->version) : 0);
-  m_metrics.SetGauge(
-      "cranberryplank_config_age_seconds",
-      std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
+  m_metrics.SetGauge("cranberryplank_config_age_seconds",
+                     std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
   m_metrics.SetGauge("cranberryplank_open_requests", static_cast<double>(m_front.open_requests()));
   if (m_owner && m_owner->ready()) {
     if (const VmFleet* fleet = m_owner->fleet()) {
@@ -433,9 +430,9 @@
 
 void JobService::HandOver(TimePoint now) {
   m_next_hand_over = now + kHandOverInterval;
-  const auto latest = std::max_element(
-      m_peers.begin(), m_peers.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
+  const auto latest =
+      std::max_element(m_peers.begin(), m_peers.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
   if (latest == m_peers.end() || now - latest->second > kRecentCall) {
     return;
   }
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -38,9 +38,9 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return Pack(json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue,
-                           call.sender, call.config_version,
-                           call.spec ? json(EncodeJob(*call.spec)) : json(nullptr)}));
+  return Pack(
+      json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
+                   call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr)}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -158,8 +158,7 @@
   m_ready = true;
   if (m_parts.machines != nullptr) {
     m_fleet = std::make_unique<VmFleet>(
-        VmFleetParts{m_parts.machines, &m_writer, m_parts.format, m_parts.duty,
-                     m_scheduler.get()},
+        VmFleetParts{m_parts.machines, &m_writer, m_parts.format, m_parts.duty, m_scheduler.get()},
         m_fleet_settings, now.time);
     for (const auto& [number, begun] : m_wave_progress) {
       m_fleet->LoadWaveProgress(number, begun);
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -30,6 +30,7 @@
 constexpr std::uint64_t kTokensPerEpoch = 65'536;
 /// A VM is moved to a standby pool only after this time without work.
 constexpr Duration kIdleBeforeParking{600};
+constexpr Duration kPoolLogInterval{1'000};
 /// Moves under way at a time.
 constexpr std::size_t kMaxMovesAtOnce = 24;
 
@@ -156,10 +157,9 @@
 }
 
 int VmFleet::AwayForWave(std::int64_t wave) const {
-  return static_cast<int>(
-      std::count_if(m_operations.begin(), m_operations.end(), [&](const auto& item) {
-        return item.second.upkeep && item.second.wave == wave;
-      }));
+  return static_cast<int>(std::count_if(
+      m_operations.begin(), m_operations.end(),
+      [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; }));
 }
 
 std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave, TimePoint now) const {
@@ -215,8 +215,7 @@
     WaveView view;
     view.max_at_once = wave.request.max_at_once;
     view.away = AwayForWave(number);
-    view.time_left =
-        std::chrono::duration_cast<Duration>(wave.seen + wave.request.within - now);
+    view.time_left = std::chrono::duration_cast<Duration>(wave.seen + wave.request.within - now);
     const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, now);
     view.remaining = static_cast<int>(candidates.size());
     for (const std::string& vm : ChooseUpkeep(view, candidates)) {
@@ -235,13 +234,12 @@
 }
 
 void VmFleet::UpdateWave(TimePoint now, Wave* wave) {
-  const bool done = std::all_of(
-      wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
+  const bool done =
+      std::all_of(wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
         const auto missing = m_missing_since.find(vm);
-        const bool left = !m_vms.contains(vm) &&
-                          (missing == m_missing_since.end()
-                               ? now - m_begun >= kMissingBound
-                               : now - missing->second >= kMissingBound);
+        const bool left = !m_vms.contains(vm) && (missing == m_missing_since.end()
+                                                      ? now - m_begun >= kMissingBound
+                                                      : now - missing->second >= kMissingBound);
         return wave->begun.contains(vm) || wave->given_up.contains(vm) || left;
       });
   const bool tell = (!wave->running_told && !done) || (done && !wave->done_told);
@@ -252,8 +250,8 @@
 
 void VmFleet::StoreWave(Wave* wave) {
   const std::int64_t number = wave->request.number;
-  const bool done = std::all_of(
-      wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
+  const bool done =
+      std::all_of(wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
         return wave->begun.contains(vm) || wave->given_up.contains(vm) || !m_vms.contains(vm);
       });
   m_storing = true;
@@ -326,6 +324,7 @@
       }
     }
   }
+  LogPools(now, loads);
   auto movable = MovableVms();
   std::map<std::string, int> counts;
   for (const auto& [pool, vms] : movable) {
@@ -358,6 +357,24 @@
   }
 }
 
+void VmFleet::LogPools(TimePoint now, std::span<const PoolLoad> loads) {
+  if (now < m_next_log) {
+    return;
+  }
+  m_next_log = now + kPoolLogInterval;
+  for (const PoolLoad& load : loads) {
+    LogLine(LogLevel::kInfo, "pool")
+        .Field("pool", load.pool)
+        .Field("vms", load.vms)
+        .Field("wanted", load.standby ? 0 : WantedVms(load))
+        .Field("running_cores", static_cast<int>(load.running_cores))
+        .Field("waiting_cores", static_cast<int>(load.waiting_cores))
+        .Field("backlog_core_s", static_cast<int>(load.backlog_core_s))
+        .Field("arriving_cores", static_cast<int>(load.arriving_cores))
+        .Field("long_running_cores", static_cast<int>(load.long_running_cores));
+  }
+}
+
 void VmFleet::CloseWorkers() {
   std::set<std::string> closed;
   for (const auto& [vm, operation] : m_operations) {
@@ -375,8 +392,8 @@
   std::vector<std::string> ended;
   for (auto& [vm, operation] : m_operations) {
     AdvanceOne(now, vm, &operation);
-    const bool gave_up = operation.phase == Phase::kVacating &&
-                         now - operation.since > kVacateGiveUp;
+    const bool gave_up =
+        operation.phase == Phase::kVacating && now - operation.since > kVacateGiveUp;
     const auto listed = m_vms.find(vm);
     // A VM counts as away until a list read after that time shows it.
     const bool back = operation.phase == Phase::kAway && now >= operation.away_until &&
--- a/packages/jobs/include/cranberryplank/jobs/job.h
+++ b/packages/jobs/include/cranberryplank/jobs/job.h
@@ -32,10 +32,10 @@
   std::int64_t estimate_ms = 0;  ///< The submitter's rough estimate of a task's duration.
   std::vector<int> after;        ///< Steps whose tasks must all be done first.
   bool saves_progress = false;
-  bool gang = false;         ///< Tasks work only while all tasks of one run are present.
-  bool same_rack = false;    ///< Tasks are slower when they span racks.
-  bool speculative = false;  ///< Copies of a task may run at the same time.
-  bool long_running = false; ///< Tasks run until the job is cancelled.
+  bool gang = false;               ///< Tasks work only while all tasks of one run are present.
+  bool same_rack = false;          ///< Tasks are slower when they span racks.
+  bool speculative = false;        ///< Copies of a task may run at the same time.
+  bool long_running = false;       ///< Tasks run until the job is cancelled.
   bool uses_leftover_cpu = false;  ///< The CPU request is not counted against capacity.
   std::string required_label;
   std::string preferred_rack;  ///< Rack that holds the data; other racks are slower.
@@ -58,7 +58,7 @@
   std::vector<StepSpec> steps;
   std::int64_t first_due_unix_ms = 0;
   std::int64_t interval_ms = 0;
-  int occurrences = 0;                 ///< 0 for a job that runs once, at once.
+  int occurrences = 0;  ///< 0 for a job that runs once, at once.
   std::int64_t accepted_unix_ms = 0;
 
   bool timed() const { return occurrences > 0; }
--- a/packages/jobs/include/cranberryplank/jobs/job_codec.h
+++ b/packages/jobs/include/cranberryplank/jobs/job_codec.h
@@ -20,9 +20,9 @@
   using TaskKey = std::pair<StepKey, int>;
 
   JobState state = JobState::kQueued;
-  std::int64_t finished_unix_ms = 0;       ///< 0 while the job is not final.
-  std::set<int> done_occurrences;          ///< Occurrences with all tasks done.
-  std::map<StepKey, std::set<int>> done;   ///< Done tasks of the other occurrences.
+  std::int64_t finished_unix_ms = 0;      ///< 0 while the job is not final.
+  std::set<int> done_occurrences;         ///< Occurrences with all tasks done.
+  std::map<StepKey, std::set<int>> done;  ///< Done tasks of the other occurrences.
   /// Failed runs of tasks that are not done. Runs, not a count: a new owner sees an end again that
   /// was stored but not acknowledged.
   std::map<TaskKey, std::set<int>> failures;
--- a/packages/jobs/src/job_codec.cc
+++ b/packages/jobs/src/job_codec.cc
@@ -19,9 +19,9 @@
 json Unpack(std::string_view value) { return json::from_msgpack(value.begin(), value.end()); }
 
 json ToJson(const StepSpec& step) {
-  const int flags = (step.saves_progress ? 1 : 0) | (step.gang ? 2 : 0) |
-                    (step.same_rack ? 4 : 0) | (step.speculative ? 8 : 0) |
-                    (step.long_running ? 16 : 0) | (step.uses_leftover_cpu ? 32 : 0);
+  const int flags = (step.saves_progress ? 1 : 0) | (step.gang ? 2 : 0) | (step.same_rack ? 4 : 0) |
+                    (step.speculative ? 8 : 0) | (step.long_running ? 16 : 0) |
+                    (step.uses_leftover_cpu ? 32 : 0);
   return json::array({step.count, step.per_task.cpu_millis, step.per_task.memory_mb,
                       step.per_task.gpus, step.estimate_ms, step.after, flags, step.required_label,
                       step.preferred_rack, step.max_per_vm, step.image, step.latency_target_ms,
@@ -74,14 +74,14 @@
   for (const StepSpec& step : spec.steps) {
     steps.push_back(ToJson(step));
   }
-  return Pack(json::array({kFormatLive, spec.queue, spec.customer, spec.payload,
-                           spec.first_due_unix_ms, spec.interval_ms, spec.occurrences,
-                           spec.accepted_unix_ms, steps, spec.pool}));
+  return Pack(
+      json::array({kFormatLive, spec.queue, spec.customer, spec.payload, spec.first_due_unix_ms,
+                   spec.interval_ms, spec.occurrences, spec.accepted_unix_ms, steps, spec.pool}));
 }
 
 std::string EncodeEndedJob(const EndedJob& job) {
-  return Pack(json::array({kFormatEnded, job.queue, job.customer, static_cast<int>(job.state),
-                           job.finished_unix_ms}));
+  return Pack(json::array(
+      {kFormatEnded, job.queue, job.customer, static_cast<int>(job.state), job.finished_unix_ms}));
 }
 
 std::optional<JobRecord> DecodeJob(std::string_view id, std::string_view value) {
@@ -89,8 +89,8 @@
     const json fields = Unpack(value);
     JobRecord record;
     if (fields.at(0) == kFormatEnded) {
-      record.ended = EndedJob{fields.at(1), fields.at(2), static_cast<JobState>(fields.at(3)),
-                              fields.at(4)};
+      record.ended =
+          EndedJob{fields.at(1), fields.at(2), static_cast<JobState>(fields.at(3)), fields.at(4)};
       return record;
     }
     record.spec = SpecFromJson(id, fields);
--- a/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
@@ -28,7 +28,7 @@
   std::string pool;  ///< Pool whose workers run the tasks.
   int priority = 0;  ///< 0 is the most urgent and may preempt others.
   int max_attempts = 1;
-  double stretch = 1.0;  ///< Factor on the job's longest chain of work in its objective.
+  double stretch = 1.0;   ///< Factor on the job's longest chain of work in its objective.
   Duration objective{0};  ///< Added to the stretched chain.
   bool open_to_all = false;
   std::optional<AdvicePolicy> advice;
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -15,9 +15,9 @@
   bool over_share = false;  ///< Beyond the jobs a second that the customer is owed.
   int priority = 0;         ///< Of the queue; 0 is the most urgent.
   TimePoint due{};
-  Duration objective{0};       ///< From `due`.
+  Duration objective{0};        ///< From `due`.
   Duration remaining_chain{0};  ///< Work that must still run one step after the other.
-  std::string id;              ///< Breaks ties.
+  std::string id;               ///< Breaks ties.
 };
 
 /// Position in the order: smaller is placed first.
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -21,8 +21,8 @@
 /// One task of an occurrence of a job.
 struct TaskState {
   bool done = false;
-  int placed = 0;    ///< Runs that are, or may be, on a worker.
-  int last_run = 0;  ///< Highest run number used or seen.
+  int placed = 0;             ///< Runs that are, or may be, on a worker.
+  int last_run = 0;           ///< Highest run number used or seen.
   std::set<int> failed_runs;  ///< Runs that ended as failed.
   std::string saved;          ///< Newest saved progress; empty if there is none.
   std::string failed_worker;  ///< Worker of the last run that did not end well.
@@ -59,11 +59,11 @@
   int next_occurrence = 0;
   TimePoint accepted{};
   std::int64_t finished_unix_ms = 0;
-  bool inherited = false;  ///< Loaded from the store: an earlier owner may have started tasks.
-  bool stored = false;     ///< The record is in the store.
+  bool inherited = false;     ///< Loaded from the store: an earlier owner may have started tasks.
+  bool stored = false;        ///< The record is in the store.
   bool ended_record = false;  ///< The record has been replaced by that of an ended job.
-  bool started = false;    ///< A task has been started.
-  bool over_share = false;  ///< Came beyond the jobs a second that its customer is owed.
+  bool started = false;       ///< A task has been started.
+  bool over_share = false;    ///< Came beyond the jobs a second that its customer is owed.
   int placed_runs = 0;
   std::uint64_t change = 0;        ///< Number of the newest change that is not stored; 0 if none.
   std::uint64_t first_change = 0;  ///< Lower bound of the changes that are not stored.
@@ -98,8 +98,8 @@
   /// Adds a job that was just submitted; its record is to be stored.
   Job* Add(TimePoint now, JobSpec spec);
   /// Adds a job from the store.
-  Job* Load(TimePoint now, std::int64_t now_unix_ms, const std::string& id,
-            const JobRecord& record, const JobProgress& progress);
+  Job* Load(TimePoint now, std::int64_t now_unix_ms, const std::string& id, const JobRecord& record,
+            const JobProgress& progress);
   Job* Find(std::string_view id) const;
   void Remove(std::string_view id);
 
--- a/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
@@ -14,14 +14,15 @@
 struct PoolLoad {
   std::string pool;
   bool standby = false;
-  int vms = 0;                 ///< VMs in the pool, with those on their way to it.
-  double vm_cores = 0;         ///< Cores of one VM.
+  int vms = 0;                    ///< VMs in the pool, with those on their way to it.
+  double vm_cores = 0;            ///< Cores of one VM.
   double long_running_cores = 0;  ///< Asked for by long-running tasks.
-  int long_running_vms = 0;    ///< VMs that the widest spread of long-running tasks needs.
-  double running_cores = 0;    ///< In use by other tasks.
-  double backlog_core_s = 0;   ///< Work of accepted jobs that has not been done.
-  double arriving_cores = 0;   ///< Work that arrives, in cores, over the last moments.
-  double expected_cores = 0;   ///< Work expected to arrive while a move takes place, in cores.
+  int long_running_vms = 0;       ///< VMs that the widest spread of long-running tasks needs.
+  double running_cores = 0;       ///< In use by other tasks.
+  double waiting_cores = 0;       ///< Asked for by tasks that could start now.
+  double backlog_core_s = 0;      ///< Work of accepted jobs that has not been done.
+  double arriving_cores = 0;      ///< Work that arrives, in cores, over the last moments.
+  double expected_cores = 0;      ///< Work expected to arrive while a move takes place, in cores.
 };
 
 /// Number of VMs that a pool should have now.
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -24,11 +24,11 @@
 
 /// Times of the scheduler; those that the platform sets come from the settings.
 struct SchedulerSettings {
-  Duration lease{3'000};          ///< Lease given to what runs, renewed well before it ends.
-  Duration max_lease{6'000};      ///< Longest lease that a worker grants.
-  Duration stop_time{900};        ///< Longest time that a stop takes.
-  Duration retention{120'000};    ///< How long the state of an ended job is kept.
-  Duration hold_wait{1'000};      ///< How long a worker may wait for an end before it answers.
+  Duration lease{3'000};        ///< Lease given to what runs, renewed well before it ends.
+  Duration max_lease{6'000};    ///< Longest lease that a worker grants.
+  Duration stop_time{900};      ///< Longest time that a stop takes.
+  Duration retention{120'000};  ///< How long the state of an ended job is kept.
+  Duration hold_wait{1'000};    ///< How long a worker may wait for an end before it answers.
 };
 
 /// Now on the two clocks that decisions use.
@@ -55,8 +55,8 @@
 
 /// What an owner takes over from the store.
 struct Takeover {
-  std::uint64_t epoch = 0;  ///< Revision of the claim; no two owners share one.
-  int generation = 0;       ///< Number of earlier claims.
+  std::uint64_t epoch = 0;    ///< Revision of the claim; no two owners share one.
+  int generation = 0;         ///< Number of earlier claims.
   TimePoint unheard_bound{};  ///< What ran on workers that do not answer has ended by then.
   std::vector<RecordedWorker> workers;
 };
@@ -225,7 +225,7 @@
   std::map<std::string, QueueConfig, std::less<>> m_queues;  ///< Newest known, removed ones too.
   JobTable m_jobs;
   std::map<std::string, Worker> m_workers;
-  std::map<std::string, Resources, std::less<>> m_usage;  ///< Running, by customer.
+  std::map<std::string, Resources, std::less<>> m_usage;      ///< Running, by customer.
   std::map<std::string, double, std::less<>> m_share_tokens;  ///< Jobs still owed, by customer.
   TimePoint m_share_refilled{};
   std::map<std::string, ArrivalRate, std::less<>> m_arrivals;  ///< By pool.
--- a/packages/scheduler/include/cranberryplank/scheduler/upkeep_planner.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/upkeep_planner.h
@@ -12,19 +12,19 @@
 /// A VM that a wave of upkeep still has to take down.
 struct UpkeepCandidate {
   std::string vm;
-  bool standby = false;     ///< In a standby pool: taking it down costs nothing.
-  int long_running = 0;     ///< Long-running tasks on it.
-  int runs = 0;             ///< All runs on it.
+  bool standby = false;      ///< In a standby pool: taking it down costs nothing.
+  int long_running = 0;      ///< Long-running tasks on it.
+  int runs = 0;              ///< All runs on it.
   double pool_pressure = 0;  ///< Work that waits in its pool, in seconds of the pool's capacity.
-  int pool_away = 0;        ///< VMs of its pool that are away or being vacated.
-  int pool_size = 0;        ///< VMs of its pool.
+  int pool_away = 0;         ///< VMs of its pool that are away or being vacated.
+  int pool_size = 0;         ///< VMs of its pool.
 };
 
 /// The state of a wave.
 struct WaveView {
   int max_at_once = 0;
-  int away = 0;          ///< VMs of the wave that are down, or may be, or are being vacated.
-  int remaining = 0;     ///< VMs that have not been begun.
+  int away = 0;           ///< VMs of the wave that are down, or may be, or are being vacated.
+  int remaining = 0;      ///< VMs that have not been begun.
   Duration time_left{0};  ///< Until the wave is late.
 };
 
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -29,16 +29,16 @@
 /// How a call to a worker ended.
 enum class CallOutcome {
   kOk,
-  kFenced,         ///< The worker has seen a higher fence.
-  kStaleRun,       ///< A run that is not lower was stopped or has ended there.
-  kLate,           ///< The deadline had passed on the worker's clock.
-  kNoRoom,         ///< The worker checks its capacity, and the task did not fit.
-  kBadTicket,      ///< The ticket is missing or has expired.
-  kUnhealthy,      ///< The worker has done nothing.
+  kFenced,     ///< The worker has seen a higher fence.
+  kStaleRun,   ///< A run that is not lower was stopped or has ended there.
+  kLate,       ///< The deadline had passed on the worker's clock.
+  kNoRoom,     ///< The worker checks its capacity, and the task did not fit.
+  kBadTicket,  ///< The ticket is missing or has expired.
+  kUnhealthy,  ///< The worker has done nothing.
   kBadRequest,
-  kWrongWorker,    ///< Another life of a worker answered.
-  kNotSent,        ///< No byte was written.
-  kUnknown,        ///< No whole answer: the order may have been carried out, or may be later.
+  kWrongWorker,  ///< Another life of a worker answered.
+  kNotSent,      ///< No byte was written.
+  kUnknown,      ///< No whole answer: the order may have been carried out, or may be later.
 };
 
 /// Tells whether the order certainly had no effect and never will.
@@ -51,8 +51,8 @@
   std::string task;
   int run = 0;
   std::string saved;
-  int percent = 0;  ///< Progress; a long-running task is at work at 100.
-  std::int64_t usage = 0;     ///< Tail latency in ms if the task serves, else thousandths of a core.
+  int percent = 0;         ///< Progress; a long-running task is at work at 100.
+  std::int64_t usage = 0;  ///< Tail latency in ms if the task serves, else thousandths of a core.
 };
 
 enum class EndKind {
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -29,7 +29,7 @@
   Resources footprint;
   std::string customer;
   TimePoint placed_at{};
-  TimePoint settled_at{};   ///< A hold sent later shows whether the run is there.
+  TimePoint settled_at{};          ///< A hold sent later shows whether the run is there.
   std::uint64_t fence_needed = 0;  ///< For an uncertain run: the fence that settles it.
   bool stopping = false;
   std::string stop_reason;
--- a/packages/scheduler/src/advice_book.cc
+++ b/packages/scheduler/src/advice_book.cc
@@ -41,9 +41,9 @@
   entry.lifetime = policy.ticket_lifetime;
   ++m_under_way;
   order->step = step;
-  order->timeout = kMaxCalls * (policy.base_time + policy.time_per_worker *
-                                                       static_cast<int>(workers.size())) +
-                   kCallSlack;
+  order->timeout =
+      kMaxCalls * (policy.base_time + policy.time_per_worker * static_cast<int>(workers.size())) +
+      kCallSlack;
   order->workers = std::move(workers);
   return true;
 }
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -88,8 +88,8 @@
     return raw;
   }
   job->spec = *record.spec;
-  job->accepted =
-      now - Duration(std::clamp<std::int64_t>(now_unix_ms - job->spec.accepted_unix_ms, 0, 600'000));
+  job->accepted = now - Duration(std::clamp<std::int64_t>(now_unix_ms - job->spec.accepted_unix_ms,
+                                                          0, 600'000));
   job->state = job->stored_state = progress.state;
   job->finished_unix_ms = progress.finished_unix_ms;
   job->inherited = true;
@@ -173,9 +173,9 @@
   state.due_unix_ms = job->spec.timed()
                           ? job->spec.first_due_unix_ms + occurrence * job->spec.interval_ms
                           : job->spec.accepted_unix_ms;
-  state.due = now - Duration(job->spec.timed() ? std::max<std::int64_t>(
-                                                     now_unix_ms - state.due_unix_ms, 0)
-                                               : 0);
+  state.due =
+      now -
+      Duration(job->spec.timed() ? std::max<std::int64_t>(now_unix_ms - state.due_unix_ms, 0) : 0);
   for (const StepSpec& step : job->spec.steps) {
     StepState steps;
     steps.tasks.resize(static_cast<std::size_t>(step.count));
--- a/packages/scheduler/src/placement.cc
+++ b/packages/scheduler/src/placement.cc
@@ -30,11 +30,10 @@
   preference.suspect = candidate.suspect;
   preference.disturbs = (step.uses_leftover_cpu && candidate.serving_runs > 0) ||
                         (step.latency_target_ms > 0 && candidate.filler_runs > 0);
-  const bool far_from_data =
-      !step.preferred_rack.empty() && step.preferred_rack != candidate.rack;
+  const bool far_from_data = !step.preferred_rack.empty() && step.preferred_rack != candidate.rack;
   preference.far = far_from_data || (!rack.empty() && rack != candidate.rack);
-  preference.load = step.long_running ? -candidate.long_running_runs
-                                      : UsedShare(candidate.capacity, candidate.free);
+  const double used = UsedShare(candidate.capacity, candidate.free);
+  preference.load = step.long_running ? -candidate.long_running_runs : -used;
   return preference;
 }
 
--- a/packages/scheduler/src/pool_planner.cc
+++ b/packages/scheduler/src/pool_planner.cc
@@ -7,22 +7,19 @@
 
 namespace {
 
-/// Work in the system is meant to be done within this time.
-constexpr double kClearTimeSeconds = 1.6;
 /// Part of a pool's cores that whole tasks can fill.
 constexpr double kUsablePart = 0.85;
 /// Time over which arrivals are averaged.
 constexpr double kRateSeconds = 0.8;
 /// VMs that every pool keeps for the first jobs of a turn.
-constexpr int kSpareVms = 2;
+constexpr int kSpareVms = 3;
 
 }  // namespace
 
 int WantedVms(const PoolLoad& load) {
   const double cores = std::max(load.vm_cores, 1.0) * kUsablePart;
   const double arriving = std::max(load.arriving_cores, load.expected_cores);
-  const double batch = std::max(load.running_cores,
-                                arriving + load.backlog_core_s / kClearTimeSeconds);
+  const double batch = std::max(load.running_cores + load.waiting_cores, arriving);
   const int needed =
       static_cast<int>(std::ceil((load.long_running_cores + batch) / cores)) + kSpareVms;
   return std::max(needed, load.long_running_vms);
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -286,8 +286,8 @@
       change.remove_record = true;
       entries += 1;
     } else if (IsFinal(job->state)) {
-      change.record = EncodeEndedJob(
-          {job->spec.queue, job->spec.customer, job->state, job->finished_unix_ms});
+      change.record =
+          EncodeEndedJob({job->spec.queue, job->spec.customer, job->state, job->finished_unix_ms});
       change.remove_progress = job->stored;
       entries += 2;
     } else if (!job->stored) {
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -23,8 +23,8 @@
 }  // namespace
 
 std::int64_t Scheduler::GrantLease(TimePoint now, Worker* worker) const {
-  const std::int64_t until =
-      EstimateClockMs(worker->clock, now) + std::min(m_settings.lease, m_settings.max_lease).count();
+  const std::int64_t until = EstimateClockMs(worker->clock, now) +
+                             std::min(m_settings.lease, m_settings.max_lease).count();
   worker->lease_until_ms = std::max(worker->lease_until_ms, until);
   worker->lease_bound =
       std::max(worker->lease_bound, LatestTimeOf(worker->clock, worker->lease_until_ms));
@@ -221,9 +221,8 @@
   }
   std::vector<TaskRef> gone;
   for (const auto& [task, run] : worker->runs) {
-    const bool settled =
-        (run.phase == RunPhase::kRunning && run.settled_at < hold.sent) ||
-        (run.phase == RunPhase::kUncertain && hold.fence >= run.fence_needed);
+    const bool settled = (run.phase == RunPhase::kRunning && run.settled_at < hold.sent) ||
+                         (run.phase == RunPhase::kUncertain && hold.fence >= run.fence_needed);
     if (settled && !listed_tasks.contains(task)) {
       gone.push_back(task);
     }
@@ -299,8 +298,7 @@
   }
 }
 
-void Scheduler::Adopt(TimePoint now, Worker* worker, const TaskRef& task,
-                      const ListedRun& listed) {
+void Scheduler::Adopt(TimePoint now, Worker* worker, const TaskRef& task, const ListedRun& listed) {
   LogLine(LogLevel::kInfo, "run_adopted")
       .Field("task", listed.task)
       .Field("run", listed.run)
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -19,8 +19,8 @@
 constexpr std::size_t kMaxAdvisedWorkers = 30;
 
 Duration ObjectiveOf(const JobSpec& spec, const QueueConfig& queue) {
-  const auto stretched = static_cast<std::int64_t>(
-      static_cast<double>(spec.ChainEstimateMs()) * queue.stretch);
+  const auto stretched =
+      static_cast<std::int64_t>(static_cast<double>(spec.ChainEstimateMs()) * queue.stretch);
   return Duration(stretched) + queue.objective;
 }
 
@@ -47,11 +47,10 @@
 }
 
 int RunsOfStep(const Worker& worker, const TaskRef& step) {
-  return static_cast<int>(std::count_if(
-      worker.runs.begin(), worker.runs.end(), [&](const auto& item) {
+  return static_cast<int>(
+      std::count_if(worker.runs.begin(), worker.runs.end(), [&](const auto& item) {
         const TaskRef& task = item.first;
-        return task.job == step.job && task.occurrence == step.occurrence &&
-               task.step == step.step;
+        return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
       }));
 }
 
@@ -89,9 +88,8 @@
   for (const PlacementCandidate& candidate : candidates) {
     free[candidate.rack] += candidate.free.cpu_millis;
   }
-  const auto best = std::max_element(free.begin(), free.end(), [](const auto& a, const auto& b) {
-    return a.second < b.second;
-  });
+  const auto best = std::max_element(
+      free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
   return best == free.end() ? std::string() : best->first;
 }
 
@@ -180,8 +178,7 @@
   const Resources total = (it == m_usage.end() ? Resources{} : it->second) + more;
   const auto within = [](std::int64_t used, std::int64_t cap) { return cap == 0 || used <= cap; };
   return within(total.cpu_millis, customer->cap.cpu_millis) &&
-         within(total.memory_mb, customer->cap.memory_mb) &&
-         within(total.gpus, customer->cap.gpus);
+         within(total.memory_mb, customer->cap.memory_mb) && within(total.gpus, customer->cap.gpus);
 }
 
 void Scheduler::PlaceStep(TimePoint now, const WaitingStep& waiting) {
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -30,6 +30,9 @@
       } else if (!spec.uses_leftover_cpu) {
         load->backlog_core_s += RemainingWork(spec, occurrence.steps[i]);
         load->running_cores += occurrence.steps[i].placed * cores;
+        if (job.StepReady(occurrence, i)) {
+          load->waiting_cores += std::max(occurrence.steps[i].waiting(), 0) * cores;
+        }
       }
     }
   }
@@ -117,8 +120,9 @@
   for (const auto& [id, worker] : m_workers) {
     const auto it = loads.find(worker.info.pool);
     if (it != loads.end()) {
-      it->second.vm_cores = std::max(
-          it->second.vm_cores, static_cast<double>(worker.info.capacity.cpu_millis) / kMillisPerUnit);
+      it->second.vm_cores =
+          std::max(it->second.vm_cores,
+                   static_cast<double>(worker.info.capacity.cpu_millis) / kMillisPerUnit);
     }
   }
   std::vector<PoolLoad> result;
--- a/packages/scheduler/src/upkeep_planner.cc
+++ b/packages/scheduler/src/upkeep_planner.cc
@@ -17,10 +17,9 @@
 constexpr double kBusyPressure = 0.3;
 
 int WantedAtOnce(const WaveView& wave) {
-  const double left = std::max<double>(
-      static_cast<double>(wave.time_left.count()) * kPlannedPart, 1.0);
-  const double needed =
-      std::ceil(wave.remaining * static_cast<double>(kCycle.count()) / left);
+  const double left =
+      std::max<double>(static_cast<double>(wave.time_left.count()) * kPlannedPart, 1.0);
+  const double needed = std::ceil(wave.remaining * static_cast<double>(kCycle.count()) / left);
   return std::min(wave.max_at_once, std::max(static_cast<int>(std::min(needed, 1e6)), 1));
 }
 
@@ -41,9 +40,8 @@
 std::vector<std::string> ChooseUpkeep(const WaveView& wave,
                                       std::span<const UpkeepCandidate> candidates) {
   std::vector<UpkeepCandidate> order(candidates.begin(), candidates.end());
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return CostOf(a) < CostOf(b);
-  });
+  std::sort(order.begin(), order.end(),
+            [](const auto& a, const auto& b) { return CostOf(a) < CostOf(b); });
   const int at_once = WantedAtOnce(wave);
   const bool urgent = at_once >= wave.max_at_once;
   std::vector<std::string> chosen;
