Restart runs that stand still or crawl, and pace fillers beside serving tasks

Change: a run whose percentage stands still, or that would end much later than a new start, is started elsewhere, judged by the newest list; fillers stop before a serving task beside them reaches its target.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -220,6 +220,11 @@
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
 
+  // Watching what runs.
+  void WatchRuns(TimePoint now);
+  void RescueCrawlingRuns(TimePoint now, Worker* worker);
+  void PaceFillers(TimePoint now, Worker* worker);
+
   SchedulerSettings m_settings;
   WorkerLink* m_link;
   std::shared_ptr<const ClusterConfig> m_config;
@@ -244,6 +249,7 @@
   TimePoint m_authority{};
   TimePoint m_unheard_bound{};
   TimePoint m_last_schedule{};
+  TimePoint m_last_watch{};
   std::int64_t m_unix_ms = 0;
   SchedulerCounters m_counters;
 };
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -36,6 +36,7 @@
   TimePoint stop_sent{};
   int percent = 0;
   TimePoint progressed_at{};  ///< When `percent` last rose.
+  TimePoint listed_at{};      ///< When a list last showed the run.
   std::int64_t usage = 0;
   int pace = 100;  ///< Share ordered.
   TimePoint paced_at{};
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -253,6 +253,7 @@
   }
   ExpireWorkers(now.time);
   MoveLongRunningOffDraining(now.time);
+  WatchRuns(now.time);
   if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval) {
     Schedule(now.time);
   }
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -308,6 +308,7 @@
     run->percent = listed.percent;
     run->progressed_at = now;
   }
+  run->listed_at = now;
   run->usage = listed.usage;
   TaskState* state = task.state();
   if (state == nullptr) {
--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -4,6 +4,7 @@
 #include "cranberryplank/scheduler/job_order.h"
 #include "cranberryplank/scheduler/placement.h"
 #include "cranberryplank/scheduler/pool_planner.h"
+#include "cranberryplank/scheduler/run_watch.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
 
 namespace cranberryplank {
@@ -171,4 +172,29 @@
   CHECK(config.Route("b.example", "/x/z") == nullptr);
 }
 
+// Guards against jobs that wait for a worker whose tasks stand still while its health is good.
+TEST_CASE("a run that stands still or crawls is started elsewhere") {
+  RunProgress progress;
+  progress.estimate = Duration(800);
+  progress.elapsed = Duration(1'500);
+  progress.since_progress = Duration(1'500);
+  CHECK_FALSE(IsCrawling(progress));
+  progress.elapsed = progress.since_progress = Duration(2'400);
+  CHECK(IsCrawling(progress));
+  // A run that is merely longer than its estimate goes on.
+  progress.percent = 70;
+  progress.since_progress = Duration(300);
+  CHECK_FALSE(IsCrawling(progress));
+  progress.percent = 20;
+  CHECK(IsCrawling(progress));
+}
+
+// Guards against fillers that hold serving tasks over their target.
+TEST_CASE("fillers stop before a serving task reaches its target, and return slowly") {
+  CHECK(NextFillerPace(0.9, 100) == 0);
+  CHECK(NextFillerPace(0.6, 0) == 0);
+  CHECK(NextFillerPace(0.3, 0) == 20);
+  CHECK(NextFillerPace(0.0, 100) == 100);
+}
+
 }  // namespace cranberryplank
