Move many VMs at once, and keep placing cheap at hundreds of workers

Change: up to 200 moves at once; a pass of placing looks at a pool's workers once and skips steps that are larger than one that fitted nowhere; daemons on weak VMs leave the duty to strong ones; an owner whose writes fail says so.

Ruled out: processor time as the limit (busiest daemon 0.24 of 0.5 cores).

--- a/packages/daemon/include/cranberryplank/daemon/settings_table.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings_table.h
@@ -134,19 +134,26 @@
     *value = Duration(count);
   }
 
-  /// Reads a number of seconds, whole or with a fraction.
-  void Seconds(std::string_view key, double lowest, double highest, Duration* value) {
-    const toml::node* node = Find(key, false, "a number of seconds");
+  /// Reads a number, whole or with a fraction.
+  void Real(std::string_view key, double lowest, double highest, double* value) {
+    const toml::node* node = Find(key, false, "a number");
     if (node == nullptr) {
       return;
     }
-    const std::optional<double> seconds = node->value<double>();
-    if (!seconds || *seconds < lowest || *seconds > highest) {
+    const std::optional<double> number = node->value<double>();
+    if (!number || *number < lowest || *number > highest) {
       Problem(*node, key, fmt::format("expected a number from {} to {}", lowest, highest));
       return;
     }
+    *value = *number;
+  }
+
+  /// Reads a number of seconds, whole or with a fraction.
+  void Seconds(std::string_view key, double lowest, double highest, Duration* value) {
     constexpr double kMillisecondsPerSecond = 1'000;
-    *value = Duration(static_cast<Duration::rep>(*seconds * kMillisecondsPerSecond));
+    double seconds = static_cast<double>(value->count()) / kMillisecondsPerSecond;
+    Real(key, lowest, highest, &seconds);
+    *value = Duration(static_cast<Duration::rep>(seconds * kMillisecondsPerSecond));
   }
 
   /// Tells whether the table has the key.
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -59,6 +59,7 @@
   void OnLost(TimePoint now);
   void FollowOwner(TimePoint now);
   void ConsiderClaim(TimePoint now);
+  Duration ClaimDelay() const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -14,6 +14,8 @@
 struct JobSettings {
   std::string node;
   std::string zone;
+  double cpu_share = 1;  ///< Part of a core that the VM has.
+  double cpu_speed = 1;  ///< Speed of that core against a usual one.
   Endpoint caller_listen;
   Endpoint ready_listen;
   Endpoint daemon_listen;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -14,7 +14,11 @@
 constexpr Duration kConfigWatchWait{1'000};
 /// Part of the revocation bound that is left for a request's way through the daemon.
 constexpr Duration kRevocationMargin{400};
-constexpr Duration kClaimJitter{150};
+constexpr Duration kClaimJitter{120};
+/// A VM with no processor would wait this long before it claims; one with the cores below, not.
+constexpr Duration kWeakVmDelay{150};
+constexpr Duration kWeakVmFirstDelay{1'500};  ///< While the fleet starts nothing is lost by it.
+constexpr double kStrongVmCores = 0.5;
 constexpr Duration kRefreshInterval{200};
 constexpr Duration kCallerCheckInterval{500};
 /// The platform takes this long to see that a daemon is not ready.
@@ -273,6 +277,14 @@
   }
 }
 
+/// Daemons on weak VMs leave the duty to those on strong ones: the owner has most of the work.
+Duration JobService::ClaimDelay() const {
+  const double cores = m_settings.cpu_share * m_settings.cpu_speed;
+  const double missing = std::clamp(1 - cores / kStrongVmCores, 0.0, 1.0);
+  const Duration longest = m_duty.record() ? kWeakVmDelay : kWeakVmFirstDelay;
+  return Duration(static_cast<Duration::rep>(missing * static_cast<double>(longest.count())));
+}
+
 void JobService::ConsiderClaim(TimePoint now) {
   if (m_duty.owned() || !m_duty.known() || m_stopping_since) {
     return;
@@ -295,7 +307,7 @@
     const auto jitter = m_asked_to_take_over || view.owner_is_earlier_self
                             ? 0
                             : m_parts.random->Below(kClaimJitter.count());
-    m_claim_at = now + Duration(static_cast<Duration::rep>(jitter));
+    m_claim_at = now + ClaimDelay() + Duration(static_cast<Duration::rep>(jitter));
   }
   if (now >= *m_claim_at) {
     m_claim_at.reset();
@@ -340,8 +352,8 @@
     reply.config_version = m_config ? m_config->version : 0;
     reply.epoch = m_duty.revision();
     reply.incarnation = m_duty.incarnation();
-    reply.store_reached = at - m_duty.store_answered() < kStoreSilence ||
-                          at - m_operators.confirmed_at() < kStoreSilence + kConfigWatchWait;
+    const bool writes_fail = m_owner && m_owner->ready() && m_owner->store_failing(at);
+    reply.store_reached = !writes_fail && at - m_duty.store_answered() < kStoreSilence;
     ApiResponse encoded;
     encoded.content_type = "application/octet-stream";
     encoded.body = EncodeOwnerReply(reply);
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr double kHourSeconds = 3'600;
+constexpr double kMaxCores = 1'000;
 
 void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   TableReader table(root, "listen", problems);
@@ -68,6 +69,8 @@
   TableReader daemon(root, "daemon", &problems);
   daemon.Text("id", true, &settings.node);
   daemon.Text("zone", true, &settings.zone);
+  daemon.Real("cpu_share", 0.001, kMaxCores, &settings.cpu_share);
+  daemon.Real("cpu_speed", 0.001, kMaxCores, &settings.cpu_speed);
   daemon.LevelOfLog("log_level", &settings.log_level);
   daemon.RefuseUnknownKeys();
   ReadListen(root, &problems, &settings);
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -32,7 +32,7 @@
 constexpr Duration kIdleBeforeParking{600};
 constexpr Duration kPoolLogInterval{1'000};
 /// Moves under way at a time.
-constexpr std::size_t kMaxMovesAtOnce = 24;
+constexpr std::size_t kMaxMovesAtOnce = 200;
 
 }  // namespace
 
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -162,7 +162,7 @@
   /// while its step can do without it, others only if `all`.
   void VacateWorker(TimePoint now, const std::string& id, bool all);
   /// Load of each pool of the configuration; the numbers of VMs are left at 0.
-  std::vector<PoolLoad> PoolLoads(TimePoint now) const;
+  std::vector<PoolLoad> PoolLoads(TimePoint now);
   bool may_act(TimePoint now) const { return MayAct(now); }
   /// Workers on which nothing new is started, besides those that drain.
   void SetClosedWorkers(std::set<std::string> ids) { m_closed = std::move(ids); }
@@ -170,9 +170,10 @@
 
  private:
   struct WaitingStep;
+  struct PoolPass;
 
   bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority; }
-  QueueConfig QueueOfJob(const Job& job) const;
+  const QueueConfig& QueueOfJob(const Job& job);
 
   // Leases and lists.
   void SendHolds(TimePoint now);
@@ -209,10 +210,10 @@
 
   // Placing.
   void Schedule(TimePoint now);
-  std::vector<WaitingStep> CollectWaiting(TimePoint now) const;
-  void PlaceStep(TimePoint now, const WaitingStep& waiting);
+  std::vector<WaitingStep> CollectWaiting(TimePoint now);
+  void PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass);
   void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable);
-  std::vector<Worker*> UsableWorkers(const QueueConfig& queue, const StepSpec& step);
+  std::vector<Worker*> UsableWorkers(std::string_view pool);
   bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                  std::string_view ticket);
   bool WithinCap(const Job& job, const Resources& more) const;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -83,13 +83,13 @@
   return Duration(static_cast<Duration::rep>(lease * kSlowClockFactor)) + kLeaseMargin;
 }
 
-QueueConfig Scheduler::QueueOfJob(const Job& job) const {
+const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
   const auto it = m_queues.find(job.spec.queue);
   if (it != m_queues.end()) {
     return it->second;
   }
   // The queue was removed before this owner began: the job still goes to the pool it was meant for.
-  QueueConfig queue;
+  QueueConfig& queue = m_queues[job.spec.queue];
   queue.name = job.spec.queue;
   queue.pool = job.spec.pool;
   queue.priority = 1;
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -13,6 +13,24 @@
   TaskRef step;  ///< The index is not used.
 };
 
+/// What one pass of placing has found out about a pool. It keeps a pass cheap when a pool is full
+/// and many steps wait.
+struct Scheduler::PoolPass {
+  std::vector<Worker*> usable;
+  std::optional<Resources> refused;  ///< A task of this size fitted on no worker.
+
+  bool IsFullFor(const StepSpec& step) const {
+    return usable.empty() || (refused && refused->FitsIn(step.Footprint()));
+  }
+
+  /// Notes that a task fitted nowhere, if that was for its size alone.
+  void NoteRefused(const StepSpec& step, const QueueConfig& queue) {
+    if (step.max_per_vm == 0 && step.required_label.empty() && !queue.advice) {
+      refused = step.Footprint();
+    }
+  }
+};
+
 namespace {
 
 /// Workers named in one call for advice.
@@ -105,13 +123,13 @@
 
 }  // namespace
 
-std::vector<Scheduler::WaitingStep> Scheduler::CollectWaiting(TimePoint now) const {
+std::vector<Scheduler::WaitingStep> Scheduler::CollectWaiting(TimePoint now) {
   std::vector<WaitingStep> waiting;
   for (const auto& [id, job] : m_jobs.active()) {
     if (!job->stored) {
       continue;
     }
-    const QueueConfig queue = QueueOfJob(*job);
+    const QueueConfig& queue = QueueOfJob(*job);
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         if (occurrence.steps[i].waiting() <= 0 || !job->StepReady(occurrence, i)) {
@@ -142,8 +160,14 @@
     return;
   }
   m_advice.Expire(now);
+  std::map<std::string_view, PoolPass> passes;
   for (const WaitingStep& waiting : CollectWaiting(now)) {
-    PlaceStep(now, waiting);
+    const std::string_view pool = QueueOfJob(*waiting.step.job).pool;
+    const auto [pass, added] = passes.try_emplace(pool);
+    if (added) {
+      pass->second.usable = UsableWorkers(pool);
+    }
+    PlaceStep(now, waiting, &pass->second);
   }
 }
 
@@ -155,14 +179,13 @@
                       [&](const auto& item) { return item.second.pool == pool; });
 }
 
-std::vector<Worker*> Scheduler::UsableWorkers(const QueueConfig& queue, const StepSpec& step) {
+std::vector<Worker*> Scheduler::UsableWorkers(std::string_view pool) {
   std::vector<Worker*> usable;
   for (auto& [id, worker] : m_workers) {
-    const bool in_use = worker.registered && !worker.info.draining && !m_closed.contains(id);
     const bool trusted = worker.heard && worker.recorded && worker.clock.known &&
                          worker.failed_holds == 0 && !worker.strays;
-    if (in_use && trusted && worker.info.pool == queue.pool &&
-        HasLabel(worker.info, step.required_label)) {
+    if (trusted && worker.registered && !worker.info.draining && worker.info.pool == pool &&
+        !m_closed.contains(id)) {
       usable.push_back(&worker);
     }
   }
@@ -181,16 +204,21 @@
          within(total.memory_mb, customer->cap.memory_mb) && within(total.gpus, customer->cap.gpus);
 }
 
-void Scheduler::PlaceStep(TimePoint now, const WaitingStep& waiting) {
+void Scheduler::PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass) {
   const TaskRef& step = waiting.step;
   Job* job = step.job;
   const StepSpec& spec = step.spec();
-  const QueueConfig queue = QueueOfJob(*job);
+  const QueueConfig& queue = QueueOfJob(*job);
   if (job->inherited && (!PoolSettled(now, job->spec.pool) || !PoolSettled(now, queue.pool))) {
     return;
   }
-  std::vector<Worker*> usable = UsableWorkers(queue, spec);
-  const std::string step_name = step.Id().StepName();
+  if (pass->IsFullFor(spec)) {
+    return;
+  }
+  std::vector<Worker*> usable = pass->usable;
+  std::erase_if(usable,
+                [&](const Worker* worker) { return !HasLabel(worker->info, spec.required_label); });
+  const std::string step_name = queue.advice ? step.Id().StepName() : std::string();
   if (queue.advice) {
     std::vector<std::string> ids;
     for (const Worker* worker : usable) {
@@ -231,6 +259,7 @@
     }
     const int chosen = ChoosePlacement(candidates, spec, rack);
     if (chosen < 0) {
+      pass->NoteRefused(spec, queue);
       return;
     }
     Worker* worker = usable[static_cast<std::size_t>(chosen)];
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -99,7 +99,7 @@
   }
 }
 
-std::vector<PoolLoad> Scheduler::PoolLoads(TimePoint now) const {
+std::vector<PoolLoad> Scheduler::PoolLoads(TimePoint now) {
   std::map<std::string, PoolLoad> loads;
   if (!m_config) {
     return {};
