Hand the duty to the strongest VM that calls

Change: calls between daemons tell the VM's processor; the strongest recent caller gets the duty, and weaker daemons wait longer before they claim it.

Ruled out: the slow store alone: the load by a strong VM took 122 ms beside it.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -54,6 +54,12 @@
   bool owner() const { return m_owner != nullptr; }
 
  private:
+  /// A daemon that calls this one as the owner.
+  struct Peer {
+    TimePoint last_call{};
+    double cores = 0;
+  };
+
   void OnOperatorItem(TimePoint now, const KvItem& item);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
@@ -84,7 +90,7 @@
   CallerFront m_front;
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
-  std::map<std::string, TimePoint> m_peers;  ///< Last call of each daemon, by address.
+  std::map<std::string, Peer> m_peers;  ///< Daemons that called, by address.
   std::optional<TimePoint> m_claim_at;
   bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
--- a/packages/entry/include/cranberryplank/entry/owner_client.h
+++ b/packages/entry/include/cranberryplank/entry/owner_client.h
@@ -17,7 +17,9 @@
   using Callback = std::function<void(TimePoint now, const OwnerReply& reply)>;
 
   /// @param self address at which this daemon takes calls
-  OwnerClient(HttpClient* http, std::string self) : m_http(http), m_self(std::move(self)) {}
+  /// @param cores processor of this VM
+  OwnerClient(HttpClient* http, std::string self, double cores)
+      : m_http(http), m_self(std::move(self)), m_cores(cores) {}
 
   /// Path of calls between daemons.
   static constexpr const char* kPath = "/owner";
@@ -33,6 +35,8 @@
   /// The daemon at the owner's address says that it is not the owner.
   bool disowned() const { return m_disowned; }
   bool owner_cut_from_store() const { return m_cut_from_store; }
+  /// Processor of the strongest VM that the last owner knew; 0 if not known.
+  double strongest_cores() const { return m_strongest_cores; }
   TimePoint last_answer() const { return m_last_answer; }
   std::uint64_t owner_config_version() const { return m_config_version; }
 
@@ -42,6 +46,8 @@
 
   HttpClient* m_http;
   std::string m_self;
+  double m_cores;
+  double m_strongest_cores = 0;
   std::string m_address;
   TimePoint m_last_answer{};
   TimePoint m_next_ping{};
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -21,6 +21,7 @@
   std::string queue;
   std::string sender;  ///< Address for calls to the sender.
   std::uint64_t config_version = 0;
+  double cores = 0;             ///< Processor of the sender's VM.
   std::optional<JobSpec> spec;  ///< For a submission.
 };
 
@@ -43,8 +44,9 @@
   std::int64_t retry_after_ms = 0;
   std::uint64_t config_version = 0;
   std::uint64_t epoch = 0;
-  bool store_reached = true;  ///< In the answer to a ping: the owner's calls are answered.
-  std::string incarnation;    ///< Of the daemon that answers.
+  bool store_reached = true;   ///< In the answer to a ping: the owner's calls are answered.
+  double strongest_cores = 0;  ///< Processor of the strongest VM among the daemons that call.
+  std::string incarnation;     ///< Of the daemon that answers.
   std::string reason;
 };
 
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -16,7 +16,7 @@
 constexpr Duration kRevocationMargin{400};
 constexpr Duration kClaimJitter{120};
 /// A VM with no processor would wait this long before it claims; one with the cores below, not.
-constexpr Duration kWeakVmDelay{150};
+constexpr Duration kWeakVmDelay{500};
 constexpr Duration kWeakVmFirstDelay{1'500};  ///< While the fleet starts nothing is lost by it.
 constexpr double kStrongVmCores = 0.5;
 constexpr Duration kRefreshInterval{200};
@@ -48,6 +48,8 @@
   return record;
 }
 
+double CoresOf(const JobSettings& settings) { return settings.cpu_share * settings.cpu_speed; }
+
 std::string AddressText(const Endpoint& endpoint) {
   return fmt::format("{}:{}", endpoint.host, endpoint.port);
 }
@@ -61,7 +63,7 @@
       m_operators(parts.store, std::string(parts.format->OperatorPrefix()), kConfigWatchWait,
                   [this](TimePoint now, const KvItem& item) { OnOperatorItem(now, item); }),
       m_duty(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
-      m_owner_client(parts.http, m_address),
+      m_owner_client(parts.http, m_address, CoresOf(settings)),
       m_front(parts.format, &m_metrics,
               [this](const OwnerCall& call, Duration timeout, CallerFront::Callback done) {
                 CallOwner(call, timeout, std::move(done));
@@ -279,8 +281,9 @@
 
 /// Daemons on weak VMs leave the duty to those on strong ones: the owner has most of the work.
 Duration JobService::ClaimDelay() const {
-  const double cores = m_settings.cpu_share * m_settings.cpu_speed;
-  const double missing = std::clamp(1 - cores / kStrongVmCores, 0.0, 1.0);
+  const double known = m_owner_client.strongest_cores();
+  const double strongest = known > 0 ? known : kStrongVmCores;
+  const double missing = std::clamp(1 - CoresOf(m_settings) / strongest, 0.0, 1.0);
   const Duration longest = m_duty.record() ? kWeakVmDelay : kWeakVmFirstDelay;
   return Duration(static_cast<Duration::rep>(missing * static_cast<double>(longest.count())));
 }
@@ -345,13 +348,18 @@
     return;
   }
   if (!call->sender.empty()) {
-    m_peers[call->sender] = now;
+    m_peers[call->sender] = {now, call->cores};
   }
   NoteConfigVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
     reply.config_version = m_config ? m_config->version : 0;
     reply.epoch = m_duty.revision();
     reply.incarnation = m_duty.incarnation();
+    reply.strongest_cores = CoresOf(m_settings);
+    for (const auto& [address, peer] : m_peers) {
+      const bool recent = at - peer.last_call <= kRecentCall;
+      reply.strongest_cores = std::max(reply.strongest_cores, recent ? peer.cores : 0);
+    }
     const bool writes_fail = m_owner && m_owner->ready() && m_owner->store_failing(at);
     reply.store_reached = !writes_fail && at - m_duty.store_answered() < kStoreSilence;
     ApiResponse encoded;
@@ -443,10 +451,12 @@
 
 void JobService::HandOver(TimePoint now) {
   m_next_hand_over = now + kHandOverInterval;
-  const auto latest =
-      std::max_element(m_peers.begin(), m_peers.end(),
-                       [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (latest == m_peers.end() || now - latest->second > kRecentCall) {
+  std::erase_if(m_peers,
+                [&](const auto& item) { return now - item.second.last_call > kRecentCall; });
+  const auto strongest = std::max_element(
+      m_peers.begin(), m_peers.end(),
+      [](const auto& a, const auto& b) { return a.second.cores < b.second.cores; });
+  if (strongest == m_peers.end()) {
     return;
   }
   // The successor may take this daemon's leases as given no later than now: nothing is ordered
@@ -456,9 +466,9 @@
   call.kind = OwnerCallKind::kTakeOver;
   call.sender = m_address;
   call.incarnation = m_duty.incarnation();
-  LogLine(LogLevel::kInfo, "hand_over").Field("to", latest->first);
-  m_owner_client.Call(latest->first, call, kTakeOverTimeout,
-                      [this, address = latest->first](TimePoint at, const OwnerReply& reply) {
+  LogLine(LogLevel::kInfo, "hand_over").Field("to", strongest->first);
+  m_owner_client.Call(strongest->first, call, kTakeOverTimeout,
+                      [this, address = strongest->first](TimePoint at, const OwnerReply& reply) {
                         if (reply.status != OwnerStatus::kOk) {
                           m_peers.erase(address);
                           m_next_hand_over = at;
--- a/packages/entry/src/owner_client.cc
+++ b/packages/entry/src/owner_client.cc
@@ -33,6 +33,7 @@
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
   ping.sender = m_self;
+  ping.cores = m_cores;
   ping.config_version = config_version;
   Call(m_address, ping, kPingTimeout,
        [this, address = m_address](TimePoint at, const OwnerReply& reply) {
@@ -93,6 +94,7 @@
     m_last_answer = now;
     m_cut_from_store = !reply.store_reached;
     m_config_version = reply.config_version;
+    m_strongest_cores = reply.strongest_cores;
   }
 }
 
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -38,9 +38,9 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return Pack(
-      json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
-                   call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr)}));
+  return Pack(json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue,
+                           call.sender, call.config_version,
+                           call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
@@ -53,6 +53,7 @@
     call.queue = fields.at(3);
     call.sender = fields.at(4);
     call.config_version = fields.at(5);
+    call.cores = fields.at(7);
     if (!fields.at(6).is_null()) {
       const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
       if (!record || !record->spec) {
@@ -67,9 +68,10 @@
 }
 
 std::string EncodeOwnerReply(const OwnerReply& reply) {
-  return Pack(json::array({static_cast<int>(reply.status), static_cast<int>(reply.state),
-                           reply.waiting, reply.retry_after_ms, reply.config_version, reply.epoch,
-                           reply.store_reached, reply.reason, reply.incarnation}));
+  return Pack(
+      json::array({static_cast<int>(reply.status), static_cast<int>(reply.state), reply.waiting,
+                   reply.retry_after_ms, reply.config_version, reply.epoch, reply.store_reached,
+                   reply.reason, reply.incarnation, reply.strongest_cores}));
 }
 
 std::optional<OwnerReply> DecodeOwnerReply(std::string_view bytes) {
@@ -85,6 +87,7 @@
     reply.store_reached = fields.at(6);
     reply.reason = fields.at(7);
     reply.incarnation = fields.at(8);
+    reply.strongest_cores = fields.at(9);
     return reply;
   } catch (const json::exception&) {
     return std::nullopt;
