Leave VMs without a listed worker out of a wave until they have one

Change: such a VM waits for the next list, unless it stands by.

Ruled out: asking for the list before each order, a call for each VM.

--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -184,7 +184,9 @@
     UpkeepCandidate candidate;
     candidate.vm = id;
     candidate.standby = config != nullptr && config->IsStandby(vm->second.pool);
-    if (vm->second.state != VmState::kUp && !candidate.standby) {
+    // A VM without a worker in the list may just have got one: it can not be vacated yet.
+    const bool usable = vm->second.state == VmState::kUp && !vm->second.worker.empty();
+    if (!usable && !candidate.standby) {
       continue;
     }
     candidate.pool_size = sizes[vm->second.pool];
