--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -109,8 +109,8 @@
     m_unheard.erase(id);
   }
   ApplyEnds(now, worker, reply);
-  worker->strays = false;
   if (hold.sent >= worker->last_list_sent) {
+    worker->strays = false;
     worker->last_list_sent = hold.sent;
     ApplyList(now, worker, hold, reply);
   }
