--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -157,9 +157,14 @@
 }
 
 int VmFleet::AwayForWave(std::int64_t wave) const {
-  return static_cast<int>(std::count_if(
+  const auto ordered = std::count_if(
       m_operations.begin(), m_operations.end(),
-      [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; }));
+      [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; });
+  // Orders of an earlier owner may be carried out late: the list shows them.
+  const auto listed = std::count_if(m_vms.begin(), m_vms.end(), [&](const auto& item) {
+    return item.second.state == VmState::kInUpkeep && !m_operations.contains(item.first);
+  });
+  return static_cast<int>(ordered + listed);
 }
 
 std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave, TimePoint now) const {
