Claim a duty anew after it was lost

Change: an epoch is used by one scheduler only; the daemon claims anew.

Figures: the new test fails before and passes after.

--- a/packages/entry/include/cranberryplank/entry/duty_keeper.h
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -72,6 +72,8 @@
   TimePoint learnt_at() const { return m_learnt; }
   /// Sending time of the newest call that the store answered.
   TimePoint store_answered() const { return m_store_answered; }
+  /// The record names an earlier process of this VM, or an ownership that this one has lost: its
+  /// epoch must not be used again, since workers may have seen higher fences under it.
   bool is_earlier_self() const;
   const std::string& incarnation() const { return m_self.incarnation; }
   /// The owner before this daemon; nothing if there was none.
@@ -93,6 +95,7 @@
   std::optional<DutyRecord> m_record;
   std::optional<DutyRecord> m_predecessor;
   std::uint64_t m_revision = 0;
+  std::uint64_t m_lost_revision = 0;  ///< Epoch of the ownership that was lost last.
   bool m_known = false;
   bool m_owned = false;
   bool m_abdicated = false;
--- a/packages/entry/src/duty_keeper.cc
+++ b/packages/entry/src/duty_keeper.cc
@@ -59,7 +59,7 @@
     : m_store(store), m_key(std::move(key)), m_self(std::move(self)) {}
 
 bool DutyKeeper::is_earlier_self() const {
-  return m_record && m_record->owner == m_self.owner && m_record->incarnation != m_self.incarnation;
+  return m_record && m_record->owner == m_self.owner && !m_owned;
 }
 
 void DutyKeeper::Tick(TimePoint now) {
@@ -103,7 +103,7 @@
         .Field("revision", m_revision);
   }
   const bool mine = m_record && m_record->incarnation == m_self.incarnation;
-  if (mine && !m_owned && changed) {
+  if (mine && !m_owned && changed && m_revision > m_lost_revision) {
     Acquire(now, sent);
   } else if (mine && m_owned) {
     Confirm(sent);
@@ -172,6 +172,7 @@
     return;
   }
   m_owned = false;
+  m_lost_revision = m_revision;
   m_known = false;
   m_next_read = now;
   LogLine(LogLevel::kWarning, "duty_lost").Field("reason", reason).Field("epoch", m_revision);
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -79,6 +79,23 @@
   CHECK_FALSE(fixture.duty.owned());
 }
 
+// Guards against an owner that goes on under an epoch that it has lost: its new scheduler's fences
+// are lower than those that workers have seen, so that it is fenced, loses the duty and begins
+// again without end.
+TEST_CASE("an ownership that was lost is claimed anew") {
+  OwnerFixture fixture;
+  const std::uint64_t epoch = fixture.duty.revision();
+  fixture.duty.Lose(fixture.now, "the store has not confirmed the ownership in time");
+  fixture.duty.Tick(fixture.now);
+  fixture.store.Deliver(fixture.now);
+  CHECK_FALSE(fixture.duty.owned());
+  CHECK(fixture.duty.is_earlier_self());
+  fixture.duty.Claim(fixture.now);
+  fixture.store.Deliver(fixture.now);
+  CHECK(fixture.duty.owned());
+  CHECK(fixture.duty.revision() > epoch);
+}
+
 // Guards against an answer before the job is stored: the job would be lost with its owner.
 TEST_CASE("a submission is answered only once it is stored") {
   OwnerFixture fixture;
