Acknowledge an end only after all changes of its job are stored

The end was acknowledged at once, since it changed nothing by itself; then all daemons lost power, the next owner found the job active and started the task again.

Change: an end waits for every change of its job that is not stored.

Ruled out: lost progress: the store had refused all transactions since 31 s.

--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -220,13 +220,14 @@
       worker->failure_streak = 0;
       if (state != nullptr && !task.spec().long_running && !IsFinal(task.job->state)) {
         TaskDone(now, task);
-        change = task.job->change;
       }
     } else if (end.kind == EndKind::kFailed && state != nullptr && !state->done &&
                !IsFinal(task.job->state)) {
       TaskFailed(now, worker, task, end.run);
-      change = task.job->change;
     }
+    // An end also waits for a change that was there before, such as a cancellation: without it the
+    // next owner would start the task again.
+    change = keep->change;
   }
   worker->pending_ends.push_back({end.number, change});
 }
--- /dev/null
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -0,0 +1,123 @@
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "cranberryplank/scheduler/scheduler.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// Keeps the orders that the scheduler gives.
+class RecordingLink : public WorkerLink {
+ public:
+  void Hold(const WorkerInfo&, const HoldOrder& order) override { holds.push_back(order); }
+  void Start(const WorkerInfo&, const StartOrder& order) override { starts.push_back(order); }
+  void Stop(const WorkerInfo&, const StopOrder&) override {}
+  void Pace(const WorkerInfo&, const PaceOrder&) override {}
+  void Advise(const AdviceOrder&) override {}
+
+  std::vector<HoldOrder> holds;
+  std::vector<StartOrder> starts;
+};
+
+struct AcknowledgementFixture {
+  RecordingLink link;
+  Scheduler scheduler{SchedulerSettings{}, &link};
+  TimePoint now{std::chrono::seconds(100)};
+  int clock_ms = 1'000;
+
+  AcknowledgementFixture() {
+    ClusterConfig config;
+    QueueConfig queue;
+    queue.name = "queue";
+    queue.pool = "pool";
+    queue.max_attempts = 3;
+    config.queues.push_back(queue);
+    config.pools["pool"] = {"pool", false, false};
+    scheduler.SetConfig(At(), std::make_shared<const ClusterConfig>(config));
+    WorkerInfo info;
+    info.id = "worker";
+    info.pool = "pool";
+    info.capacity = {8'000, 8'000, 0};
+    scheduler.SetWorker(At(), info);
+    Takeover takeover;
+    takeover.epoch = 5;
+    scheduler.Begin(At(), takeover);
+    Store();
+    Tick();
+    Answer({}, {});
+    JobSpec spec;
+    spec.id = "job";
+    spec.queue = "queue";
+    spec.pool = "pool";
+    StepSpec step;
+    step.count = 1;
+    step.per_task = {1'000, 100, 0};
+    step.estimate_ms = 500;
+    spec.steps.push_back(step);
+    scheduler.Submit(At(), spec, [](bool) {});
+    Store();
+    Tick();
+  }
+
+  Now At() const { return {now, 1'000'000}; }
+
+  void Tick() {
+    now += Duration(200);
+    clock_ms += 200;
+    scheduler.SetAuthority(now + Duration(8'000));
+    scheduler.Tick(At());
+  }
+
+  void Store() {
+    if (const auto workers = scheduler.WorkersToRecord()) {
+      scheduler.OnWorkersRecorded(*workers);
+    }
+    scheduler.OnStored(At(), scheduler.CollectChanges(29));
+  }
+
+  void Answer(std::vector<ListedRun> running, std::vector<ListedEnd> ended) {
+    HoldReply reply;
+    reply.call = link.holds.back().call;
+    reply.outcome = CallOutcome::kOk;
+    reply.clock_ms = clock_ms;
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    scheduler.OnHold(now, "worker", reply);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("an end is acknowledged only once it is stored") {
+  AcknowledgementFixture fixture;
+  REQUIRE(fixture.link.starts.size() == 1);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.Tick();
+  fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.holds.back().acknowledged == 0);
+  fixture.Store();
+  fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.holds.back().acknowledged == 1);
+}
+
+// Guards against an end that is acknowledged while the cancellation of its job is not stored: the
+// next owner found the job active and started the task again (onds-fes, trouble-1: TWICE).
+TEST_CASE("the end of a cancelled job's task waits for the cancellation") {
+  AcknowledgementFixture fixture;
+  REQUIRE(fixture.link.starts.size() == 1);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.scheduler.Cancel(fixture.At(), "job", [](bool) {});
+  fixture.Tick();
+  fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.holds.back().acknowledged == 0);
+  fixture.Store();
+  fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.holds.back().acknowledged == 1);
+}
+
+}  // namespace cranberryplank
