--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const TimePoint kNow{std::chrono::seconds(100)};
+constexpr TimePoint kNow{std::chrono::seconds(100)};
 
 OrderInput InputOf(const std::string& id, Duration due_ago, Duration chain) {
   OrderInput input;
--- a/packages/scheduler/tests/scheduler_random_test.cc
+++ b/packages/scheduler/tests/scheduler_random_test.cc
@@ -15,7 +15,7 @@
 constexpr Duration kFaultyTime{40'000};
 constexpr Duration kQuietTime{40'000};
 constexpr int kWorkers = 4;
-const Resources kCapacity{16'000, 32'000, 0};
+constexpr Resources kCapacity{16'000, 32'000, 0};
 
 std::shared_ptr<const ClusterConfig> TestConfig() {
   ClusterConfig config;
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYPLANK_SCHEDULER_TESTS_SIMULATED_WORKERS_H_
 #define CRANBERRYPLANK_SCHEDULER_TESTS_SIMULATED_WORKERS_H_
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -94,8 +96,8 @@
 
   /// Carries out an order, with the faults set. @param carry_out does it and returns the delivery
   /// of the answer, @param no_answer reports that there is none.
-  void Deliver(const std::string& id, std::function<std::function<void()>()> carry_out,
-               std::function<void()> no_answer, Duration patience) {
+  void Deliver(const std::string& id, const std::function<std::function<void()>()>& carry_out,
+               const std::function<void()>& no_answer, Duration patience) {
     // Orders that are late by seconds do not reach a later life of the worker. Whether the
     // platform's workers refuse them is an open question; docs/platform-design.md.
     const std::int64_t born = m_workers.at(id).info.born_unix_ms;
@@ -222,16 +224,16 @@
       used += run.need;
     }
     if (!used.FitsIn(worker->info.capacity)) {
-      Violate("capacity exceeded by " + name + " on " + worker->info.id);
+      Violate(fmt::format("capacity exceeded by {} on {}", name, worker->info.id));
     }
     for (const auto& [id, other] : m_workers) {
       if (other.up && other.runs.contains(name)) {
-        Violate("second run of " + name + " on " + worker->info.id + ", also on " + id);
+        Violate(fmt::format("second run of {} on {}, also on {}", name, worker->info.id, id));
       }
     }
     if (m_acknowledged_done.contains(name)) {
-      Violate("start after an acknowledged end: " + name + " run " + std::to_string(order.run) +
-              " on " + worker->info.id + " fence " + std::to_string(order.fence));
+      Violate(fmt::format("start after an acknowledged end: {} run {} on {} fence {}", name,
+                          order.run, worker->info.id, order.fence));
     }
     worker->runs[name] = {order.run, kind.need, m_now + kind.time,
                           m_random.Fraction() < kind.fail_share};
