Tell a wave as done by one condition, and compute pool loads once a plan

The loads of all pools were computed once for each wave and once for the moves. A map of the VMs' first pools was never read.

--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -80,11 +80,11 @@
     bool stored = true;  ///< The progress in the store is up to date.
   };
 
-  void ReadList(TimePoint now);
+  void ReadList();
   void OnPage(TimePoint now, const VmPage& page);
   void FinishList(TimePoint now);
-  void PlanWaves(TimePoint now);
-  void PlanPoolMoves(TimePoint now);
+  void PlanWaves(TimePoint now, std::span<const PoolLoad> loads);
+  void PlanPoolMoves(TimePoint now, std::vector<PoolLoad> loads);
   void Advance(TimePoint now);
   void AdvanceOne(TimePoint now, const std::string& vm, Operation* operation);
   void SendOrder(TimePoint now, const std::string& vm, Operation* operation);
@@ -94,9 +94,10 @@
   bool MayOrder(TimePoint now) const;
   bool IsEmpty(const std::string& worker) const;
   int AwayForWave(std::int64_t wave) const;
-  std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave, TimePoint now) const;
+  std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave,
+                                            std::span<const PoolLoad> loads) const;
   void UpdateWave(TimePoint now, Wave* wave);
-  void StoreWave(Wave* wave);
+  void StoreWave(Wave* wave, bool done);
   void OnWaveStored(std::int64_t number, bool done, std::size_t begun);
   std::map<std::string, std::vector<std::string>> MovableVms() const;
 
@@ -106,7 +107,6 @@
   std::map<std::string, ListedVm> m_vms;
   std::map<std::string, ListedVm> m_listing;
   std::map<std::string, TimePoint> m_missing_since;
-  std::map<std::string, std::string> m_home;  ///< Pool in which a VM was first seen.
   bool m_listed = false;
   bool m_list_in_flight = false;
   TimePoint m_list_sent{};
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -84,7 +84,7 @@
   if (!m_list_in_flight && now >= m_next_list) {
     m_listing.clear();
     m_list_sent = now;
-    ReadList(now);
+    ReadList();
   }
   if (!m_listed) {
     return;
@@ -98,14 +98,15 @@
         m_idle_since.erase(id);
       }
     }
-    PlanWaves(now);
-    PlanPoolMoves(now);
+    const std::vector<PoolLoad> loads = m_parts.scheduler->PoolLoads(now);
+    PlanWaves(now, loads);
+    PlanPoolMoves(now, loads);
   }
   Advance(now);
   CloseWorkers();
 }
 
-void VmFleet::ReadList(TimePoint /*now*/) {
+void VmFleet::ReadList() {
   m_list_in_flight = true;
   const std::weak_ptr<int> lifetime = m_lifetime;
   m_parts.machines->List({}, [this, lifetime](TimePoint at, const VmPage& reply) {
@@ -146,7 +147,6 @@
   }
   for (const auto& [id, vm] : m_listing) {
     m_missing_since.erase(id);
-    m_home.try_emplace(id, vm.pool);
   }
   m_vms = std::move(m_listing);
   m_listing.clear();
@@ -167,11 +167,12 @@
   return static_cast<int>(ordered + listed);
 }
 
-std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave, TimePoint now) const {
+std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave,
+                                                   std::span<const PoolLoad> loads) const {
   std::map<std::string, double> pressure;
   std::map<std::string, int> sizes;
   std::map<std::string, int> away;
-  for (const PoolLoad& load : m_parts.scheduler->PoolLoads(now)) {
+  for (const PoolLoad& load : loads) {
     pressure[load.pool] = load.backlog_core_s;
   }
   for (const auto& [id, vm] : m_vms) {
@@ -210,7 +211,7 @@
   return candidates;
 }
 
-void VmFleet::PlanWaves(TimePoint now) {
+void VmFleet::PlanWaves(TimePoint now, std::span<const PoolLoad> loads) {
   for (auto& [number, wave] : m_waves) {
     if (wave.request.vms.empty()) {
       continue;
@@ -223,7 +224,7 @@
     view.max_at_once = wave.request.max_at_once;
     view.away = AwayForWave(number);
     view.time_left = std::chrono::duration_cast<Duration>(wave.seen + wave.request.within - now);
-    const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, now);
+    const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, loads);
     view.remaining = static_cast<int>(candidates.size());
     for (const std::string& vm : ChooseUpkeep(view, candidates)) {
       Operation operation;
@@ -251,16 +252,12 @@
       });
   const bool tell = (!wave->running_told && !done) || (done && !wave->done_told);
   if ((tell || !wave->stored) && !m_storing) {
-    StoreWave(wave);
+    StoreWave(wave, done);
   }
 }
 
-void VmFleet::StoreWave(Wave* wave) {
+void VmFleet::StoreWave(Wave* wave, bool done) {
   const std::int64_t number = wave->request.number;
-  const bool done =
-      std::all_of(wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
-        return wave->begun.contains(vm) || wave->given_up.contains(vm) || !m_vms.contains(vm);
-      });
   m_storing = true;
   const std::size_t stored = wave->begun.size();
   const std::weak_ptr<int> lifetime = m_lifetime;
@@ -306,11 +303,10 @@
   return movable;
 }
 
-void VmFleet::PlanPoolMoves(TimePoint now) {
+void VmFleet::PlanPoolMoves(TimePoint now, std::vector<PoolLoad> loads) {
   if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
     return;
   }
-  std::vector<PoolLoad> loads = m_parts.scheduler->PoolLoads(now);
   std::size_t under_way = 0;
   std::map<std::string, int> sizes;
   for (const auto& [id, vm] : m_vms) {
