--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cranberryplank/jobs/job_codec.h"
+#include "cranberryplank/jobs/message_pack.h"
 
 namespace cranberryplank {
 
@@ -10,13 +11,6 @@
 
 using nlohmann::json;
 
-std::string Pack(const json& value) {
-  const std::vector<std::uint8_t> bytes = json::to_msgpack(value);
-  return {bytes.begin(), bytes.end()};
-}
-
-json Unpack(std::string_view bytes) { return json::from_msgpack(bytes.begin(), bytes.end()); }
-
 }  // namespace
 
 std::string_view ToString(OwnerStatus status) {
@@ -38,14 +32,14 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return Pack(json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue,
-                           call.sender, call.config_version,
-                           call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores}));
+  return ToMessagePack(json::array(
+      {static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
+       call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
   try {
-    const json fields = Unpack(bytes);
+    const json fields = FromMessagePack(bytes);
     OwnerCall call;
     call.kind = static_cast<OwnerCallKind>(fields.at(0));
     call.incarnation = fields.at(1);
@@ -68,7 +62,7 @@
 }
 
 std::string EncodeOwnerReply(const OwnerReply& reply) {
-  return Pack(
+  return ToMessagePack(
       json::array({static_cast<int>(reply.status), static_cast<int>(reply.state), reply.waiting,
                    reply.retry_after_ms, reply.config_version, reply.epoch, reply.store_reached,
                    reply.reason, reply.incarnation, reply.strongest_cores}));
@@ -76,7 +70,7 @@
 
 std::optional<OwnerReply> DecodeOwnerReply(std::string_view bytes) {
   try {
-    const json fields = Unpack(bytes);
+    const json fields = FromMessagePack(bytes);
     OwnerReply reply;
     reply.status = static_cast<OwnerStatus>(fields.at(0));
     reply.state = static_cast<JobState>(fields.at(1));
--- a/packages/jobs/src/job_codec.cc
+++ b/packages/jobs/src/job_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cranberryplank/jobs/message_pack.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -11,13 +13,6 @@
 constexpr int kFormatLive = 1;
 constexpr int kFormatEnded = 2;
 
-std::string Pack(const json& value) {
-  const std::vector<std::uint8_t> bytes = json::to_msgpack(value);
-  return {bytes.begin(), bytes.end()};
-}
-
-json Unpack(std::string_view value) { return json::from_msgpack(value.begin(), value.end()); }
-
 json ToJson(const StepSpec& step) {
   const int flags = (step.saves_progress ? 1 : 0) | (step.gang ? 2 : 0) | (step.same_rack ? 4 : 0) |
                     (step.speculative ? 8 : 0) | (step.long_running ? 16 : 0) |
@@ -74,19 +69,19 @@
   for (const StepSpec& step : spec.steps) {
     steps.push_back(ToJson(step));
   }
-  return Pack(
+  return ToMessagePack(
       json::array({kFormatLive, spec.queue, spec.customer, spec.payload, spec.first_due_unix_ms,
                    spec.interval_ms, spec.occurrences, spec.accepted_unix_ms, steps, spec.pool}));
 }
 
 std::string EncodeEndedJob(const EndedJob& job) {
-  return Pack(json::array(
+  return ToMessagePack(json::array(
       {kFormatEnded, job.queue, job.customer, static_cast<int>(job.state), job.finished_unix_ms}));
 }
 
 std::optional<JobRecord> DecodeJob(std::string_view id, std::string_view value) {
   try {
-    const json fields = Unpack(value);
+    const json fields = FromMessagePack(value);
     JobRecord record;
     if (fields.at(0) == kFormatEnded) {
       record.ended =
@@ -112,13 +107,13 @@
   for (const auto& [key, runs] : progress.failures) {
     failures.push_back(json::array({key.first.first, key.first.second, key.second, runs}));
   }
-  return Pack(json::array({static_cast<int>(progress.state), progress.finished_unix_ms,
-                           progress.done_occurrences, done, failures}));
+  return ToMessagePack(json::array({static_cast<int>(progress.state), progress.finished_unix_ms,
+                                    progress.done_occurrences, done, failures}));
 }
 
 std::optional<JobProgress> DecodeProgress(std::string_view value) {
   try {
-    const json fields = Unpack(value);
+    const json fields = FromMessagePack(value);
     JobProgress progress;
     progress.state = static_cast<JobState>(fields.at(0));
     progress.finished_unix_ms = fields.at(1);
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -179,6 +179,8 @@
   void SendHolds(TimePoint now);
   void SendHold(TimePoint now, Worker* worker);
   std::int64_t GrantLease(TimePoint now, Worker* worker) const;
+  /// A worker refused an order for its fence. If that was the newest, another owner acts.
+  void NoteRefusedFence(const Worker& worker, std::uint64_t fence);
   void OnHoldFailed(TimePoint now, Worker* worker, const HoldInFlight& hold, CallOutcome outcome);
   void BeginLife(TimePoint now, Worker* worker, std::int64_t born_unix_ms);
   static void HoldBackRecentStarts(Worker* worker);
@@ -198,7 +200,6 @@
   bool CanMissOneMore(const TaskRef& task) const;
   PlacedRun* AddRun(TimePoint now, Worker* worker, const TaskRef& task, int run);
   void RemoveRun(TimePoint now, Worker* worker, const TaskRef& task);
-  bool HasRunElsewhere(const TaskRef& task) const;
   void TaskDone(TimePoint now, const TaskRef& task);
   void TaskFailed(TimePoint now, Worker* worker, const TaskRef& task, int run);
   void EndJob(TimePoint now, Job* job, JobState state);
@@ -251,6 +252,7 @@
   TimePoint m_unheard_bound{};
   TimePoint m_last_schedule{};
   TimePoint m_last_watch{};
+  TimePoint m_last_cleanup{};
   std::int64_t m_unix_ms = 0;
   SchedulerCounters m_counters;
 };
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -19,6 +19,7 @@
 constexpr Duration kLeaseMargin{150};
 /// Records of ended jobs are kept a little longer than promised.
 constexpr Duration kRetentionMargin{10'000};
+constexpr Duration kCleanupInterval{1'000};
 
 }  // namespace
 
@@ -263,6 +264,10 @@
 }
 
 void Scheduler::RemoveOldJobs(Now now) {
+  if (now.time - m_last_cleanup < kCleanupInterval) {
+    return;
+  }
+  m_last_cleanup = now.time;
   const std::int64_t oldest = now.unix_ms - (m_settings.retention + kRetentionMargin).count();
   std::vector<Job*> old;
   for (const auto& [id, job] : m_jobs.jobs()) {
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -122,17 +122,22 @@
   m_schedule_needed = true;
 }
 
+void Scheduler::NoteRefusedFence(const Worker& worker, std::uint64_t fence) {
+  if (fence != worker.fence) {
+    return;
+  }
+  LogLine(LogLevel::kWarning, "fenced")
+      .Field("worker", worker.info.id)
+      .Field("fence", fence)
+      .Field("epoch", m_epoch);
+  m_fenced = true;
+}
+
 void Scheduler::OnHoldFailed(TimePoint now, Worker* worker, const HoldInFlight& hold,
                              CallOutcome outcome) {
   ++m_counters.failed_holds;
   if (outcome == CallOutcome::kFenced) {
-    if (hold.fence == worker->fence) {
-      LogLine(LogLevel::kWarning, "fenced")
-          .Field("worker", worker->info.id)
-          .Field("fence", hold.fence)
-          .Field("epoch", m_epoch);
-      m_fenced = true;
-    }
+    NoteRefusedFence(*worker, hold.fence);
     return;
   }
   if (worker->failed_holds == 0) {
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -255,10 +255,7 @@
   Duration retry = kRetryAfterRefusal;
   switch (outcome) {
     case CallOutcome::kFenced:
-      if (order.fence == worker->fence) {
-        LogLine(LogLevel::kWarning, "fenced").Field("worker", worker->info.id);
-        m_fenced = true;
-      }
+      NoteRefusedFence(*worker, order.fence);
       retry = Duration(0);
       break;
     case CallOutcome::kStaleRun:
@@ -295,8 +292,8 @@
       .Field("run", order.run)
       .Field("worker", id)
       .Field("outcome", ToString(reply.outcome));
-  if (reply.outcome == CallOutcome::kFenced && order.fence == worker->fence) {
-    m_fenced = true;
+  if (reply.outcome == CallOutcome::kFenced) {
+    NoteRefusedFence(*worker, order.fence);
   }
   worker->next_hold = std::min(worker->next_hold, now);
 }
