--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -41,7 +41,6 @@
  public:
   /// @return nothing, with `last_reason()` set, if the text is not valid
   std::optional<JobSettings> ReadText(std::string_view text);
-  std::optional<JobSettings> ReadFile(const std::string& path);
   const std::string& last_reason() const { return m_last_reason; }
 
  private:
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -2,9 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <sstream>
-
 #include "cranberryplank/daemon/settings_table.h"
 
 namespace cranberryplank {
@@ -83,15 +80,4 @@
   return settings;
 }
 
-std::optional<JobSettings> JobSettingsReader::ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    m_last_reason = fmt::format("{}: cannot be read\n", path);
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ReadText(text.str());
-}
-
 }  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -28,7 +28,6 @@
   std::string saved;          ///< Newest saved progress; empty if there is none.
   std::string failed_worker;  ///< Worker of the last run that did not end well.
   TimePoint retry_at{};       ///< Not started before this time.
-  TimePoint absent_since{};   ///< Since when a long-running task has not been at work.
   bool at_work = false;       ///< For a long-running task: its start-up is over.
 };
 
@@ -72,7 +71,6 @@
   std::vector<std::function<void(bool stored)>> on_stored;
 
   bool StepReady(const OccurrenceState& occurrence, std::size_t step) const;
-  bool HasWaitingTasks() const;
   JobProgress Progress() const;
 };
 
--- a/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
@@ -22,7 +22,6 @@
   double waiting_cores = 0;       ///< Asked for by tasks that could start now.
   double backlog_core_s = 0;      ///< Work of accepted jobs that has not been done.
   double arriving_cores = 0;      ///< Work that arrives, in cores, over the last moments.
-  double expected_cores = 0;      ///< Work expected to arrive while a move takes place, in cores.
 };
 
 /// Number of VMs that a pool should have now.
@@ -42,7 +41,7 @@
 std::vector<PlannedMove> PlanMoves(std::span<const PoolLoad> loads,
                                    const std::map<std::string, int>& movable);
 
-/// Follows the work that arrives for a pool, and learns when its peaks come.
+/// Follows the work that arrives for a pool.
 class ArrivalRate {
  public:
   /// Notes work that arrived, in core-seconds.
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -40,7 +40,6 @@
   std::int64_t usage = 0;
   int pace = 100;  ///< Share ordered.
   TimePoint paced_at{};
-  TimePoint over_target_since{};
 };
 
 /// A sample of a worker's steady clock.
@@ -73,9 +72,7 @@
   std::int64_t lease_until_ms = 0;  ///< Newest deadline given, on the worker's clock.
   TimePoint lease_bound{};          ///< All that runs there has ended by then, heard or not.
   std::map<std::uint64_t, HoldInFlight> holds;
-  TimePoint last_hold_sent{};
   TimePoint next_hold{};
-  TimePoint last_reply{};
   TimePoint last_list_sent{};  ///< Sending time of the newest hold whose list was applied.
   TimePoint last_removed{};    ///< When a run was last found to have ended.
   int failed_holds = 0;
@@ -101,6 +98,9 @@
 /// than the clock's drift since the sample.
 std::int64_t EstimateClockMs(const ClockSample& sample, TimePoint now);
 
+/// Longest time, on this daemon's clock, that `worker_time` on a slow worker's clock takes.
+Duration LongestTimeOf(Duration worker_time);
+
 /// Returns a time at which the worker's clock has certainly reached `worker_ms`, allowing for a
 /// slow clock.
 TimePoint LatestTimeOf(const ClockSample& sample, std::int64_t worker_ms);
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -19,17 +19,6 @@
   });
 }
 
-bool Job::HasWaitingTasks() const {
-  for (const auto& [number, occurrence] : open) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      if (occurrence.steps[i].waiting() > 0 && StepReady(occurrence, i)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 JobProgress Job::Progress() const {
   JobProgress progress;
   progress.state = state;
@@ -181,9 +170,6 @@
   for (const StepSpec& step : job->spec.steps) {
     StepState steps;
     steps.tasks.resize(static_cast<std::size_t>(step.count));
-    for (TaskState& task : steps.tasks) {
-      task.absent_since = now;
-    }
     state.steps.push_back(std::move(steps));
   }
   job->open.emplace(occurrence, std::move(state));
--- a/packages/scheduler/src/pool_planner.cc
+++ b/packages/scheduler/src/pool_planner.cc
@@ -18,8 +18,7 @@
 
 int WantedVms(const PoolLoad& load) {
   const double cores = std::max(load.vm_cores, 1.0) * kUsablePart;
-  const double arriving = std::max(load.arriving_cores, load.expected_cores);
-  const double batch = std::max(load.running_cores + load.waiting_cores, arriving);
+  const double batch = std::max(load.running_cores + load.waiting_cores, load.arriving_cores);
   const int needed =
       static_cast<int>(std::ceil((load.long_running_cores + batch) / cores)) + kSpareVms;
   return std::max(needed, load.long_running_vms);
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -14,8 +14,6 @@
 /// Run numbers of a later owner are above those of all earlier ones.
 constexpr int kRunsPerGeneration = 1'000;
 constexpr Duration kScheduleInterval{100};
-/// Workers' steady clocks may run 2% slow; 3% leaves room for rounding.
-constexpr double kSlowClockFactor = 1.03;
 constexpr Duration kLeaseMargin{150};
 /// Records of ended jobs are kept a little longer than promised.
 constexpr Duration kRetentionMargin{10'000};
@@ -80,8 +78,7 @@
 }
 
 Duration Scheduler::LongestLease() const {
-  const auto lease = static_cast<double>(std::min(m_settings.lease, m_settings.max_lease).count());
-  return Duration(static_cast<Duration::rep>(lease * kSlowClockFactor)) + kLeaseMargin;
+  return LongestTimeOf(std::min(m_settings.lease, m_settings.max_lease)) + kLeaseMargin;
 }
 
 const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -63,7 +63,6 @@
     order.wait = m_settings.hold_wait;
   }
   worker->holds[order.call] = {now, order.fence, order.acknowledged};
-  worker->last_hold_sent = now;
   worker->acknowledged_sent = worker->acknowledged;
   ++m_counters.holds;
   m_link->Hold(worker->info, order);
@@ -100,7 +99,6 @@
   if (hold.acknowledged <= worker->acknowledged) {
     worker->acknowledged_there = std::max(worker->acknowledged_there, hold.acknowledged);
   }
-  worker->last_reply = now;
   worker->clock = {reply.clock_ms, now, true};
   if (!worker->heard && hold.fence >= worker->fence) {
     // Orders of earlier owners are refused from now on: no lease is longer than one given just now.
@@ -326,7 +324,6 @@
   const bool at_work = listed.percent >= 100 && !run->stopping;
   if (task.spec().long_running && at_work != state->at_work) {
     state->at_work = at_work;
-    state->absent_since = now;
   }
 }
 
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -60,10 +60,7 @@
   worker->runs.erase(it);
   worker->last_removed = now;
   if (TaskState* state = task.state(); state != nullptr && !state->done) {
-    if (state->at_work) {
-      state->at_work = false;
-      state->absent_since = now;
-    }
+    state->at_work = false;
     if (--state->placed == 0) {
       --task.step_state()->placed;
     }
--- a/packages/scheduler/src/worker_table.cc
+++ b/packages/scheduler/src/worker_table.cc
@@ -16,9 +16,14 @@
   return sample.clock_ms + std::chrono::duration_cast<Duration>(now - sample.at).count();
 }
 
+Duration LongestTimeOf(Duration worker_time) {
+  const auto slow = static_cast<double>(worker_time.count()) * kSlowClockFactor;
+  return Duration(static_cast<Duration::rep>(slow));
+}
+
 TimePoint LatestTimeOf(const ClockSample& sample, std::int64_t worker_ms) {
-  const auto ahead = static_cast<double>(std::max<std::int64_t>(worker_ms - sample.clock_ms, 0));
-  return sample.at + Duration(static_cast<std::int64_t>(ahead * kSlowClockFactor)) + kClockMargin;
+  const Duration ahead{std::max<std::int64_t>(worker_ms - sample.clock_ms, 0)};
+  return sample.at + LongestTimeOf(ahead) + kClockMargin;
 }
 
 }  // namespace cranberryplank
