Tell which process of a process test ended early, and how

Cause: process: store_outage failed once because a process of the test had ended before it was to be stopped; the log of that run did not tell which. Change: the shell that starts a process records its exit status, and cluster_signal prints it with the end of the log. Ruled out: SIGPIPE in the fakes. A fake answered a blocking query whose client had closed the connection; strace shows that evhttp drops the connection before it writes, so no signal is raised. Conclusion: the cause stays unknown; the next failure names it.

--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -28,9 +28,18 @@
 cluster_spawn() {
   local name=$1
   shift
-  "$@" >>"$CLUSTER_DIR/$name.log" 2>&1 &
-  CLUSTER_PIDS[$name]=$!
+  rm -f "$CLUSTER_DIR/$name.pid"
+  # The shell that starts the process records how it ended.
+  {
+    local status=0
+    "$@" >>"$CLUSTER_DIR/$name.log" 2>&1 &
+    echo $! >"$CLUSTER_DIR/$name.pid"
+    wait $! || status=$?
+    [ -e "$CLUSTER_DIR/stopping" ] || echo "exit status $status at $(date +%T)" >"$CLUSTER_DIR/$name.end"
+  } 2>/dev/null &
   disown $!  # Keeps the shell from reporting its end.
+  until [ -s "$CLUSTER_DIR/$name.pid" ]; do sleep 0.01; done
+  CLUSTER_PIDS[$name]=$(cat "$CLUSTER_DIR/$name.pid")
 }
 
 cluster_start_platform() {
@@ -158,8 +167,13 @@
     "{\"service\":\"cranberryplankd\",\"id\":\"$1\",\"action\":\"remove\"}" >/dev/null
 }
 
-# cluster_signal NAME SIGNAL
-cluster_signal() { kill "-$2" "${CLUSTER_PIDS[$1]}"; }
+# cluster_signal NAME SIGNAL: names the process and prints its log if it has ended.
+cluster_signal() {
+  kill "-$2" "${CLUSTER_PIDS[$1]}" && return
+  echo "signal $2: the process $1 has ended: $(cat "$CLUSTER_DIR/$1.end" 2>/dev/null)"
+  tail -n 40 "$CLUSTER_DIR/$1.log"
+  return 1
+}
 
 # cluster_end NAME SECONDS: asks a daemon to stop; fails unless it ends its planned stop in time.
 cluster_end() {
@@ -177,9 +191,13 @@
 # cluster_stop: ends what still runs and removes the work folder.
 cluster_stop() {
   local name
+  touch "$CLUSTER_DIR/stopping"
   for name in "${!CLUSTER_PIDS[@]}"; do
     kill -CONT "${CLUSTER_PIDS[$name]}" 2>/dev/null || true
     kill -KILL "${CLUSTER_PIDS[$name]}" 2>/dev/null || true
   done
-  [ -n "${CLUSTER_KEEP:-}" ] && echo "logs kept in $CLUSTER_DIR" || rm -rf "$CLUSTER_DIR"
+  [ -n "${CLUSTER_KEEP:-}" ] && echo "logs kept in $CLUSTER_DIR" || cluster_remove_folder
 }
+
+# A process that ended on its own just now may still write to the folder.
+cluster_remove_folder() { rm -rf "$CLUSTER_DIR" 2>/dev/null || { sleep 1 && rm -rf "$CLUSTER_DIR"; }; }
