Count a run listed beside an end before anything is started there

Cause: a list was set aside when a run had been found to have ended after its hold was sent. Change: whether a list may be outdated is told before its own ends are applied, and an outdated list that names an unknown run keeps the worker from being used until a newer one. Acknowledgements are released for the worker that answered only, not for all at each answer. The new test fails without the change (3 starts, not 2).

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -193,6 +193,7 @@
   void StopStray(TimePoint now, Worker* worker, const ListedRun& listed);
   void LoseRuns(TimePoint now, Worker* worker, std::string_view reason);
   void ReleaseAcknowledged(TimePoint now);
+  static void ReleaseAcknowledged(TimePoint now, Worker* worker, std::uint64_t stored);
   void ExpireWorkers(TimePoint now);
   void UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task, const ListedRun& listed);
 
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -53,6 +53,7 @@
   TimePoint sent{};
   std::uint64_t fence = 0;
   std::uint64_t acknowledged = 0;
+  bool overtaken = false;  ///< A run was found to have ended after the hold was sent.
 };
 
 /// An end whose acknowledgement waits until the change it caused is stored.
@@ -76,7 +77,7 @@
   TimePoint last_list_sent{};  ///< Sending time of the newest hold whose list was applied.
   TimePoint last_removed{};    ///< When a run was last found to have ended.
   int failed_holds = 0;
-  bool strays = false;  ///< The newest list named runs that are not wanted.
+  bool strays = false;  ///< The newest list named runs that are not counted in `used`.
   std::uint64_t last_end = 0;
   std::uint64_t acknowledged = 0;
   std::uint64_t acknowledged_sent = 0;
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -77,7 +77,7 @@
   if (sent == worker->holds.end()) {
     return;
   }
-  const HoldInFlight hold = sent->second;
+  HoldInFlight hold = sent->second;
   worker->holds.erase(sent);
   if (!m_active) {
     return;
@@ -106,13 +106,15 @@
     worker->lease_bound = now + LongestLease();
     m_unheard.erase(id);
   }
+  // An end in this answer is no older than its list; one found before it may be newer.
+  hold.overtaken = worker->last_removed > hold.sent;
   ApplyEnds(now, worker, reply);
   if (hold.sent >= worker->last_list_sent) {
     worker->strays = false;
     worker->last_list_sent = hold.sent;
     ApplyList(now, worker, hold, reply);
   }
-  ReleaseAcknowledged(now);
+  ReleaseAcknowledged(now, worker, m_jobs.StoredUpTo());
   worker->next_hold = worker->pending_ends.empty() ? now : now + kUnstoredEndsWait;
   if (worker->strays) {
     worker->next_hold = now + kStrayLookInterval;
@@ -283,8 +285,10 @@
     }
     return;
   }
-  if (worker->last_removed > hold.sent) {
-    return;  // The list may be older than the end that removed the run.
+  if (hold.overtaken) {
+    // Whether the run has ended is not known: nothing is started beside it until a newer list.
+    worker->strays = true;
+    return;
   }
   TaskState* state = task.state();
   const bool wanted = state != nullptr && !state->done && !IsFinal(task.job->state);
@@ -377,14 +381,18 @@
 void Scheduler::ReleaseAcknowledged(TimePoint now) {
   const std::uint64_t stored = m_jobs.StoredUpTo();
   for (auto& [id, worker] : m_workers) {
-    while (!worker.pending_ends.empty() && worker.pending_ends.front().change <= stored) {
-      worker.acknowledged = worker.pending_ends.front().number;
-      worker.pending_ends.pop_front();
-    }
-    if (worker.pending_ends.empty() && worker.acknowledged > worker.acknowledged_sent &&
-        worker.failed_holds == 0) {
-      worker.next_hold = std::min(worker.next_hold, now);
-    }
+    ReleaseAcknowledged(now, &worker, stored);
+  }
+}
+
+void Scheduler::ReleaseAcknowledged(TimePoint now, Worker* worker, std::uint64_t stored) {
+  while (!worker->pending_ends.empty() && worker->pending_ends.front().change <= stored) {
+    worker->acknowledged = worker->pending_ends.front().number;
+    worker->pending_ends.pop_front();
+  }
+  if (worker->pending_ends.empty() && worker->acknowledged > worker->acknowledged_sent &&
+      worker->failed_holds == 0) {
+    worker->next_hold = std::min(worker->next_hold, now);
   }
 }
 
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -46,8 +46,14 @@
     Store();
     Tick();
     Answer({}, {});
+    SubmitJob("job");
+    Tick();
+  }
+
+  /// Submits a job with one task.
+  void SubmitJob(const std::string& id) {
     JobSpec spec;
-    spec.id = "job";
+    spec.id = id;
     spec.queue = "queue";
     spec.pool = "pool";
     StepSpec step;
@@ -57,7 +63,6 @@
     spec.steps.push_back(step);
     scheduler.Submit(At(), spec, [](bool) {});
     Store();
-    Tick();
   }
 
   Now At() const { return {now, 1'000'000}; }
@@ -83,6 +88,7 @@
     reply.clock_ms = clock_ms;
     reply.running = std::move(running);
     reply.ended = std::move(ended);
+    now += Duration(5);
     scheduler.OnHold(now, "worker", reply);
   }
 };
@@ -120,4 +126,27 @@
   CHECK(fixture.link.holds.back().acknowledged == 1);
 }
 
+// Guards against a list that is set aside because an end in the same answer was applied before it:
+// the scheduler then started tasks beside a run that it did not count (grown onds-fes, trouble-3:
+// LIMIT).
+TEST_CASE("a run of an ended job listed beside an end holds back further starts") {
+  AcknowledgementFixture fixture;
+  REQUIRE(fixture.link.starts.size() == 1);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.SubmitJob("other");
+  fixture.Tick();
+  REQUIRE(fixture.link.starts.size() == 2);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[1], {CallOutcome::kOk, 0});
+  fixture.scheduler.Cancel(fixture.At(), "job", [](bool) {});
+  fixture.Tick();
+  fixture.Answer({{"other.0.0.0", 1, "", 0, 0}}, {{1, "job.0.0.0", 1, EndKind::kStopped, ""}});
+  fixture.Store();
+  fixture.Tick();
+  // A run of the ended job that an earlier owner started is listed beside an end.
+  fixture.Answer({{"job.0.0.0", 2, "", 0, 0}}, {{2, "other.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.SubmitJob("next");
+  fixture.Tick();
+  CHECK(fixture.link.starts.size() == 2);
+}
+
 }  // namespace cranberryplank
