Make the owner's turns cheaper under thousands of ends a second

Change: VMs' moves and upkeep advance every 50 ms; runs of a step are found by their order; candidates refer to names; workers without runs to stop are passed over.

--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -117,6 +117,7 @@
   std::uint64_t m_last_token = 0;
   bool m_storing = false;
   TimePoint m_next_plan{};
+  TimePoint m_next_advance{};
   TimePoint m_next_log{};
   std::uint64_t m_moves = 0;
   std::uint64_t m_upkeeps = 0;
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -17,6 +17,8 @@
 constexpr Duration kListInterval{1'000};
 constexpr Duration kListRetry{400};
 constexpr Duration kPlanInterval{100};
+/// A large wave on many VMs is too much work for each turn of the loop.
+constexpr Duration kAdvanceInterval{50};
 constexpr Duration kOrderRetry{300};
 /// A VM that is missing from the list for this long has left.
 constexpr Duration kMissingBound{3'000};
@@ -102,8 +104,11 @@
     PlanWaves(now, loads);
     PlanPoolMoves(now, loads);
   }
-  Advance(now);
-  CloseWorkers();
+  if (now >= m_next_advance) {
+    m_next_advance = now + kAdvanceInterval;
+    Advance(now);
+    CloseWorkers();
+  }
 }
 
 void VmFleet::ReadList() {
--- a/packages/scheduler/include/cranberryplank/scheduler/placement.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/placement.h
@@ -2,7 +2,6 @@
 #define CRANBERRYPLANK_SCHEDULER_PLACEMENT_H_
 
 #include <span>
-#include <string>
 #include <vector>
 
 #include "cranberryplank/jobs/job.h"
@@ -11,8 +10,8 @@
 
 /// A worker that may take a task, as far as its state, its label and its ticket go.
 struct PlacementCandidate {
-  std::string id;
-  std::string rack;
+  std::string_view id;
+  std::string_view rack;
   Resources capacity;
   Resources free;
   int runs_of_step = 0;  ///< Tasks of the same step of the same occurrence there.
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <ranges>
 #include <string>
 #include <string_view>
 
@@ -91,8 +92,12 @@
   int serving_runs = 0;  ///< Runs with a latency target.
   int filler_runs = 0;   ///< Runs that use leftover CPU.
   int long_running_runs = 0;
+  int stopping_runs = 0;  ///< Runs that have been told to stop.
 
   Resources free() const { return info.capacity - used; }
+  /// Runs of the step that `step` names; its index is not used.
+  std::ranges::subrange<std::map<TaskRef, PlacedRun>::const_iterator> RunsOfStep(
+      const TaskRef& step) const;
 };
 
 /// Estimates the worker's clock at `now`. The estimate is never ahead of the true value by more
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -65,16 +65,13 @@
 }
 
 int RunsOfStep(const Worker& worker, const TaskRef& step) {
-  return static_cast<int>(
-      std::count_if(worker.runs.begin(), worker.runs.end(), [&](const auto& item) {
-        const TaskRef& task = item.first;
-        return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
-      }));
+  return static_cast<int>(std::ranges::distance(worker.RunsOfStep(step)));
 }
 
 std::vector<PlacementCandidate> CandidatesOf(TimePoint now, std::span<Worker* const> workers,
                                              const TaskRef& step) {
   std::vector<PlacementCandidate> candidates;
+  candidates.reserve(workers.size());
   for (const Worker* worker : workers) {
     PlacementCandidate candidate;
     candidate.id = worker->info.id;
@@ -86,7 +83,7 @@
     candidate.filler_runs = worker->filler_runs;
     candidate.long_running_runs = worker->long_running_runs;
     candidate.suspect = now < worker->avoid_until;
-    candidates.push_back(std::move(candidate));
+    candidates.push_back(candidate);
   }
   return candidates;
 }
@@ -102,13 +99,13 @@
 
 /// Rack for the tasks of a step that are slower when they span racks: the one with most free CPU.
 std::string RoomiestRack(std::span<const PlacementCandidate> candidates) {
-  std::map<std::string, std::int64_t> free;
+  std::map<std::string_view, std::int64_t> free;
   for (const PlacementCandidate& candidate : candidates) {
     free[candidate.rack] += candidate.free.cpu_millis;
   }
   const auto best = std::max_element(
       free.begin(), free.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-  return best == free.end() ? std::string() : best->first;
+  return best == free.end() ? std::string() : std::string(best->first);
 }
 
 /// Rack of a run of the step that is placed already, or an empty string.
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -45,13 +45,12 @@
 bool Scheduler::CanMissOneMore(const TaskRef& task) const {
   std::set<int> at_work;
   for (const auto& [id, worker] : m_workers) {
-    if (worker.failed_holds > 0) {
+    if (worker.failed_holds > 0 || worker.long_running_runs == 0) {
       continue;
     }
-    for (const auto& [other, run] : worker.runs) {
-      const bool same_step = other.job == task.job && other.occurrence == task.occurrence &&
-                             other.step == task.step && other.index != task.index;
-      if (same_step && !run.stopping && other.state() != nullptr && other.state()->at_work) {
+    for (const auto& [other, run] : worker.RunsOfStep(task)) {
+      const bool counts = other.index != task.index && !run.stopping && other.state() != nullptr;
+      if (counts && other.state()->at_work) {
         at_work.insert(other.index);
       }
     }
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -56,6 +56,7 @@
   worker->filler_runs -= task.spec().uses_leftover_cpu ? 1 : 0;
   worker->long_running_runs -= task.spec().long_running ? 1 : 0;
   m_usage[it->second.customer] -= task.spec().per_task;
+  worker->stopping_runs -= it->second.stopping ? 1 : 0;
   --task.job->placed_runs;
   worker->runs.erase(it);
   worker->last_removed = now;
@@ -152,6 +153,7 @@
                         std::string_view reason) {
   if (!run->stopping) {
     run->stopping = true;
+    ++worker->stopping_runs;
     run->stop_reason = reason;
     LogLine(LogLevel::kInfo, "stop")
         .Field("task", task.Id().Name())
@@ -169,7 +171,7 @@
 
 void Scheduler::SendStops(TimePoint now) {
   for (auto& [id, worker] : m_workers) {
-    if (worker.failed_holds > 0) {
+    if (worker.failed_holds > 0 || worker.stopping_runs == 0) {
       continue;
     }
     for (auto& [task, run] : worker.runs) {
