Begin one ownership for a claim that a read shows before its answer

Cause: a daemon that is asked to take over reads the duty's record and claims. When the store is slow the read can show the claim before its answer comes: the keeper acquired the duty twice under one epoch (log: duty_acquired epoch=1063 twice within 6 ms). Change: an answered claim that is owned already only confirms it, one that was lost since is ignored; the service ends the old schedule before it makes a new one. The new test counts two beginnings without the change.

--- a/packages/entry/include/cranberryplank/entry/duty_keeper.h
+++ b/packages/entry/include/cranberryplank/entry/duty_keeper.h
@@ -87,6 +87,7 @@
  private:
   void OnRecord(TimePoint now, TimePoint sent, const KvItem& item);
   void OnClaim(TimePoint now, TimePoint sent, const DutyRecord& claim, const KvCommitReply& reply);
+  void OnClaimed(TimePoint now, TimePoint sent, const DutyRecord& claim, std::uint64_t revision);
   void Acquire(TimePoint now, TimePoint sent);
 
   KeyValueStore* m_store;
--- a/packages/entry/src/duty_keeper.cc
+++ b/packages/entry/src/duty_keeper.cc
@@ -139,10 +139,7 @@
   LogLine(LogLevel::kInfo, "claim_answered").Field("status", ToString(reply.status));
   if (reply.status == KvStatus::kOk) {
     m_store_answered = std::max(m_store_answered, sent);
-    m_revision = reply.revision;
-    m_record = claim;
-    m_learnt = now;
-    Acquire(now, sent);
+    OnClaimed(now, sent, claim, reply.revision);
   } else if (reply.status == KvStatus::kConflict && !reply.current.empty()) {
     m_store_answered = std::max(m_store_answered, sent);
     OnRecord(now, sent, reply.current.front());
@@ -152,6 +149,21 @@
   }
 }
 
+void DutyKeeper::OnClaimed(TimePoint now, TimePoint sent, const DutyRecord& claim,
+                           std::uint64_t revision) {
+  if (m_owned) {
+    Confirm(sent);  // A read has shown the claim before.
+    return;
+  }
+  if (revision <= m_lost_revision) {
+    return;  // A read has shown it, and it was lost since.
+  }
+  m_revision = revision;
+  m_record = claim;
+  m_learnt = now;
+  Acquire(now, sent);
+}
+
 void DutyKeeper::Acquire(TimePoint now, TimePoint sent) {
   m_owned = true;
   m_abdicated = false;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -176,6 +176,7 @@
   m_owner_ended = false;
   m_claim_at.reset();
   m_asked_to_take_over = false;
+  m_owner.reset();  // Its end would take the workers' answers from the new one.
   m_owner = std::make_unique<ScheduleOwner>(
       ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_duty, m_parts.machines},
       SchedulerSettingsOf(), FleetSettingsOf());
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -96,6 +96,23 @@
   CHECK(fixture.duty.revision() > epoch);
 }
 
+// Guards against an ownership that begins twice when a read shows the claim before its answer
+// comes: the second schedule replaced the first, whose end took the workers' answers away from it
+// (onds-fes, trouble-2: LOST).
+TEST_CASE("a claim that a read shows before its answer begins one ownership") {
+  OwnerFixture fixture;
+  DutyKeeper other(&fixture.store, "duty/schedule", {"vm-2", "127.0.0.1:7001", "incarnation-2", 0});
+  int acquired = 0;
+  other.signal_acquired().connect([&](TimePoint) { ++acquired; });
+  other.Read(fixture.now);
+  fixture.store.Deliver(fixture.now);
+  other.Claim(fixture.now);
+  other.Read(fixture.now);
+  fixture.store.DeliverNewestFirst(fixture.now);
+  CHECK(other.owned());
+  CHECK(acquired == 1);
+}
+
 // Guards against an answer before the job is stored: the job would be lost with its owner.
 TEST_CASE("a submission is answered only once it is stored") {
   OwnerFixture fixture;
--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_ENTRY_TESTS_FAKE_KEY_VALUE_STORE_H_
 #define CRANBERRYPLANK_ENTRY_TESTS_FAKE_KEY_VALUE_STORE_H_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -67,6 +68,12 @@
     Answer([done, reply](TimePoint now) { done(now, reply); });
   }
 
+  /// Delivers the answers as if the later calls had overtaken the earlier ones.
+  void DeliverNewestFirst(TimePoint now) {
+    std::reverse(m_answers.begin(), m_answers.end());
+    Deliver(now);
+  }
+
   void Deliver(TimePoint now) {
     const auto answers = std::move(m_answers);
     m_answers.clear();
