Let a daemon on a slow link finish reading a large configuration

Cause: a daemon that heard of a newer configuration from another read the operators' prefix anew every 200 ms and dropped the read under way. A daemon that knows of a newer version, or whose own is stale, answers 503 and not 404 or 401 where a newer one may say otherwise. Ruled out: processor time (weak daemons log the pings in step all the while). Both parts of the new test fail without the change.

--- a/packages/entry/include/cranberryplank/entry/caller_front.h
+++ b/packages/entry/include/cranberryplank/entry/caller_front.h
@@ -19,16 +19,24 @@
 enum class FrontRefusal {
   kNone,
   kNoConfig,     ///< No configuration is known yet.
-  kStaleConfig,  ///< The configuration is too old to tell whether the key still holds.
+  kStaleConfig,  ///< The configuration is too old to tell whether the key or the route holds.
   kNoSuchQueue,
   kUnknownKey,
 };
 
-/// Decides on a caller's request by route and key alone.
-/// @param config_age since sending the newest call to the store that confirmed the configuration
-/// @param max_age a key may have been withdrawn in a configuration older than this
+/// How well the configuration that a daemon holds is known to be the newest.
+struct ConfigAge {
+  Duration age{0};            ///< Since sending the newest call to the store that confirmed it.
+  Duration max_age{0};        ///< A key may have been withdrawn in a configuration older than this.
+  bool newer_exists = false;  ///< Another daemon has told of a newer version.
+
+  bool stale() const { return age >= max_age; }
+};
+
+/// Decides on a caller's request by route and key alone. A daemon that knows of a newer
+/// configuration does not tell callers that their queue or key is unknown.
 FrontRefusal CheckAccess(const ClusterConfig* config, const QueueConfig* queue,
-                         std::string_view key, Duration config_age, Duration max_age);
+                         std::string_view key, const ConfigAge& age);
 
 /// Answers callers: checks route and key, passes the call to the owner of the schedule, and
 /// follows it through a change of owner.
@@ -39,7 +47,9 @@
 
   CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner);
 
-  void SetMaxConfigAge(Duration age) { m_max_config_age = age; }
+  void SetMaxConfigAge(Duration age) { m_config_age.max_age = age; }
+  /// Tells whether another daemon has a newer configuration than this one.
+  void SetNewerConfigExists(bool exists) { m_config_age.newer_exists = exists; }
   void Handle(Now now, const ClusterConfig* config, TimePoint config_confirmed,
               const std::shared_ptr<ApiExchange>& exchange);
   /// Repeats calls that found no owner. To be called regularly.
@@ -72,7 +82,7 @@
   const PlatformFormat* m_format;
   Metrics* m_metrics;
   CallOwner m_call_owner;
-  Duration m_max_config_age{4'500};
+  ConfigAge m_config_age{Duration(0), Duration(4'500), false};
   bool m_closing = false;
   std::uint64_t m_last_id = 0;
   std::map<std::uint64_t, Pending> m_pending;
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -98,6 +98,8 @@
   std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and acts no more.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
+  std::uint64_t m_newest_config = 0;        ///< Version that another daemon told of.
+  std::optional<TimePoint> m_behind_since;  ///< A newer configuration than the own is known.
   TimePoint m_last_refresh{};
   TimePoint m_callers_checked{};
   ApiServer m_caller_server;
--- a/packages/entry/include/cranberryplank/entry/watched_prefix.h
+++ b/packages/entry/include/cranberryplank/entry/watched_prefix.h
@@ -26,7 +26,7 @@
   /// Starts to follow the prefix; `Stop` ends it. May be started again.
   void Start(TimePoint now);
   void Stop();
-  /// Reads all again, without waiting for the watch.
+  /// Reads all again, without waiting for the watch. A load under way goes on.
   void Refresh(TimePoint now);
   /// To be called regularly: repeats calls that failed.
   void Tick(TimePoint now);
--- a/packages/entry/src/caller_front.cc
+++ b/packages/entry/src/caller_front.cc
@@ -54,7 +54,7 @@
     case FrontRefusal::kNoConfig:
       return "no configuration is known yet";
     case FrontRefusal::kStaleConfig:
-      return "the configuration is too old to check keys";
+      return "the configuration may be out of date";
     case FrontRefusal::kNoSuchQueue:
       return "no such queue";
     case FrontRefusal::kUnknownKey:
@@ -88,20 +88,24 @@
 }  // namespace
 
 FrontRefusal CheckAccess(const ClusterConfig* config, const QueueConfig* queue,
-                         std::string_view key, Duration config_age, Duration max_age) {
+                         std::string_view key, const ConfigAge& age) {
   if (config == nullptr) {
     return FrontRefusal::kNoConfig;
   }
+  const bool may_be_wrong = age.newer_exists || age.stale();
   if (queue == nullptr) {
-    return FrontRefusal::kNoSuchQueue;
+    return may_be_wrong ? FrontRefusal::kStaleConfig : FrontRefusal::kNoSuchQueue;
   }
   if (queue->open_to_all) {
     return FrontRefusal::kNone;
   }
-  if (config_age >= max_age) {
+  if (age.stale()) {
     return FrontRefusal::kStaleConfig;
   }
-  return config->CustomerOfKey(key) == nullptr ? FrontRefusal::kUnknownKey : FrontRefusal::kNone;
+  if (config->CustomerOfKey(key) != nullptr) {
+    return FrontRefusal::kNone;
+  }
+  return may_be_wrong ? FrontRefusal::kStaleConfig : FrontRefusal::kUnknownKey;
 }
 
 CallerFront::CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner)
@@ -113,8 +117,8 @@
   const QueueConfig* queue =
       config == nullptr ? nullptr : config->Route(HostOf(request), request.path);
   const std::string_view key = m_format->KeyOf(request);
-  const Duration age = std::chrono::duration_cast<Duration>(now.time - config_confirmed);
-  const FrontRefusal refusal = CheckAccess(config, queue, key, age, m_max_config_age);
+  m_config_age.age = std::chrono::duration_cast<Duration>(now.time - config_confirmed);
+  const FrontRefusal refusal = CheckAccess(config, queue, key, m_config_age);
   if (refusal != FrontRefusal::kNone) {
     Refuse(now.time, exchange, StatusOf(refusal), ReasonOf(refusal));
     return;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -19,7 +19,8 @@
 constexpr Duration kWeakVmDelay{500};
 constexpr Duration kWeakVmFirstDelay{1'500};  ///< While the fleet starts nothing is lost by it.
 constexpr double kStrongVmCores = 0.5;
-constexpr Duration kRefreshInterval{200};
+constexpr Duration kOwnWatchTime{600};
+constexpr Duration kRefreshInterval{500};
 constexpr Duration kCallerCheckInterval{500};
 /// The platform takes this long to see that a daemon is not ready.
 constexpr Duration kUnreadyTime{2'400};
@@ -148,6 +149,8 @@
       return;
     }
     m_config = std::make_shared<const ClusterConfig>(*config);
+    m_behind_since.reset();
+    m_front.SetNewerConfigExists(m_newest_config > m_config->version);
     LogLine(LogLevel::kInfo, "config")
         .Field("version", m_config->version)
         .Field("revision", item.revision)
@@ -270,12 +273,21 @@
 }
 
 void JobService::NoteConfigVersion(TimePoint now, std::uint64_t version) {
-  const bool behind = m_config && version > m_config->version;
-  if (behind && now - m_last_refresh >= kRefreshInterval) {
-    m_last_refresh = now;
+  if (!m_config || version <= m_config->version) {
+    return;
+  }
+  m_newest_config = std::max(m_newest_config, version);
+  if (!m_behind_since) {
+    m_behind_since = now;
+    m_front.SetNewerConfigExists(true);
     LogLine(LogLevel::kInfo, "config_behind")
         .Field("known", m_config->version)
         .Field("newer", version);
+  }
+  // The own watch is usually about to bring it: a large configuration takes its time on a slow
+  // link.
+  if (now - *m_behind_since >= kOwnWatchTime && now - m_last_refresh >= kRefreshInterval) {
+    m_last_refresh = now;
     m_operators.Refresh(now);
   }
 }
--- a/packages/entry/src/watched_prefix.cc
+++ b/packages/entry/src/watched_prefix.cc
@@ -46,6 +46,9 @@
 }
 
 void WatchedPrefix::Refresh(TimePoint now) {
+  if (m_loading && m_in_flight) {
+    return;  // On a slow link a load that is begun anew again and again would never end.
+  }
   m_lifetime = std::make_shared<Lifetime>();
   m_loading = true;
   m_last_key.clear();
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -194,13 +194,21 @@
   config.queues.push_back(queue);
   config.customers.push_back({"customer", {"key"}, 1, {}});
   const Duration max_age{4'600};
-  CHECK(CheckAccess(nullptr, nullptr, "key", Duration(0), max_age) == FrontRefusal::kNoConfig);
-  CHECK(CheckAccess(&config, nullptr, "key", Duration(0), max_age) == FrontRefusal::kNoSuchQueue);
-  CHECK(CheckAccess(&config, &queue, "key", Duration(0), max_age) == FrontRefusal::kNone);
-  CHECK(CheckAccess(&config, &queue, "other", Duration(0), max_age) == FrontRefusal::kUnknownKey);
-  CHECK(CheckAccess(&config, &queue, "key", max_age, max_age) == FrontRefusal::kStaleConfig);
+  const ConfigAge fresh{Duration(0), max_age, false};
+  const ConfigAge stale{max_age, max_age, false};
+  CHECK(CheckAccess(nullptr, nullptr, "key", fresh) == FrontRefusal::kNoConfig);
+  CHECK(CheckAccess(&config, nullptr, "key", fresh) == FrontRefusal::kNoSuchQueue);
+  CHECK(CheckAccess(&config, &queue, "key", fresh) == FrontRefusal::kNone);
+  CHECK(CheckAccess(&config, &queue, "other", fresh) == FrontRefusal::kUnknownKey);
+  CHECK(CheckAccess(&config, &queue, "key", stale) == FrontRefusal::kStaleConfig);
+  // Guards against a false "no such queue" of a daemon that knows of a newer configuration.
+  const ConfigAge behind{Duration(0), max_age, true};
+  CHECK(CheckAccess(&config, nullptr, "key", behind) == FrontRefusal::kStaleConfig);
+  CHECK(CheckAccess(&config, nullptr, "key", stale) == FrontRefusal::kStaleConfig);
+  CHECK(CheckAccess(&config, &queue, "other", behind) == FrontRefusal::kStaleConfig);
+  CHECK(CheckAccess(&config, &queue, "key", behind) == FrontRefusal::kNone);
   queue.open_to_all = true;
-  CHECK(CheckAccess(&config, &queue, "", max_age, max_age) == FrontRefusal::kNone);
+  CHECK(CheckAccess(&config, &queue, "", stale) == FrontRefusal::kNone);
 }
 
 // Guards against a copy that keeps entries which were removed while the history was lost.
@@ -232,6 +240,21 @@
   CHECK(prefix.confirmed_at() == now);
 }
 
+// Guards against a load that never ends: on a slow link a large configuration takes longer than the
+// time between two refreshes (grown tpnp-shortlist, hunt-53c7-3: CONFIG).
+TEST_CASE("a refresh does not abandon a load under way") {
+  FakeKeyValueStore store;
+  store.Put("op/a", "1");
+  int items = 0;
+  const TimePoint now{std::chrono::seconds(5)};
+  WatchedPrefix prefix(&store, "op/", Duration(1'000), [&](TimePoint, const KvItem&) { ++items; });
+  prefix.Start(now);
+  prefix.Refresh(now + Duration(200));
+  store.DeliverFirst(now + Duration(300));
+  CHECK(items == 1);
+  CHECK(prefix.loaded());
+}
+
 TEST_CASE("messages between daemons survive their encoding") {
   OwnerCall call;
   call.kind = OwnerCallKind::kSubmit;
--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -68,6 +68,13 @@
     Answer([done, reply](TimePoint now) { done(now, reply); });
   }
 
+  /// Delivers the answer to the oldest call alone.
+  void DeliverFirst(TimePoint now) {
+    const auto answer = m_answers.front();
+    m_answers.erase(m_answers.begin());
+    answer(now);
+  }
+
   /// Delivers the answers as if the later calls had overtaken the earlier ones.
   void DeliverNewestFirst(TimePoint now) {
     std::reverse(m_answers.begin(), m_answers.end());
