Read both kinds of settings by one parser

Cause: the job service's settings were parsed by a copy without the refusal of characters on which the TOML library has undefined behaviour, and a misspelt table was passed over. Change: ParseSettings and RefuseUnknownTables stand once, for both readers.

--- a/packages/daemon/include/cranberryplank/daemon/settings_table.h
+++ b/packages/daemon/include/cranberryplank/daemon/settings_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,16 @@
   std::string m_text;
 };
 
+/// Reads the text of a settings file.
+/// @param path shown in the reason
+/// @return nothing, with `reason` set, if it is not valid TOML in ASCII characters
+std::optional<toml::table> ParseSettings(std::string_view text, std::string_view path,
+                                         std::string* reason);
+
+/// Notes tables, and keys outside of tables, that are not among the known ones.
+void RefuseUnknownTables(const toml::table& root, std::span<const std::string_view> known,
+                         ProblemList* problems);
+
 /// Reads the keys of one table and remembers which were asked for.
 class TableReader {
  public:
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -4,9 +4,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iterator>
-#include <set>
 #include <sstream>
 
 #include "cranberryplank/daemon/settings_table.h"
@@ -19,6 +19,8 @@
 constexpr std::int64_t kDayMs = 86'400'000;
 constexpr std::size_t kDigestHexLength = 64;
 constexpr unsigned char kLastAscii = 0x7f;
+constexpr std::array<std::string_view, 5> kTables{"daemon", "listen", "platform", "requests",
+                                                  "operators"};
 
 bool IsIpAddress(const std::string& host) {
   in6_addr address;
@@ -112,16 +114,6 @@
   }
 }
 
-void RefuseUnknownTables(const toml::table& root, ProblemList* problems) {
-  static const std::set<std::string_view> known{"daemon", "listen", "platform", "requests",
-                                                "operators"};
-  for (const auto& [key, node] : root) {
-    if (!known.contains(key.str())) {
-      problems->Add(node.source().begin.line, key.str(), "unknown key");
-    }
-  }
-}
-
 /// Returns the line of the first character that is not ASCII, or nothing. The TOML library has
 /// undefined behaviour on some of them outside of strings, which a fuzz run found.
 std::optional<std::size_t> LineOfFirstNonAscii(std::string_view text) {
@@ -135,6 +127,29 @@
 
 }  // namespace
 
+void RefuseUnknownTables(const toml::table& root, std::span<const std::string_view> known,
+                         ProblemList* problems) {
+  for (const auto& [key, node] : root) {
+    if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
+      problems->Add(node.source().begin.line, key.str(), "unknown key");
+    }
+  }
+}
+
+std::optional<toml::table> ParseSettings(std::string_view text, std::string_view path,
+                                         std::string* reason) {
+  if (const auto line = LineOfFirstNonAscii(text)) {
+    *reason = fmt::format("{}:{}: expected ASCII characters only\n", path, *line);
+    return std::nullopt;
+  }
+  try {
+    return toml::parse(text, path);
+  } catch (const toml::parse_error& error) {
+    *reason = fmt::format("{}:{}: {}\n", path, error.source().begin.line, error.description());
+    return std::nullopt;
+  }
+}
+
 std::optional<Settings> SettingsReader::ReadFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -148,26 +163,18 @@
 
 std::optional<Settings> SettingsReader::ReadText(std::string_view text, std::string_view path) {
   m_last_reason.clear();
-  if (const auto line = LineOfFirstNonAscii(text)) {
-    m_last_reason = fmt::format("{}:{}: expected ASCII characters only\n", path, *line);
-    return std::nullopt;
-  }
-  toml::table root;
-  try {
-    root = toml::parse(text, path);
-  } catch (const toml::parse_error& error) {
-    m_last_reason =
-        fmt::format("{}:{}: {}\n", path, error.source().begin.line, error.description());
+  const auto root = ParseSettings(text, path, &m_last_reason);
+  if (!root) {
     return std::nullopt;
   }
   ProblemList problems(path);
   Settings settings;
-  RefuseUnknownTables(root, &problems);
-  ReadDaemon(root, &problems, &settings);
-  ReadListen(root, &problems, &settings);
-  ReadPlatform(root, &problems, &settings);
-  ReadRequests(root, &problems, &settings);
-  ReadOperators(root, &problems, &settings);
+  RefuseUnknownTables(*root, kTables, &problems);
+  ReadDaemon(*root, &problems, &settings);
+  ReadListen(*root, &problems, &settings);
+  ReadPlatform(*root, &problems, &settings);
+  ReadRequests(*root, &problems, &settings);
+  ReadOperators(*root, &problems, &settings);
   if (!problems.text().empty()) {
     m_last_reason = problems.text();
     return std::nullopt;
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <array>
+#include <string_view>
+
 #include "cranberryplank/daemon/settings_table.h"
 
 namespace cranberryplank {
@@ -11,6 +14,7 @@
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr double kHourSeconds = 3'600;
 constexpr double kMaxCores = 1'000;
+constexpr std::array<std::string_view, 4> kTables{"daemon", "listen", "platform", "bounds"};
 
 void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   TableReader table(root, "listen", problems);
@@ -54,25 +58,23 @@
 
 std::optional<JobSettings> JobSettingsReader::ReadText(std::string_view text) {
   m_last_reason.clear();
-  toml::table root;
-  try {
-    root = toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    m_last_reason = fmt::format("line {}: {}\n", error.source().begin.line, error.description());
+  const auto root = ParseSettings(text, "settings", &m_last_reason);
+  if (!root) {
     return std::nullopt;
   }
   ProblemList problems("settings");
   JobSettings settings;
-  TableReader daemon(root, "daemon", &problems);
+  RefuseUnknownTables(*root, kTables, &problems);
+  TableReader daemon(*root, "daemon", &problems);
   daemon.Text("id", true, &settings.node);
   daemon.Text("zone", true, &settings.zone);
   daemon.Real("cpu_share", 0.001, kMaxCores, &settings.cpu_share);
   daemon.Real("cpu_speed", 0.001, kMaxCores, &settings.cpu_speed);
   daemon.LevelOfLog("log_level", &settings.log_level);
   daemon.RefuseUnknownKeys();
-  ReadListen(root, &problems, &settings);
-  ReadPlatform(root, &problems, &settings);
-  ReadBounds(root, &problems, &settings);
+  ReadListen(*root, &problems, &settings);
+  ReadPlatform(*root, &problems, &settings);
+  ReadBounds(*root, &problems, &settings);
   if (!problems.text().empty()) {
     m_last_reason = problems.text();
     return std::nullopt;
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -296,6 +296,11 @@
   CHECK_FALSE(settings->machines.has_value());
   CHECK_FALSE(reader.ReadText(text + "stop_ms = \"x\"\n").has_value());
   CHECK(reader.last_reason().find("stop_ms") != std::string::npos);
+  // Guards against a misspelt table whose bounds would silently keep their defaults.
+  CHECK_FALSE(reader.ReadText(text + "[bound]\nstop_ms = 1\n").has_value());
+  // Guards against characters on which the TOML library has undefined behaviour.
+  CHECK_FALSE(reader.ReadText(text + "# \xc3\xa9\n").has_value());
+  CHECK(reader.last_reason().find("ASCII") != std::string::npos);
 }
 
 }  // namespace cranberryplank
