Ask idle workers at a bounded rate

Cause: the owner kept a hold open at every worker and repeated it each second. Change: workers on which nothing runs are asked 300 times a second together; a start ends the pause, so that its lease is renewed in time. Up to 300 workers nothing changes. The pings of 300 daemons are the next part to break.

--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -100,6 +100,12 @@
       const TaskRef& step) const;
 };
 
+/// Pause between two holds of a worker on which nothing runs, for the load of thousands of workers:
+/// each answer costs the owner processor time, and an idle worker has little to tell. A start finds
+/// out at once when the worker has gone.
+/// @param wait how long a hold waits at the worker
+Duration IdleHoldPause(std::size_t workers, Duration wait);
+
 /// Estimates the worker's clock at `now`. The estimate is never ahead of the true value by more
 /// than the clock's drift since the sample.
 std::int64_t EstimateClockMs(const ClockSample& sample, TimePoint now);
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -120,6 +120,8 @@
   worker->next_hold = worker->pending_ends.empty() ? now : now + kUnstoredEndsWait;
   if (worker->strays) {
     worker->next_hold = now + kStrayLookInterval;
+  } else if (worker->runs.empty() && worker->pending_ends.empty()) {
+    worker->next_hold = now + IdleHoldPause(m_workers.size(), m_settings.hold_wait);
   }
   m_schedule_needed = true;
 }
--- a/packages/scheduler/src/worker_table.cc
+++ b/packages/scheduler/src/worker_table.cc
@@ -9,9 +9,18 @@
 /// Workers' steady clocks may run 2% slow; 3% leaves room for rounding.
 constexpr double kSlowClockFactor = 1.03;
 constexpr Duration kClockMargin{60};
+/// Workers without runs are asked this often together.
+constexpr double kIdleHoldsPerSecond = 300;
 
 }  // namespace
 
+Duration IdleHoldPause(std::size_t workers, Duration wait) {
+  constexpr double kMillisecondsPerSecond = 1'000;
+  const auto interval = static_cast<Duration::rep>(static_cast<double>(workers) *
+                                                   kMillisecondsPerSecond / kIdleHoldsPerSecond);
+  return std::max(Duration(interval) - wait, Duration(0));
+}
+
 std::int64_t EstimateClockMs(const ClockSample& sample, TimePoint now) {
   return sample.clock_ms + std::chrono::duration_cast<Duration>(now - sample.at).count();
 }
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <string>
 #include <vector>
 
 #include "cranberryplank/scheduler/scheduler.h"
@@ -10,13 +12,17 @@
 /// Keeps the orders that the scheduler gives.
 class RecordingLink : public WorkerLink {
  public:
-  void Hold(const WorkerInfo&, const HoldOrder& order) override { holds.push_back(order); }
+  void Hold(const WorkerInfo& worker, const HoldOrder& order) override {
+    holds.push_back(order);
+    held.push_back(worker.id);
+  }
   void Start(const WorkerInfo&, const StartOrder& order) override { starts.push_back(order); }
   void Stop(const WorkerInfo&, const StopOrder&) override {}
   void Pace(const WorkerInfo&, const PaceOrder&) override {}
   void Advise(const AdviceOrder&) override {}
 
   std::vector<HoldOrder> holds;
+  std::vector<std::string> held;  ///< Workers of the holds.
   std::vector<StartOrder> starts;
 };
 
@@ -81,6 +87,18 @@
     scheduler.OnStored(At(), scheduler.CollectChanges(29));
   }
 
+  /// Answers the newest hold of the worker among those of others.
+  void AnswerWorker(std::vector<ListedEnd> ended = {}) {
+    const auto newest = std::find(link.held.rbegin(), link.held.rend(), "worker");
+    HoldReply reply;
+    reply.call = (link.holds.rbegin() + (newest - link.held.rbegin()))->call;
+    reply.outcome = CallOutcome::kOk;
+    reply.clock_ms = clock_ms;
+    reply.ended = std::move(ended);
+    now += Duration(5);
+    scheduler.OnHold(now, "worker", reply);
+  }
+
   void Answer(std::vector<ListedRun> running, std::vector<ListedEnd> ended) {
     HoldReply reply;
     reply.call = link.holds.back().call;
@@ -147,6 +165,36 @@
   CHECK(fixture.link.holds.back().acknowledged == 1);
 }
 
+// Guards against an owner whose processor time goes to idle workers (sweep of onds-fes with 3,003
+// workers: 54% served), and against a lease that ends while a worker's pause goes on.
+TEST_CASE("an idle worker among thousands is asked seldom, but at once after a start") {
+  AcknowledgementFixture fixture;
+  REQUIRE(fixture.link.starts.size() == 1);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  for (int i = 0; i < 1'500; ++i) {
+    WorkerInfo info;
+    info.id = "other-" + std::to_string(i);
+    info.pool = "other";
+    fixture.scheduler.SetWorker(fixture.At(), info);
+  }
+  fixture.Tick();
+  fixture.AnswerWorker({{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Store();
+  const auto holds = [&] {
+    return std::count(fixture.link.held.begin(), fixture.link.held.end(), "worker");
+  };
+  fixture.Tick();
+  fixture.AnswerWorker();
+  const auto before = holds();
+  fixture.Tick();
+  fixture.Tick();
+  CHECK(holds() == before);
+  fixture.SubmitJob("next");
+  fixture.Tick();
+  CHECK(fixture.link.starts.size() == 2);
+  CHECK(holds() == before + 1);
+}
+
 // Guards against a list that is set aside because an end in the same answer was applied before it:
 // the scheduler then started tasks beside a run that it did not count (grown onds-fes, trouble-3:
 // LIMIT).
--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -7,6 +7,7 @@
 #include "cranberryplank/scheduler/pool_planner.h"
 #include "cranberryplank/scheduler/run_watch.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
+#include "cranberryplank/scheduler/worker_table.h"
 
 namespace cranberryplank {
 
@@ -247,4 +248,10 @@
   CHECK(ChooseChanges({}, 29).empty());
 }
 
+TEST_CASE("holds of idle workers stay within a rate") {
+  CHECK(IdleHoldPause(49, Duration(1'000)) == Duration(0));
+  CHECK(IdleHoldPause(300, Duration(1'000)) == Duration(0));
+  CHECK(IdleHoldPause(3'000, Duration(1'000)) == Duration(9'000));
+}
+
 }  // namespace cranberryplank
