--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <ranges>
 #include <string>
 #include <string_view>
 
@@ -63,6 +62,17 @@
   std::uint64_t change = 0;
 };
 
+/// Neighbouring runs of a worker.
+struct RunRange {
+  using Iterator = std::map<TaskRef, PlacedRun>::const_iterator;
+
+  Iterator first;
+  Iterator last;
+
+  Iterator begin() const { return first; }
+  Iterator end() const { return last; }
+};
+
 /// A worker as the owner of the schedule knows it.
 struct Worker {
   WorkerInfo info;
@@ -96,8 +106,7 @@
 
   Resources free() const { return info.capacity - used; }
   /// Runs of the step that `step` names; its index is not used.
-  std::ranges::subrange<std::map<TaskRef, PlacedRun>::const_iterator> RunsOfStep(
-      const TaskRef& step) const;
+  RunRange RunsOfStep(const TaskRef& step) const;
 };
 
 /// Pause between two holds of a worker on which nothing runs, for the load of thousands of workers:
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "cranberryplank/model/log.h"
@@ -65,7 +66,8 @@
 }
 
 int RunsOfStep(const Worker& worker, const TaskRef& step) {
-  return static_cast<int>(std::ranges::distance(worker.RunsOfStep(step)));
+  const RunRange runs = worker.RunsOfStep(step);
+  return static_cast<int>(std::distance(runs.begin(), runs.end()));
 }
 
 std::vector<PlacementCandidate> CandidatesOf(TimePoint now, std::span<Worker* const> workers,
--- a/packages/scheduler/src/worker_table.cc
+++ b/packages/scheduler/src/worker_table.cc
@@ -35,8 +35,7 @@
   return sample.at + LongestTimeOf(ahead) + kClockMargin;
 }
 
-std::ranges::subrange<std::map<TaskRef, PlacedRun>::const_iterator> Worker::RunsOfStep(
-    const TaskRef& step) const {
+RunRange Worker::RunsOfStep(const TaskRef& step) const {
   return {runs.lower_bound({step.job, step.occurrence, step.step, 0}),
           runs.lower_bound({step.job, step.occurrence, step.step + 1, 0})};
 }
