End only an idle worker's pause at a start

Cause: found in the last read: the start that ends an idle worker's pause also ended the wait of a busy worker whose ends are not stored yet, one hold more for each start under load. Change: the pause ends with the first run of a worker without pending ends.

--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -207,7 +207,9 @@
       .Field("used_cpu", worker->used.cpu_millis)
       .Field("fence", order.fence);
   placed->phase = RunPhase::kStarting;
-  worker->next_hold = std::min(worker->next_hold, now);  // Ends the pause of an idle worker.
+  if (worker->runs.size() == 1 && worker->pending_ends.empty()) {
+    worker->next_hold = std::min(worker->next_hold, now);  // Ends the pause of an idle worker.
+  }
   m_link->Start(worker->info, order);
   return true;
 }
