State HTTP statuses once, beside the client and for all who use it

platform/http_status.h served the adapter alone; the callers' front, the job service, the store's and workers' clients and the soak had their own copies. Behaviour is unchanged.

--- a/packages/entry/src/caller_front.cc
+++ b/packages/entry/src/caller_front.cc
@@ -7,18 +7,13 @@
 #include <vector>
 
 #include "cranberryplank/model/log.h"
+#include "cranberryplank/platform/http_status.h"
 
 namespace cranberryplank {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kGone = 410;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+using namespace http_status;  // NOLINT(google-build-using-namespace): constants only
 
 constexpr Duration kDefaultPatience{3'000};
 /// Left of the caller's patience for the answer's way.
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cranberryplank/model/log.h"
+#include "cranberryplank/platform/http_status.h"
 
 namespace cranberryplank {
 
@@ -38,7 +39,6 @@
 constexpr std::size_t kMaxBodyBytes = 256 << 10;
 constexpr Duration kCallerIdle{15'000};
 constexpr Duration kDaemonIdle{60'000};
-constexpr int kUnavailable = 503;
 
 DutyRecord SelfRecord(const JobSettings& settings, const std::string& address,
                       RandomSource* random) {
@@ -356,7 +356,7 @@
   if (!call) {
     LogLine(LogLevel::kWarning, "unreadable_daemon_call")
         .Field("bytes", exchange->request().body.size());
-    response.status = 400;
+    response.status = http_status::kBadRequest;
     exchange->Reply(response);
     return;
   }
@@ -414,7 +414,8 @@
   const bool fresh = now - m_operators.confirmed_at() < m_settings.revocation_bound;
   ApiResponse response;
   response.body = "{}";
-  response.status = m_config && fresh && !m_stopping_since ? 200 : kUnavailable;
+  response.status =
+      m_config && fresh && !m_stopping_since ? http_status::kOk : http_status::kUnavailable;
   exchange->Reply(response);
 }
 
--- a/packages/platform/src/http_store.cc
+++ b/packages/platform/src/http_store.cc
@@ -9,14 +9,15 @@
 #include <optional>
 #include <utility>
 
+#include "cranberryplank/platform/http_status.h"
+
 namespace cranberryplank {
 
 namespace {
 
 using nlohmann::json;
+using namespace http_status;  // NOLINT(google-build-using-namespace): constants only
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
 /// Consul adds up to a sixteenth of the wait to a blocking query.
 constexpr int kWaitJitterDivisor = 16;
 
--- a/packages/platform/src/http_worker_client.cc
+++ b/packages/platform/src/http_worker_client.cc
@@ -7,15 +7,14 @@
 #include <utility>
 
 #include "cranberryplank/model/text.h"
+#include "cranberryplank/platform/http_status.h"
 
 namespace cranberryplank {
 
 namespace {
 
 using nlohmann::json;
-
-constexpr int kOk = 200;
-constexpr int kRefused = 409;
+using namespace http_status;  // NOLINT(google-build-using-namespace): constants only
 
 std::string FailureReason(const HttpReply& reply) {
   return reply.outcome == HttpOutcome::kAnswered
@@ -57,7 +56,7 @@
   const Duration worker_clock(
       ParseNumber<Duration::rep>(reply.Header("Worker-Clock-Ms")).value_or(0));
   const std::optional<WorkerRefusal> refusal = ParseRefusal(reply.Header("Refusal"));
-  if (reply.status == kRefused && refusal) {
+  if (reply.status == kConflict && refusal) {
     TaskResult result =
         Failed(Verdict::kNotRun, fmt::format("the worker refused: {}", reply.Header("Refusal")));
     result.refusal = *refusal;
--- a/soak/job_load.cc
+++ b/soak/job_load.cc
@@ -4,17 +4,17 @@
 
 #include <utility>
 
+#include "cranberryplank/platform/http_status.h"
+
 namespace cranberryplank {
 
 namespace {
 
+using namespace http_status;  // NOLINT(google-build-using-namespace): constants only
+
 constexpr Duration kRepeat{250};
 constexpr Duration kAskInterval{700};
 constexpr double kCancelShare = 0.02;
-constexpr int kOk = 200;
-constexpr int kGone = 410;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 
 bool IsEnded(const std::string& state) {
   return state == "done" || state == "failed" || state == "cancelled";
