Derive the age of the configuration where it is known

The callers' front kept the largest age and whether a newer version exists, and the service set them at four places. The service now tells both with each request, from what it holds. Behaviour is unchanged.

--- a/packages/entry/include/cranberryplank/entry/caller_front.h
+++ b/packages/entry/include/cranberryplank/entry/caller_front.h
@@ -47,10 +47,9 @@
 
   CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner);
 
-  void SetMaxConfigAge(Duration age) { m_config_age.max_age = age; }
-  /// Tells whether another daemon has a newer configuration than this one.
-  void SetNewerConfigExists(bool exists) { m_config_age.newer_exists = exists; }
-  void Handle(Now now, const ClusterConfig* config, TimePoint config_confirmed,
+  /// Answers a caller's request, now or later.
+  /// @param config nullptr if none is known yet
+  void Handle(Now now, const ClusterConfig* config, const ConfigAge& age,
               const std::shared_ptr<ApiExchange>& exchange);
   /// Repeats calls that found no owner. To be called regularly.
   void Tick(TimePoint now);
@@ -82,7 +81,6 @@
   const PlatformFormat* m_format;
   Metrics* m_metrics;
   CallOwner m_call_owner;
-  ConfigAge m_config_age{Duration(0), Duration(4'500), false};
   bool m_closing = false;
   std::uint64_t m_last_id = 0;
   std::map<std::uint64_t, Pending> m_pending;
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -72,6 +72,7 @@
   void CallOwner(const OwnerCall& call, Duration timeout, CallerFront::Callback done);
   void HandOver(TimePoint now);
   void AskPredecessor(TimePoint now);
+  ConfigAge ConfigAgeAt(TimePoint now) const;
   void NoteConfigVersion(TimePoint now, std::uint64_t version);
   SchedulerSettings SchedulerSettingsOf() const;
   VmFleetSettings FleetSettingsOf() const;
--- a/packages/entry/src/caller_front.cc
+++ b/packages/entry/src/caller_front.cc
@@ -106,14 +106,13 @@
 CallerFront::CallerFront(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner)
     : m_format(format), m_metrics(metrics), m_call_owner(std::move(call_owner)) {}
 
-void CallerFront::Handle(Now now, const ClusterConfig* config, TimePoint config_confirmed,
+void CallerFront::Handle(Now now, const ClusterConfig* config, const ConfigAge& age,
                          const std::shared_ptr<ApiExchange>& exchange) {
   const ApiRequest& request = exchange->request();
   const QueueConfig* queue =
       config == nullptr ? nullptr : config->Route(HostOf(request), request.path);
   const std::string_view key = m_format->KeyOf(request);
-  m_config_age.age = std::chrono::duration_cast<Duration>(now.time - config_confirmed);
-  const FrontRefusal refusal = CheckAccess(config, queue, key, m_config_age);
+  const FrontRefusal refusal = CheckAccess(config, queue, key, age);
   if (refusal != FrontRefusal::kNone) {
     Refuse(now.time, exchange, StatusOf(refusal), ReasonOf(refusal));
     return;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -69,11 +69,11 @@
               [this](const OwnerCall& call, Duration timeout, CallerFront::Callback done) {
                 CallOwner(call, timeout, std::move(done));
               }),
-      m_caller_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
-                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
-                        m_front.Handle({now, UnixMilliseconds()}, m_config.get(),
-                                       m_operators.confirmed_at(), exchange);
-                      }),
+      m_caller_server(
+          base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
+          [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+            m_front.Handle({now, UnixMilliseconds()}, m_config.get(), ConfigAgeAt(now), exchange);
+          }),
       m_ready_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kDaemonIdle},
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
@@ -86,7 +86,6 @@
                        [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                          HandleMetrics(now, exchange);
                        }) {
-  m_front.SetMaxConfigAge(settings.revocation_bound - kRevocationMargin);
   m_duty.signal_acquired().connect(sigc::mem_fun(*this, &JobService::OnAcquired));
   m_duty.signal_lost().connect(sigc::mem_fun(*this, &JobService::OnLost));
   const TimePoint now = Clock::now();
@@ -132,7 +131,6 @@
 
 void JobService::SetSettings(Now /*now*/, const JobSettings& settings) {
   m_settings = settings;
-  m_front.SetMaxConfigAge(settings.revocation_bound - kRevocationMargin);
   if (m_owner) {
     m_owner->SetSettings(SchedulerSettingsOf());
   }
@@ -150,7 +148,6 @@
     }
     m_config = std::make_shared<const ClusterConfig>(*config);
     m_behind_since.reset();
-    m_front.SetNewerConfigExists(m_newest_config > m_config->version);
     LogLine(LogLevel::kInfo, "config")
         .Field("version", m_config->version)
         .Field("revision", item.revision)
@@ -272,6 +269,14 @@
   }
 }
 
+ConfigAge JobService::ConfigAgeAt(TimePoint now) const {
+  ConfigAge age;
+  age.age = std::chrono::duration_cast<Duration>(now - m_operators.confirmed_at());
+  age.max_age = m_settings.revocation_bound - kRevocationMargin;
+  age.newer_exists = m_config && m_newest_config > m_config->version;
+  return age;
+}
+
 void JobService::NoteConfigVersion(TimePoint now, std::uint64_t version) {
   if (!m_config || version <= m_config->version) {
     return;
@@ -279,7 +284,6 @@
   m_newest_config = std::max(m_newest_config, version);
   if (!m_behind_since) {
     m_behind_since = now;
-    m_front.SetNewerConfigExists(true);
     LogLine(LogLevel::kInfo, "config_behind")
         .Field("known", m_config->version)
         .Field("newer", version);
