Tell the pause after a hold in one function, and a full transaction from itself

The pause was set three times over itself, and what makes a worker idle stood in two forms; a flag repeated what the kept transaction shows.

--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -48,6 +48,8 @@
 
   /// Collects what is to be stored. @return whether there is anything
   bool Build();
+  /// Tells whether the newest transaction had no room left.
+  bool HasFullTransaction() const;
   void Send(TimePoint now);
   void OnReply(TimePoint now, const KvCommitReply& reply);
   void OnConflict(TimePoint now, const KvCommitReply& reply);
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -112,13 +112,16 @@
   m_transaction.preconditions.push_back({m_duty->key(), m_duty->revision()});
   m_transaction.preconditions.push_back({std::string(kCursorKey), m_cursor_revision});
   m_transaction.writes.push_back({std::string(kCursorKey), fmt::to_string(++m_batch)});
-  // Two entries of one job may not have found room.
-  m_full = m_transaction.writes.size() + m_transaction.removals.size() >= kEntriesForState;
   m_built = true;
   m_uncertain = false;
   return true;
 }
 
+bool StateWriter::HasFullTransaction() const {
+  // With the cursor's entry; two entries of one job may not have found room.
+  return m_transaction.writes.size() + m_transaction.removals.size() >= kEntriesForState;
+}
+
 void StateWriter::Send(TimePoint now) {
   m_in_flight = true;
   m_sent = now;
@@ -186,7 +189,7 @@
   }
   m_scheduler->OnStored({now, UnixMilliseconds()}, m_changes);
   // While more waits than one transaction takes, the next does not wait for its turn.
-  if (m_full && Build()) {
+  if (HasFullTransaction() && Build()) {
     Send(now);
   }
 }
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -181,6 +181,7 @@
   std::int64_t GrantLease(TimePoint now, Worker* worker) const;
   /// A worker refused an order for its fence. If that was the newest, another owner acts.
   void NoteRefusedFence(const Worker& worker, std::uint64_t fence);
+  Duration PauseAfterHold(const Worker& worker) const;
   void OnHoldFailed(TimePoint now, Worker* worker, const HoldInFlight& hold, CallOutcome outcome);
   void BeginLife(TimePoint now, Worker* worker, std::int64_t born_unix_ms);
   static void HoldBackRecentStarts(Worker* worker);
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -105,6 +105,8 @@
   int stopping_runs = 0;  ///< Runs that have been told to stop.
 
   Resources free() const { return info.capacity - used; }
+  /// Tells whether the worker has nothing to report.
+  bool idle() const { return runs.empty() && pending_ends.empty(); }
   /// Runs of the step that `step` names; its index is not used.
   RunRange RunsOfStep(const TaskRef& step) const;
 };
--- a/packages/scheduler/src/scheduler_holds.cc
+++ b/packages/scheduler/src/scheduler_holds.cc
@@ -117,15 +117,20 @@
     ApplyList(now, worker, hold, reply);
   }
   ReleaseAcknowledged(now, worker, m_jobs.StoredUpTo());
-  worker->next_hold = worker->pending_ends.empty() ? now : now + kUnstoredEndsWait;
-  if (worker->strays) {
-    worker->next_hold = now + kStrayLookInterval;
-  } else if (worker->runs.empty() && worker->pending_ends.empty()) {
-    worker->next_hold = now + IdleHoldPause(m_workers.size(), m_settings.hold_wait);
-  }
+  worker->next_hold = now + PauseAfterHold(*worker);
   m_schedule_needed = true;
 }
 
+Duration Scheduler::PauseAfterHold(const Worker& worker) const {
+  if (worker.strays) {
+    return kStrayLookInterval;
+  }
+  if (!worker.pending_ends.empty()) {
+    return kUnstoredEndsWait;
+  }
+  return worker.idle() ? IdleHoldPause(m_workers.size(), m_settings.hold_wait) : Duration(0);
+}
+
 void Scheduler::NoteRefusedFence(const Worker& worker, std::uint64_t fence) {
   if (fence != worker.fence) {
     return;
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -189,6 +189,9 @@
   }
   TaskState* state = task.state();
   state->last_run = std::max(state->last_run, run);
+  if (worker->idle()) {
+    worker->next_hold = std::min(worker->next_hold, now);  // Ends its pause.
+  }
   PlacedRun* placed = AddRun(now, worker, task, run);
   StartOrder order;
   order.task = task.Id();
@@ -207,9 +210,6 @@
       .Field("used_cpu", worker->used.cpu_millis)
       .Field("fence", order.fence);
   placed->phase = RunPhase::kStarting;
-  if (worker->runs.size() == 1 && worker->pending_ends.empty()) {
-    worker->next_hold = std::min(worker->next_hold, now);  // Ends the pause of an idle worker.
-  }
   m_link->Start(worker->info, order);
   return true;
 }
