Answer holds and starts in one way in the acknowledgement tests

One of two answers served one worker, the other the worker among many; the second serves both. Each test that confirms a start does so by one call, with the same assertion.

--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -87,27 +87,23 @@
     scheduler.OnStored(At(), scheduler.CollectChanges(29));
   }
 
-  /// Answers the newest hold of the worker among those of others.
-  void AnswerWorker(std::vector<ListedEnd> ended = {}) {
+  /// Answers the newest hold of the worker.
+  void Answer(std::vector<ListedRun> running, std::vector<ListedEnd> ended) {
     const auto newest = std::find(link.held.rbegin(), link.held.rend(), "worker");
     HoldReply reply;
     reply.call = (link.holds.rbegin() + (newest - link.held.rbegin()))->call;
     reply.outcome = CallOutcome::kOk;
     reply.clock_ms = clock_ms;
+    reply.running = std::move(running);
     reply.ended = std::move(ended);
     now += Duration(5);
     scheduler.OnHold(now, "worker", reply);
   }
 
-  void Answer(std::vector<ListedRun> running, std::vector<ListedEnd> ended) {
-    HoldReply reply;
-    reply.call = link.holds.back().call;
-    reply.outcome = CallOutcome::kOk;
-    reply.clock_ms = clock_ms;
-    reply.running = std::move(running);
-    reply.ended = std::move(ended);
-    now += Duration(5);
-    scheduler.OnHold(now, "worker", reply);
+  /// Answers the newest start, of which there must have been `count`.
+  void ConfirmStart(std::size_t count) {
+    REQUIRE(link.starts.size() == count);
+    scheduler.OnStart(now, "worker", link.starts.back(), {CallOutcome::kOk, 0});
   }
 };
 
@@ -115,8 +111,7 @@
 
 TEST_CASE("an end is acknowledged only once it is stored") {
   AcknowledgementFixture fixture;
-  REQUIRE(fixture.link.starts.size() == 1);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(1);
   fixture.Tick();
   fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
   fixture.Tick();
@@ -131,8 +126,7 @@
 // next owner found the job active and started the task again (onds-fes, trouble-1: TWICE).
 TEST_CASE("the end of a cancelled job's task waits for the cancellation") {
   AcknowledgementFixture fixture;
-  REQUIRE(fixture.link.starts.size() == 1);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(1);
   fixture.scheduler.Cancel(fixture.At(), "job", [](bool) {});
   fixture.Tick();
   fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
@@ -149,8 +143,7 @@
 // 45).
 TEST_CASE("after a hold without an answer nothing is acknowledged until the worker answers") {
   AcknowledgementFixture fixture;
-  REQUIRE(fixture.link.starts.size() == 1);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(1);
   fixture.Tick();
   fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
   fixture.Tick();
@@ -169,8 +162,7 @@
 // workers: 54% served), and against a lease that ends while a worker's pause goes on.
 TEST_CASE("an idle worker among thousands is asked seldom, but at once after a start") {
   AcknowledgementFixture fixture;
-  REQUIRE(fixture.link.starts.size() == 1);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(1);
   for (int i = 0; i < 1'500; ++i) {
     WorkerInfo info;
     info.id = "other-" + std::to_string(i);
@@ -178,13 +170,13 @@
     fixture.scheduler.SetWorker(fixture.At(), info);
   }
   fixture.Tick();
-  fixture.AnswerWorker({{1, "job.0.0.0", 1, EndKind::kDone, ""}});
+  fixture.Answer({}, {{1, "job.0.0.0", 1, EndKind::kDone, ""}});
   fixture.Store();
   const auto holds = [&] {
     return std::count(fixture.link.held.begin(), fixture.link.held.end(), "worker");
   };
   fixture.Tick();
-  fixture.AnswerWorker();
+  fixture.Answer({}, {});
   const auto before = holds();
   fixture.Tick();
   fixture.Tick();
@@ -200,12 +192,10 @@
 // LIMIT).
 TEST_CASE("a run of an ended job listed beside an end holds back further starts") {
   AcknowledgementFixture fixture;
-  REQUIRE(fixture.link.starts.size() == 1);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[0], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(1);
   fixture.SubmitJob("other");
   fixture.Tick();
-  REQUIRE(fixture.link.starts.size() == 2);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[1], {CallOutcome::kOk, 0});
+  fixture.ConfirmStart(2);
   fixture.scheduler.Cancel(fixture.At(), "job", [](bool) {});
   fixture.Tick();
   fixture.Answer({{"other.0.0.0", 1, "", 0, 0}}, {{1, "job.0.0.0", 1, EndKind::kStopped, ""}});
