Keep one table of transactions for the fake and the emulated store

Both applied transactions on revisions with code of their own; TransactionTable serves both, behind the calls of one and the messages of the other.

--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -4,11 +4,11 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
 #include "cranberryplank/entry/key_value_store.h"
+#include "transaction_table.h"
 
 namespace cranberryplank {
 
@@ -26,8 +26,8 @@
   void Get(std::string_view key, ReadCallback done) override {
     KvReadReply reply;
     reply.status = KvStatus::kOk;
-    reply.revision = m_revision;
-    if (const auto it = m_items.find(std::string(key)); it != m_items.end()) {
+    reply.revision = m_table.revision();
+    if (const auto it = m_table.items().find(std::string(key)); it != m_table.items().end()) {
       reply.items.push_back(it->second);
     }
     Answer([done, reply](TimePoint now) { done(now, reply); });
@@ -36,8 +36,8 @@
   void Range(std::string_view prefix, std::string_view after, ReadCallback done) override {
     KvReadReply reply;
     reply.status = KvStatus::kOk;
-    reply.revision = m_revision;
-    for (const auto& [key, item] : m_items) {
+    reply.revision = m_table.revision();
+    for (const auto& [key, item] : m_table.items()) {
       if (key.starts_with(prefix) && key > after) {
         reply.items.push_back(item);
       }
@@ -60,7 +60,7 @@
     } else if (fault == CommitFault::kApplyLate) {
       m_late.push_back(transaction);
     } else {
-      reply = Apply(transaction);
+      reply = m_table.Apply(transaction);
       if (fault == CommitFault::kLoseAnswer) {
         reply = {};
       }
@@ -93,7 +93,7 @@
   int ApplyLate() {
     int applied = 0;
     for (const KvTransaction& transaction : m_late) {
-      applied += Apply(transaction).status == KvStatus::kOk ? 1 : 0;
+      applied += m_table.Apply(transaction).status == KvStatus::kOk ? 1 : 0;
     }
     m_late.clear();
     return applied;
@@ -104,52 +104,21 @@
   }
 
   std::string Value(const std::string& key) const {
-    const auto it = m_items.find(key);
-    return it == m_items.end() ? std::string() : it->second.value;
+    const auto it = m_table.items().find(key);
+    return it == m_table.items().end() ? std::string() : it->second.value;
   }
-  void Put(const std::string& key, const std::string& value) {
-    m_items[key] = {key, value, ++m_revision, false};
-  }
-  void Erase(const std::string& key) {
-    ++m_revision;
-    m_items.erase(key);
-  }
-  std::uint64_t revision() const { return m_revision; }
+  void Put(const std::string& key, const std::string& value) { m_table.Put(key, value); }
+  void Erase(const std::string& key) { m_table.Erase(key); }
+  std::uint64_t revision() const { return m_table.revision(); }
 
   CommitFault next_fault = CommitFault::kNone;
   int commits = 0;
   std::uint64_t watched_after = 0;
 
  private:
-  KvCommitReply Apply(const KvTransaction& transaction) {
-    KvCommitReply reply;
-    for (const KvPrecondition& precondition : transaction.preconditions) {
-      const auto it = m_items.find(precondition.key);
-      const std::uint64_t revision = it == m_items.end() ? 0 : it->second.revision;
-      if (revision != precondition.revision) {
-        reply.status = KvStatus::kConflict;
-      }
-      reply.current.push_back(it == m_items.end() ? KvItem{precondition.key, "", 0, false}
-                                                  : it->second);
-    }
-    if (reply.status == KvStatus::kConflict) {
-      return reply;
-    }
-    reply.status = KvStatus::kOk;
-    reply.revision = ++m_revision;
-    for (const KvWrite& write : transaction.writes) {
-      m_items[write.key] = {write.key, write.value, m_revision, false};
-    }
-    for (const std::string& key : transaction.removals) {
-      m_items.erase(key);
-    }
-    return reply;
-  }
-
   void Answer(std::function<void(TimePoint)> answer) { m_answers.push_back(std::move(answer)); }
 
-  std::uint64_t m_revision = 10;
-  std::map<std::string, KvItem> m_items;
+  TransactionTable m_table;
   std::vector<std::function<void(TimePoint)>> m_answers;
   std::vector<KvTransaction> m_late;
   ReadCallback m_watch;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -7,8 +7,10 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cranberryplank/model/log.h"
+#include "cranberryplank/model/text.h"
 #include "cranberryplank/support/event_loop.h"
 #include "fault_soak.h"
 
@@ -36,12 +38,14 @@
   bool keep = false;
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "d:s:t:k", kOptions.data(), nullptr)) != -1) {
+    const std::string_view value = optarg == nullptr ? "" : optarg;
+    const auto number = cranberryplank::ParseNumber<std::uint64_t>(value);
     if (choice == 'd') {
-      settings.daemon = optarg;
-    } else if (choice == 's') {
-      settings.seed = std::stoull(optarg);
-    } else if (choice == 't') {
-      settings.duration = std::chrono::seconds(std::stoul(optarg));
+      settings.daemon = value;
+    } else if (choice == 's' && number) {
+      settings.seed = *number;
+    } else if (choice == 't' && number) {
+      settings.duration = std::chrono::seconds(*number);
     } else if (choice == 'k') {
       keep = true;
     } else {
@@ -49,11 +53,15 @@
       return 2;
     }
   }
-  settings.folder = MakeFolder();
-  if (settings.daemon.empty() || settings.folder.empty() || optind != argc) {
+  if (settings.daemon.empty() || optind != argc) {
     fmt::print(stderr, "{}", kUsage);
     return 2;
   }
+  settings.folder = MakeFolder();
+  if (settings.folder.empty()) {
+    fmt::print(stderr, "fault_soak: cannot make a work folder\n");
+    return 2;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   cranberryplank::SetLogLevel(cranberryplank::LogLevel::kError);
   const bool kept = cranberryplank::FaultSoak(settings).Run();
