--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -78,6 +78,7 @@
   std::size_t max_body_bytes = 0;
   std::size_t max_header_bytes = 0;
   Duration idle_timeout{0};
+  bool urgent = false;  ///< Requests run before other events of a loop with priorities.
 };
 
 /// HTTP server on one event loop. A malformed or stalled request closes only its own connection.
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "cranberryplank/model/text.h"
+#include "cranberryplank/platform/event_priority.h"
 
 namespace cranberryplank {
 
@@ -40,6 +41,12 @@
   return decoded == nullptr ? std::string() : std::string(decoded.get(), size);
 }
 
+bufferevent* NewUrgentStream(event_base* base, void* /*unused*/) {
+  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+  bufferevent_priority_set(stream, kUrgentEvents);
+  return stream;
+}
+
 ApiRequest ReadRequest(evhttp_request* raw) {
   ApiRequest request;
   request.method = MethodName(evhttp_request_get_command(raw));
@@ -137,6 +144,9 @@
   evhttp_set_allowed_methods(m_http,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_gencb(m_http, &ApiServer::HandleRequest, this);
+  if (limits.urgent) {
+    evhttp_set_bevcb(m_http, &NewUrgentStream, nullptr);
+  }
 }
 
 ApiServer::~ApiServer() { evhttp_free(m_http); }
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -58,12 +58,16 @@
   struct Peer {
     TimePoint last_call{};
     double cores = 0;
+    int state_format = kSingleProgressFormat;
   };
 
   void OnOperatorItem(TimePoint now, const KvItem& item);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
   void FollowOwner(TimePoint now);
+  /// Returns whether all daemons that have called recently, and so may take over, read the progress
+  /// log.
+  bool AllReadProgressLog(TimePoint now) const;
   void ConsiderClaim(TimePoint now);
   Duration ClaimDelay() const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -13,6 +13,10 @@
 /// Kind of a call to the owner of the schedule or to another daemon.
 enum class OwnerCallKind { kPing, kSubmit, kGetState, kCancel, kCountWaiting, kTakeOver };
 
+/// Formats of the state in the store. A daemon that sends no format reads the first one.
+constexpr int kSingleProgressFormat = 1;  ///< An entry for the progress of each job.
+constexpr int kProgressLogFormat = 2;     ///< Also a log of progress that all jobs share.
+
 /// A call from one daemon to another.
 struct OwnerCall {
   OwnerCallKind kind = OwnerCallKind::kPing;
@@ -21,8 +25,9 @@
   std::string queue;
   std::string sender;  ///< Address at which the sender accepts calls.
   std::uint64_t config_version = 0;
-  double cores = 0;             ///< Processing power of the sender's VM.
-  std::optional<JobSpec> spec;  ///< For a submission.
+  double cores = 0;                       ///< Processing power of the sender's VM.
+  int state_format = kProgressLogFormat;  ///< Newest format of the state that the sender reads.
+  std::optional<JobSpec> spec;            ///< For a submission.
 };
 
 /// Result of a call to the owner.
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "cranberryplank/entry/key_value_store.h"
+#include "cranberryplank/entry/owner_load_meter.h"
 #include "cranberryplank/entry/owner_messages.h"
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/schedule_ownership.h"
@@ -64,17 +65,30 @@
   Scheduler* scheduler() { return m_scheduler.get(); }
   const VmFleet* fleet() const { return m_fleet.get(); }
   bool store_failing(TimePoint now) const { return m_writer.failing(now); }
+  const OwnerLoadMeter& load() const { return m_load; }
+
+  /// Sets whether all daemons that may take over know the progress log.
+  void SetProgressInLog(TimePoint now, bool in_log) { m_scheduler->SetProgressInLog(now, in_log); }
 
  private:
+  struct LoadedProgress {
+    JobProgress progress;
+    std::uint64_t revision = 0;
+  };
+
   void ReadPage();
   void OnPage(const KvReadReply& reply);
   void LoadItem(const KvItem& item);
+  bool LoadProgress(const std::string& job, std::string_view value, std::uint64_t revision);
+  bool LoadProgressEntry(const KvItem& item);
   void NextPrefix();
   void FinishLoad(Now now);
   void OnWorkerItem(TimePoint now, const KvItem& item);
   void Submit(Now now, const OwnerCall& call, Callback done);
   void Answer(std::uint64_t waiting, const OwnerReply& reply);
   std::uint64_t AddWaitingCall(Callback done);
+  /// Limits the starts of the next placement pass by the load, and logs the load.
+  void UpdateLoad(TimePoint now);
 
   ScheduleOwnerParts m_parts;
   std::unique_ptr<Scheduler> m_scheduler;
@@ -91,12 +105,14 @@
   std::string m_last_key;
   TimePoint m_retry_at{};
   std::map<std::string, JobRecord> m_records;
-  std::map<std::string, JobProgress> m_progress;
+  std::map<std::string, LoadedProgress> m_progress;
   std::vector<RecordedWorker> m_recorded;
   TimePoint m_started_at{};
   std::optional<TimePoint> m_earlier_ended;
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
+  OwnerLoadMeter m_load;
+  std::uint64_t m_reported_starts = 0;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
 };
 
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cranberryplank/entry/key_value_store.h"
+#include "cranberryplank/entry/progress_log.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/scheduler/scheduler.h"
 
@@ -37,6 +38,14 @@
   void Tick(Now now);
   /// Adds writes to the next transaction that has room. @param done runs once they are stored
   void Put(std::vector<KvWrite> writes, std::function<void()> done);
+  /// Restores an entry of the progress log that an earlier owner wrote. Entries must be given in
+  /// the order of their keys. @param jobs active jobs with progress in it
+  void LoadProgressLog(const std::string& key, std::span<const std::string> jobs);
+  const ProgressLog& progress_log() const { return m_progress_log; }
+  /// Returns the number of transactions that were applied.
+  std::uint64_t transactions() const { return m_transactions; }
+  /// Returns how long the last attempt of the newest of them took.
+  Duration last_transaction_time() const { return m_last_transaction_time; }
   /// Returns whether the store has failed to accept changes for a while. Submissions are then
   /// refused immediately.
   bool failing(TimePoint now) const;
@@ -48,7 +57,11 @@
   };
 
   /// Builds the next transaction. @return false if there is nothing to store
-  bool Build();
+  bool Build(TimePoint now);
+  /// Returns whether the transaction only removes a few entries of the progress log.
+  bool OnlyRemovesLog() const;
+  /// Updates the progress log after the transaction has been applied.
+  void RecordProgressLog();
   /// Returns whether the newest transaction had no room left.
   bool HasFullTransaction() const;
   void Send(TimePoint now);
@@ -76,7 +89,12 @@
   std::vector<RecordedWorker> m_workers;
   std::vector<ExtraWrites> m_built_extra;
   bool m_writes_workers = false;
-  bool m_full = false;                  ///< The newest transaction had no room left.
+  std::string m_log_key;  ///< Entry of the progress log that the transaction writes.
+  std::vector<std::string> m_log_removals;
+  ProgressLog m_progress_log;
+  bool m_full = false;  ///< The newest transaction had no room left.
+  std::uint64_t m_transactions = 0;
+  Duration m_last_transaction_time{0};
   std::uint64_t m_batch = 0;            ///< Number of the transaction, which is the cursor's value.
   std::uint64_t m_cursor_revision = 0;  ///< 0 before the first transaction.
 };
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -92,7 +92,7 @@
   void LogPools(TimePoint now, std::span<const JobPoolLoad> loads);
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
-  bool HasNoRuns(const std::string& worker) const;
+  bool MayTakeDown(TimePoint now, const std::string& worker) const;
   int AwayForWave(std::int64_t wave) const;
   std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave,
                                             std::span<const JobPoolLoad> loads) const;
@@ -112,7 +112,7 @@
   TimePoint m_list_sent{};
   TimePoint m_next_list{};
   std::map<std::string, Operation> m_operations;  ///< By VM.
-  std::map<std::string, TimePoint> m_idle_since;  ///< Start of idleness of workers without runs.
+  std::map<std::string, TimePoint> m_idle_since;  ///< Start of idleness, by worker.
   std::map<std::int64_t, Wave> m_waves;
   std::uint64_t m_last_token = 0;
   bool m_storing = false;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -33,6 +33,11 @@
 /// A daemon that called within this time can take over the schedule.
 constexpr Duration kRecentCall{1'000};
 constexpr Duration kPredecessorInterval{250};
+/// Time in which a new owner is called by all other daemons.
+constexpr Duration kFirstPings{1'500};
+/// A daemon that has not called for this long is taken as gone when the format of the state is
+/// chosen.
+constexpr Duration kMayTakeOver{10'000};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
 constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
@@ -79,7 +84,7 @@
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
                      }),
-      m_daemon_server(base, {kMaxCallBytes, kMaxHeaderBytes, kDaemonIdle},
+      m_daemon_server(base, {kMaxCallBytes, kMaxHeaderBytes, kDaemonIdle, true},
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                         HandleDaemonCall(now, exchange);
                       }),
@@ -240,6 +245,7 @@
   ConsiderClaim(now.time);
   if (m_owner && m_ownership.owned()) {
     AskPredecessor(now.time);
+    m_owner->SetProgressInLog(now.time, AllReadProgressLog(now.time));
     m_owner->Tick(now);
     if (m_owner && m_owner->fenced()) {
       m_ownership.Read(now.time);
@@ -271,6 +277,14 @@
   }
 }
 
+bool JobService::AllReadProgressLog(TimePoint now) const {
+  return now - m_ownership.record_changed_at() >= kFirstPings &&
+         std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+           return item.second.state_format >= kProgressLogFormat ||
+                  now - item.second.last_call > kMayTakeOver;
+         });
+}
+
 ConfigAge JobService::ConfigAgeAt(TimePoint now) const {
   ConfigAge age;
   age.age = std::chrono::duration_cast<Duration>(now - m_operators.confirmed_at());
@@ -368,7 +382,7 @@
     return;
   }
   if (!call->sender.empty()) {
-    m_peers[call->sender] = {now, call->cores};
+    m_peers[call->sender] = {now, call->cores, call->state_format};
   }
   RecordNewestConfigVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
@@ -439,6 +453,12 @@
       m_metrics.SetTotal("cranberryplank_vm_moves_total", fleet->moves());
       m_metrics.SetTotal("cranberryplank_vm_upkeeps_total", fleet->upkeeps());
     }
+    const OwnerLoadReport& load = m_owner->load().last_report();
+    m_metrics.SetGauge("cranberryplank_owner_longest_turn_seconds",
+                       std::chrono::duration<double>(load.longest_turn).count());
+    m_metrics.SetGauge("cranberryplank_oldest_unstored_change_seconds",
+                       std::chrono::duration<double>(load.oldest_unstored).count());
+    m_metrics.SetGauge("cranberryplank_starts_per_pass", load.fewest_starts);
     const SchedulerCounters& counters = m_owner->scheduler()->counters();
     m_metrics.SetTotal("cranberryplank_task_starts_total", counters.starts);
     m_metrics.SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
--- a/packages/entry/src/owner_client.cc
+++ b/packages/entry/src/owner_client.cc
@@ -62,6 +62,7 @@
   request.target = kPath;
   request.body = EncodeOwnerCall(call);
   request.timeout = timeout;
+  request.urgent = call.kind == OwnerCallKind::kPing || call.kind == OwnerCallKind::kTakeOver;
   m_http->Send(std::move(request), [this, address, done = std::move(done)](TimePoint now,
                                                                            const HttpReply& http) {
     OwnerReply reply;
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -32,9 +32,10 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return ToMessagePack(json::array(
-      {static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
-       call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores}));
+  return ToMessagePack(
+      json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
+                   call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr),
+                   call.cores, call.state_format}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
@@ -48,6 +49,7 @@
     call.sender = fields.at(4);
     call.config_version = fields.at(5);
     call.cores = fields.at(7);
+    call.state_format = fields.size() > 8 ? fields.at(8).get<int>() : kSingleProgressFormat;
     if (!fields.at(6).is_null()) {
       const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
       if (!record || !record->spec) {
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -15,8 +15,8 @@
 constexpr Duration kReadRetry{100};
 /// Added to the time after which all runs on unreconciled workers have ended.
 constexpr Duration kUnreconciledMargin{300};
-constexpr std::array<std::string_view, 4> kPrefixes{kJobPrefix, kProgressPrefix, kWorkersKey,
-                                                    kWavePrefix};
+constexpr std::array<std::string_view, 5> kPrefixes{kJobPrefix, kProgressPrefix, kProgressLogPrefix,
+                                                    kWorkersKey, kWavePrefix};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 
 OwnerReply ReplyOf(OwnerStatus status, std::string_view reason = {}) {
@@ -120,15 +120,49 @@
       m_records[id] = *record;
       readable = true;
     }
-  } else if (const auto progress = DecodeProgress(item.value)) {
-    m_progress[id] = *progress;
-    readable = true;
+  } else if (prefix == kProgressPrefix) {
+    readable = LoadProgress(id, item.value, item.revision);
+  } else {
+    readable = LoadProgressEntry(item);
   }
   if (!readable) {
     LogLine(LogLevel::kError, "unreadable_state").Field("key", item.key);
   }
 }
 
+bool ScheduleOwner::LoadProgress(const std::string& job, std::string_view value,
+                                 std::uint64_t revision) {
+  const auto progress = DecodeProgress(value);
+  if (!progress) {
+    return false;
+  }
+  // A job may have an entry of its own, which a daemon of an earlier version wrote, and others in
+  // the log. The newest one counts.
+  LoadedProgress& loaded = m_progress[job];
+  if (revision >= loaded.revision) {
+    loaded = {*progress, revision};
+  }
+  return true;
+}
+
+bool ScheduleOwner::LoadProgressEntry(const KvItem& item) {
+  const auto rows = DecodeProgressEntry(item.value);
+  if (!rows) {
+    return false;
+  }
+  bool readable = true;
+  std::vector<std::string> active;
+  for (const auto& [job, progress] : *rows) {
+    readable = LoadProgress(job, progress, item.revision) && readable;
+    const auto record = m_records.find(job);
+    if (record != m_records.end() && record->second.spec) {
+      active.push_back(job);
+    }
+  }
+  m_writer.LoadProgressLog(item.key, active);
+  return readable;
+}
+
 void ScheduleOwner::NextPrefix() {
   m_last_key.clear();
   ++m_prefix;
@@ -141,7 +175,7 @@
   for (const auto& [id, record] : m_records) {
     const auto progress = m_progress.find(id);
     m_scheduler->LoadJob(now, id, record,
-                         progress == m_progress.end() ? JobProgress{} : progress->second);
+                         progress == m_progress.end() ? JobProgress{} : progress->second.progress);
   }
   Takeover takeover;
   takeover.epoch = m_parts.ownership->revision();
@@ -201,6 +235,7 @@
     return;
   }
   m_scheduler->SetAuthority(m_parts.ownership->authority_until());
+  UpdateLoad(now.time);
   m_scheduler->Tick(now);
   if (m_fleet) {
     m_fleet->Tick(now.time);
@@ -208,6 +243,29 @@
   m_writer.Tick(now);
 }
 
+void ScheduleOwner::UpdateLoad(TimePoint now) {
+  OwnerLoad load;
+  load.oldest_unstored = m_scheduler->OldestUnstored(now);
+  load.transaction_time = m_writer.last_transaction_time();
+  load.store_failing = m_writer.failing(now);
+  m_scheduler->SetStartLimit(m_load.Record(now, load, m_scheduler->counters().ends_stored));
+  const auto report = m_load.TakeReport(now);
+  if (!report) {
+    return;
+  }
+  const std::uint64_t all_starts = m_scheduler->counters().starts;
+  LogLine(LogLevel::kInfo, "owner_load")
+      .Field("longest_turn_ms", report->longest_turn.count())
+      .Field("oldest_unstored_ms", report->oldest_unstored.count())
+      .Field("starts_per_pass", report->fewest_starts)
+      .Field("starts", all_starts - std::exchange(m_reported_starts, all_starts))
+      .Field("transactions", m_writer.transactions())
+      .Field("transaction_ms", m_writer.last_transaction_time().count())
+      .Field("usable_workers", m_scheduler->usable_workers())
+      .Field("active_jobs", m_scheduler->job_table().active().size())
+      .Field("waiting_calls", m_waiting.size());
+}
+
 std::uint64_t ScheduleOwner::AddWaitingCall(Callback done) {
   m_waiting.emplace(++m_last_waiting, std::move(done));
   return m_last_waiting;
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -17,6 +17,10 @@
 constexpr Duration kRetryInterval{100};
 /// Excludes the preconditions on the ownership record and the cursor, and the write of the cursor.
 constexpr std::size_t kEntriesForState = kMaxTransactionEntries - 3;
+/// Entries of the progress log that one transaction removes.
+constexpr std::size_t kLogRemovals = 4;
+/// Removals alone are no reason for a transaction before there are this many.
+constexpr std::size_t kLogRemovalsAlone = 16;
 constexpr Duration kFailingBound{250};
 /// A transaction that takes longer counts as a failure of the store.
 constexpr Duration kSlowCall{600};
@@ -65,14 +69,17 @@
   if (m_in_flight || now.time < m_retry_at || now.time - m_sent < kBatchInterval) {
     return;
   }
-  if (m_built || Build()) {
+  if (m_built || Build(now.time)) {
     Send(now.time);
   }
 }
 
-bool StateWriter::Build() {
-  std::size_t room = kEntriesForState;
+bool StateWriter::Build(TimePoint now) {
+  std::size_t room = kEntriesForState - 1;  // One is kept for the entry of the progress log.
   m_transaction = {};
+  m_log_removals = m_progress_log.Unneeded(kLogRemovals);
+  m_transaction.removals = m_log_removals;
+  room -= m_log_removals.size();
   m_built_extra.clear();
   const auto workers = m_scheduler->WorkersToRecord();
   m_writes_workers = workers.has_value();
@@ -88,14 +95,17 @@
     m_built_extra.push_back(std::move(m_extra.front()));
     m_extra.pop_front();
   }
-  m_changes = m_scheduler->CollectChanges(room);
+  m_changes = m_scheduler->CollectChanges(now, room);
+  std::vector<StoredProgress> progress;
   for (const JobChange& change : m_changes) {
+    if (change.progress && change.progress_in_log) {
+      progress.emplace_back(change.job, *change.progress);
+    } else if (change.progress) {
+      m_transaction.writes.push_back({ProgressKey(change.job), *change.progress});
+    }
     if (change.record) {
       m_transaction.writes.push_back({JobKey(change.job), *change.record});
     }
-    if (change.progress) {
-      m_transaction.writes.push_back({ProgressKey(change.job), *change.progress});
-    }
     if (change.remove_progress) {
       m_transaction.removals.push_back(ProgressKey(change.job));
     }
@@ -103,7 +113,8 @@
       m_transaction.removals.push_back(JobKey(change.job));
     }
   }
-  if (m_transaction.writes.empty() && m_transaction.removals.empty()) {
+  if (m_transaction.writes.empty() && progress.empty() &&
+      (m_transaction.removals.empty() || OnlyRemovesLog())) {
     return false;
   }
   if (m_cursor_revision == 0) {
@@ -112,17 +123,46 @@
   m_transaction.preconditions.push_back({m_ownership->key(), m_ownership->revision()});
   m_transaction.preconditions.push_back({std::string(kCursorKey), m_cursor_revision});
   m_transaction.writes.push_back({std::string(kCursorKey), fmt::to_string(++m_batch)});
+  m_log_key.clear();
+  if (!progress.empty()) {
+    m_log_key = ProgressLogKey(m_ownership->revision(), m_batch);
+    m_transaction.writes.push_back({m_log_key, EncodeProgressEntry(progress)});
+  }
   m_built = true;
   m_uncertain = false;
   return true;
 }
 
+bool StateWriter::OnlyRemovesLog() const {
+  return m_transaction.removals.size() == m_log_removals.size() &&
+         m_progress_log.Unneeded(kLogRemovalsAlone).size() < kLogRemovalsAlone;
+}
+
 bool StateWriter::HasFullTransaction() const {
-  // The write of the cursor is counted too, so this also holds with one entry of room left, which
-  // is too little for a job that needs two.
+  // The writes of the cursor and the progress log are counted too, so this also holds with two
+  // entries of room left, which is too little for a job that needs two.
   return m_transaction.writes.size() + m_transaction.removals.size() >= kEntriesForState;
 }
 
+void StateWriter::RecordProgressLog() {
+  m_progress_log.OnRemoved(m_log_removals);
+  std::vector<std::string> jobs;
+  for (const JobChange& change : m_changes) {
+    if (change.progress && change.progress_in_log) {
+      jobs.push_back(change.job);
+    } else if (change.job_ended || change.progress) {
+      m_progress_log.OnJobEnded(change.job);  // The log's progress of the job is superseded.
+    }
+  }
+  if (!m_log_key.empty()) {
+    m_progress_log.OnStored(m_log_key, jobs);
+  }
+}
+
+void StateWriter::LoadProgressLog(const std::string& key, std::span<const std::string> jobs) {
+  m_progress_log.OnStored(key, jobs);
+}
+
 void StateWriter::Send(TimePoint now) {
   m_in_flight = true;
   m_sent = now;
@@ -182,6 +222,9 @@
   }
   m_failing = m_built = m_uncertain = false;
   m_cursor_revision = cursor_revision;
+  ++m_transactions;
+  m_last_transaction_time = std::chrono::duration_cast<Duration>(now - m_sent);
+  RecordProgressLog();
   if (m_writes_workers) {
     m_scheduler->OnWorkersRecorded(m_workers);
   }
@@ -190,7 +233,7 @@
   }
   m_scheduler->OnStored({now, UnixMilliseconds()}, m_changes);
   // After a full transaction more changes may be waiting, so the next one is sent immediately.
-  if (HasFullTransaction() && Build()) {
+  if (HasFullTransaction() && Build(now)) {
     Send(now);
   }
 }
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -94,7 +94,7 @@
   if (now >= m_next_plan) {
     m_next_plan = now + kPlanInterval;
     for (const auto& [id, worker] : m_parts.scheduler->workers()) {
-      if (worker.runs.empty()) {
+      if (worker.idle()) {
         m_idle_since.try_emplace(id, now);
       } else {
         m_idle_since.erase(id);
@@ -301,7 +301,7 @@
     }
     const Worker* worker = m_parts.scheduler->FindWorker(vm.worker);
     if (worker != nullptr && worker->registered && !worker->info.draining && worker->reconciled &&
-        worker->runs.empty()) {
+        worker->idle()) {
       movable[vm.pool].push_back(id);
     }
   }
@@ -392,9 +392,9 @@
   m_parts.scheduler->SetClosedWorkers(std::move(closed));
 }
 
-bool VmFleet::HasNoRuns(const std::string& worker) const {
+bool VmFleet::MayTakeDown(TimePoint now, const std::string& worker) const {
   const Worker* known = m_parts.scheduler->FindWorker(worker);
-  return known == nullptr || known->runs.empty();
+  return known == nullptr || known->MayBeTakenDown(now);
 }
 
 void VmFleet::Advance(TimePoint now) {
@@ -419,7 +419,7 @@
 
 void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, Operation* operation) {
   if (operation->phase == Phase::kVacating) {
-    if (!HasNoRuns(operation->worker)) {
+    if (!MayTakeDown(now, operation->worker)) {
       const Duration bound = operation->upkeep ? kVacateBound : kMoveVacateBound;
       m_parts.scheduler->VacateWorker(now, operation->worker, now - operation->since > bound);
       return;
@@ -428,7 +428,7 @@
   }
   if (operation->phase == Phase::kOrdering && !operation->in_flight && now >= operation->retry_at &&
       MayOrder(now)) {
-    if (!HasNoRuns(operation->worker)) {
+    if (!MayTakeDown(now, operation->worker)) {
       operation->phase = Phase::kVacating;
       return;
     }
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -267,6 +267,7 @@
   call.spec = TestJob("a");
   const auto decoded = DecodeOwnerCall(EncodeOwnerCall(call));
   REQUIRE(decoded);
+  CHECK(decoded->state_format == kProgressLogFormat);
   CHECK(decoded->spec->queue == "queue");
   OwnerReply reply;
   reply.status = OwnerStatus::kRefused;
--- /dev/null
+++ b/packages/entry/tests/vm_fleet_test.cc
@@ -0,0 +1,71 @@
+#include "cranberryplank/entry/vm_fleet.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "fleet_fixture.h"
+
+namespace cranberryplank {
+
+namespace {
+
+bool Contains(const std::vector<std::string>& vms, const std::string& vm) {
+  return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+}  // namespace
+
+// Guards against losing the only copy of an ended run. VMs were moved 2 s after their last run had
+// ended, while the store was 6 s behind; after a change of owner the tasks ran a second time.
+TEST_CASE("a VM is moved only once the ended runs of its worker are stored") {
+  FleetFixture fixture;
+  fixture.Begin();
+  const std::string vm = FleetFixture::VmOf(fixture.RunTask());
+  for (int i = 0; i < 20; ++i) {
+    fixture.Step();
+    fixture.ReplyToRenewals();
+  }
+  CHECK_FALSE(fixture.machines.moved.empty());
+  CHECK_FALSE(Contains(fixture.machines.moved, vm));
+  fixture.store_answers = true;
+  fixture.Step();
+  // All VMs but the worker's are gone or kept, so an operator's wave shows that it may go now.
+  fixture.fleet->SetWave(fixture.now, {1, {vm}, Duration(10'000), 1});
+  for (int i = 0; i < 20; ++i) {
+    fixture.Step();
+    fixture.ReplyToRenewals();
+  }
+  CHECK((Contains(fixture.machines.taken_down, vm) || Contains(fixture.machines.moved, vm)));
+}
+
+// Guards against the same loss by upkeep: an urgent wave takes the VM as soon as it has no runs.
+TEST_CASE("a VM is taken down for upkeep only once the ended runs of its worker are stored") {
+  FleetFixture fixture;
+  fixture.Begin();
+  const std::string vm = FleetFixture::VmOf(fixture.RunTask());
+  fixture.fleet->SetWave(fixture.now, {1, {vm}, Duration(1'000), 1});
+  for (int i = 0; i < 20; ++i) {
+    fixture.Step();
+    fixture.ReplyToRenewals();
+  }
+  CHECK_FALSE(Contains(fixture.machines.taken_down, vm));
+}
+
+// Guards against taking down a VM whose worker has not yet listed its runs to a new owner.
+TEST_CASE("a new owner takes down no VM whose worker has not listed its runs") {
+  FleetFixture fixture;
+  Takeover takeover;
+  takeover.epoch = fixture.ownership.revision();
+  takeover.unreconciled_bound = fixture.now + Duration(10'000);
+  takeover.workers.push_back({"worker-0", "pool"});
+  fixture.Begin(takeover);
+  fixture.fleet->SetWave(fixture.now, {1, {"vm-0"}, Duration(1'000), 1});
+  for (int i = 0; i < 20; ++i) {
+    fixture.Step();  // No worker replies.
+  }
+  CHECK(fixture.machines.taken_down.empty());
+}
+
+}  // namespace cranberryplank
--- a/packages/model/include/cranberryplank/model/log.h
+++ b/packages/model/include/cranberryplank/model/log.h
@@ -3,9 +3,11 @@
 
 #include <fmt/format.h>
 
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace cranberryplank {
 
@@ -31,15 +33,23 @@
   /// Adds ` key=value`. Values with spaces or quotes are quoted.
   template <typename T>
   LogLine& Field(std::string_view key, const T& value) {
-    if (m_enabled) {
-      Append(key, fmt::format("{}", value));
+    if (!m_enabled) {
+      return *this;
+    }
+    if constexpr (std::is_arithmetic_v<T>) {
+      AppendKey(key);
+      fmt::format_to(std::back_inserter(m_line), "{}", value);
+    } else {
+      AppendText(key, value);
     }
     return *this;
   }
 
  private:
-  void Append(std::string_view key, std::string_view value);
+  void AppendKey(std::string_view key);
+  void AppendText(std::string_view key, std::string_view value);
 
+  bool m_beyond_budget;  ///< Warnings and errors are logged even if the budget is used up.
   bool m_enabled;
   std::string m_line;
 };
--- a/packages/model/include/cranberryplank/model/log_buffer.h
+++ b/packages/model/include/cranberryplank/model/log_buffer.h
@@ -21,8 +21,13 @@
   LogBuffer(const LogBuffer&) = delete;
   LogBuffer& operator=(const LogBuffer&) = delete;
 
+  /// Returns whether a line that counts against the budget is accepted now. If it is not, the line
+  /// counts as dropped, so a caller can skip formatting it.
+  bool AcceptsLine();
   /// Queues a complete line. Without periodic flushing, it is written at once.
   void Add(std::string_view line);
+  /// Queues a line even if the budget is used up.
+  void AddBeyondBudget(std::string_view line);
   /// Writes as much as possible without blocking.
   void Flush();
   /// Sets whether the caller calls Flush() regularly, so that lines are written in larger blocks.
@@ -34,6 +39,8 @@
   std::size_t pending() const { return m_pending.size(); }
 
  private:
+  void Queue(std::string_view line);
+
   int m_descriptor;
   std::string m_pending;
   bool m_periodic = false;
--- a/packages/model/src/log.cc
+++ b/packages/model/src/log.cc
@@ -15,6 +15,8 @@
 constexpr std::array kLevels{LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning,
                              LogLevel::kError};
 
+constexpr std::size_t kTypicalLineBytes = 192;
+
 std::atomic<LogLevel> g_level{LogLevel::kInfo};
 
 bool NeedsQuotes(std::string_view value) {
@@ -60,11 +62,16 @@
 
 void SetLogLevel(LogLevel level) { g_level.store(level); }
 
-LogLine::LogLine(LogLevel level, std::string_view event) : m_enabled(level >= g_level.load()) {
+LogLine::LogLine(LogLevel level, std::string_view event)
+    : m_beyond_budget(level >= LogLevel::kWarning),
+      m_enabled(level >= g_level.load() &&
+                (m_beyond_budget || LogBuffer::Instance().AcceptsLine())) {
   if (!m_enabled) {
     return;
   }
-  m_line = fmt::format("{} level={} event={}", LogTimestamp(), ToString(level), event);
+  m_line.reserve(kTypicalLineBytes);
+  fmt::format_to(std::back_inserter(m_line), "{} level={} event={}", LogTimestamp(),
+                 ToString(level), event);
 }
 
 LogLine::~LogLine() {
@@ -72,14 +79,26 @@
     return;
   }
   m_line += '\n';
-  LogBuffer::Instance().Add(m_line);
+  if (m_beyond_budget) {
+    LogBuffer::Instance().AddBeyondBudget(m_line);
+  } else {
+    LogBuffer::Instance().Add(m_line);
+  }
 }
 
-void LogLine::Append(std::string_view key, std::string_view value) {
+void LogLine::AppendKey(std::string_view key) {
   m_line += ' ';
   m_line += key;
   m_line += '=';
-  m_line += NeedsQuotes(value) ? Quote(value) : std::string(value);
+}
+
+void LogLine::AppendText(std::string_view key, std::string_view value) {
+  AppendKey(key);
+  if (NeedsQuotes(value)) {
+    m_line += Quote(value);
+  } else {
+    m_line += value;
+  }
 }
 
 }  // namespace cranberryplank
--- a/packages/model/src/log_buffer.cc
+++ b/packages/model/src/log_buffer.cc
@@ -30,12 +30,29 @@
 
 LogBuffer::~LogBuffer() { Flush(); }
 
-void LogBuffer::Add(std::string_view line) {
-  if (m_budget == 0 || m_pending.size() + line.size() > kMaxPendingBytes) {
+bool LogBuffer::AcceptsLine() {
+  if (m_budget == 0) {
     ++m_dropped;
+    return false;
+  }
+  return true;
+}
+
+void LogBuffer::Add(std::string_view line) {
+  if (!AcceptsLine()) {
     return;
   }
   --m_budget;
+  Queue(line);
+}
+
+void LogBuffer::AddBeyondBudget(std::string_view line) { Queue(line); }
+
+void LogBuffer::Queue(std::string_view line) {
+  if (m_pending.size() + line.size() > kMaxPendingBytes) {
+    ++m_dropped;
+    return;
+  }
   if (m_dropped > m_reported) {
     m_pending += fmt::format("{} level=warning event=log_lines_dropped total={}\n", LogTimestamp(),
                              m_dropped);
--- a/packages/model/tests/log_buffer_test.cc
+++ b/packages/model/tests/log_buffer_test.cc
@@ -51,4 +51,28 @@
   close(ends[1]);
 }
 
+// Guards against warnings that are missing exactly when a daemon is overloaded: with the budget
+// used up by a line for each task, the loss of the ownership was not logged.
+TEST_CASE("a line beyond the budget is kept, and others need not be formatted") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  {
+    LogBuffer buffer(ends[1]);
+    buffer.SetPeriodic(true);
+    buffer.SetBudget(1);
+    CHECK(buffer.AcceptsLine());
+    buffer.Add("line\n");
+    CHECK_FALSE(buffer.AcceptsLine());
+    CHECK(buffer.dropped() == 1);
+    buffer.AddBeyondBudget("warning\n");
+    buffer.Flush();
+  }
+  std::array<char, 4'096> text{};
+  const ssize_t size = read(ends[0], text.data(), text.size());
+  CHECK(std::string(text.data(), static_cast<std::size_t>(size)).find("warning") !=
+        std::string::npos);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace cranberryplank
--- a/packages/platform/include/cranberryplank/platform/http_client.h
+++ b/packages/platform/include/cranberryplank/platform/http_client.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "cranberryplank/platform/http_message.h"
@@ -54,7 +54,7 @@
   struct Call;
   struct IdleConnection;
   struct Pool;
-  using Server = std::pair<std::string, std::uint16_t>;
+  using Server = std::tuple<std::string, std::uint16_t, bool>;  ///< Host, port, urgent.
 
   static void OnTimer(int, short, void* argument);  // NOLINT(google-runtime-int): libevent's type
   static void OnSweep(int, short, void* argument);  // NOLINT(google-runtime-int): libevent's type
--- a/packages/platform/include/cranberryplank/platform/http_message.h
+++ b/packages/platform/include/cranberryplank/platform/http_message.h
@@ -26,6 +26,9 @@
   std::vector<HttpHeader> headers;
   std::string body;
   Duration timeout{1'000};  ///< For the complete reply, including the wait for a connection.
+  /// The reply is handled before other events of a loop with priorities. Urgent requests have
+  /// connections of their own.
+  bool urgent = false;
 };
 
 /// Outcome of a call.
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "cranberryplank/platform/event_priority.h"
 #include "http_connection.h"
 
 namespace cranberryplank {
@@ -83,10 +84,13 @@
   m_calls.emplace(id, std::move(owned));
   call->client = this;
   call->id = id;
-  call->server = {request.host, request.port};
+  call->server = {request.host, request.port, request.urgent};
   call->request = std::move(request);
   call->done = std::move(done);
   call->timer = evtimer_new(m_base, OnTimer, call);
+  if (call->request.urgent) {
+    event_priority_set(call->timer, kUrgentEvents);
+  }
   call->deadline = Clock::now() + call->request.timeout;
   call->ArmTimer();
   if (!IsAddress(call->request.host)) {
@@ -116,7 +120,7 @@
   std::unique_ptr<HttpConnection> connection = TakeIdle(&pool);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(m_base, call->request.host, call->request.port,
-                                                  m_limits.max_reply_bytes);
+                                                  m_limits.max_reply_bytes, call->request.urgent);
   }
   ++pool.used;
   call->connection = std::move(connection);
@@ -167,7 +171,7 @@
   }
   Pool& pool = m_pools[call->server];
   --pool.used;
-  if (call->reply->outcome == HttpOutcome::kAnswered && call->connection->Reusable()) {
+  if (call->reply->outcome == HttpOutcome::kAnswered && call->connection->KeptAlive()) {
     pool.idle.push_back({std::move(call->connection), Clock::now()});
     if (evtimer_pending(m_sweep, nullptr) == 0) {
       evtimer_add(m_sweep, &kSweepInterval);
--- a/packages/platform/src/http_connection.cc
+++ b/packages/platform/src/http_connection.cc
@@ -12,6 +12,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "cranberryplank/platform/event_priority.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -35,6 +37,14 @@
   return EVHTTP_REQ_GET;
 }
 
+bufferevent* NewStream(event_base* base, bool urgent) {
+  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+  if (urgent) {
+    bufferevent_priority_set(stream, kUrgentEvents);
+  }
+  return stream;
+}
+
 HttpReply ReadReply(evhttp_request* request) {
   HttpReply reply;
   reply.outcome = HttpOutcome::kAnswered;
@@ -98,9 +108,9 @@
 }  // namespace
 
 HttpConnection::HttpConnection(event_base* base, const std::string& host, std::uint16_t port,
-                               std::size_t max_reply_bytes)
-    : m_connection(
-          evhttp_connection_base_bufferevent_new(base, nullptr, nullptr, host.c_str(), port)) {
+                               std::size_t max_reply_bytes, bool urgent)
+    : m_connection(evhttp_connection_base_bufferevent_new(base, nullptr, NewStream(base, urgent),
+                                                          host.c_str(), port)) {
   evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(max_reply_bytes));
   evhttp_connection_set_max_headers_size(m_connection, kMaxHeaderBytes);
   evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), OnOutput,
@@ -143,15 +153,17 @@
   }
 }
 
-bool HttpConnection::Reusable() const {
-  if (!m_reusable) {
-    return false;
-  }
+bool HttpConnection::KeptAlive() const {
   bufferevent* stream = evhttp_connection_get_bufferevent(m_connection);
-  const evutil_socket_t socket = bufferevent_getfd(stream);
-  if (socket < 0 || evbuffer_get_length(bufferevent_get_input(stream)) > 0) {
+  return m_reusable && bufferevent_getfd(stream) >= 0 &&
+         evbuffer_get_length(bufferevent_get_input(stream)) == 0;
+}
+
+bool HttpConnection::Reusable() const {
+  if (!KeptAlive()) {
     return false;
   }
+  const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(m_connection));
   char byte = 0;
   return recv(socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
--- a/packages/platform/src/http_connection.h
+++ b/packages/platform/src/http_connection.h
@@ -22,8 +22,9 @@
   using Callback = std::function<void(HttpReply reply)>;
 
   /// `host` must be an IP address, since a host name would be resolved with a blocking call.
+  /// @param urgent whether its events run before others of a loop with priorities
   HttpConnection(event_base* base, const std::string& host, std::uint16_t port,
-                 std::size_t max_reply_bytes);
+                 std::size_t max_reply_bytes, bool urgent);
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
@@ -36,7 +37,10 @@
   /// Returns whether a byte of the current request may have been written.
   bool written() const { return m_written; }
 
-  /// Returns whether the connection is open and idle, with no byte or end of stream to read.
+  /// Returns whether the last reply left the connection open and idle.
+  bool KeptAlive() const;
+  /// Returns whether the connection is open and idle, with no byte or end of stream to read. Asks
+  /// the kernel, so a connection that the server has closed since is not reused.
   bool Reusable() const;
 
  private:
--- a/packages/scheduler/include/cranberryplank/scheduler/change_choice.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/change_choice.h
@@ -5,18 +5,21 @@
 #include <span>
 #include <vector>
 
+#include "cranberryplank/model/time.h"
+
 namespace cranberryplank {
 
 /// A change of a job that waits to be stored.
 struct PendingChange {
-  std::size_t entries = 1;  ///< Transaction entries that the change needs.
+  std::size_t entries = 1;  ///< Transaction entries of its own that the change needs.
   bool awaited = false;     ///< A caller waits for it or is notified of it: a new or an ended job.
+  Duration age{0};
 };
 
-/// Chooses the changes of the next transaction when jobs change faster than the store accepts. New
-/// and ended jobs go first. Progress of running tasks waits and is often superseded by the end of
-/// the job. A part of the transaction is reserved for the oldest progress, because ended runs must
-/// be acknowledged within a bounded time.
+/// Chooses the changes of the next transaction when jobs change faster than the store accepts.
+/// Progress that has waited too long goes first, because until it is stored only the worker knows
+/// of the ended runs. Then come new and ended jobs. Other progress of running tasks waits, and
+/// is often superseded by the end of the job; a part of the transaction is reserved for the oldest.
 /// @param pending  oldest change first
 /// @param room     number of entries that fit into the transaction
 /// @return indexes into `pending`, ascending
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -2,7 +2,7 @@
 #define CRANBERRYPLANK_SCHEDULER_JOB_ORDER_H_
 
 #include <compare>
-#include <string>
+#include <cstdint>
 
 #include "cranberryplank/model/time.h"
 
@@ -19,7 +19,7 @@
   Duration remaining_chain{0};  ///< Duration of the longest chain of dependent steps that remain.
   int remaining_steps = 0;      ///< Steps that are not done.
   bool begun = false;           ///< A task of the occurrence has been started or is done.
-  std::string id;               ///< Breaks ties.
+  std::uint64_t serial = 0;     ///< Breaks ties: the order in which the jobs were added.
 };
 
 /// Position in the order: smaller is placed first.
@@ -27,7 +27,7 @@
   int rank = 0;
   int priority = 0;
   TimePoint objective{};
-  std::string id;
+  std::uint64_t serial = 0;
 
   auto operator<=>(const OrderKey&) const =
       default;  // NOLINT(modernize-use-nullptr): a false finding
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -16,6 +16,7 @@
 #include "cranberryplank/jobs/job.h"
 #include "cranberryplank/jobs/job_codec.h"
 #include "cranberryplank/model/time.h"
+#include "cranberryplank/scheduler/cluster_config.h"
 
 namespace cranberryplank {
 
@@ -62,17 +63,21 @@
   std::int64_t finished_unix_ms = 0;
   bool loaded_from_store = false;  ///< An earlier owner may have started tasks.
   bool stored = false;             ///< The record is in the store.
-  bool progress_stored = false;    ///< The store may have an entry of the job's progress.
+  bool progress_stored = false;    ///< The store may have an own entry of the job's progress.
   bool ended_record = false;       ///< The record has been replaced by that of an ended job.
   bool started = false;            ///< A task has been started.
   bool over_share = false;  ///< Exceeded its customer's guaranteed jobs per second on arrival.
   int placed_runs = 0;
   std::uint64_t change = 0;        ///< Number of the newest change that is not stored; 0 if none.
   std::uint64_t first_change = 0;  ///< Lower bound of the changes that are not stored.
+  TimePoint changed_at{};          ///< When the oldest change that is not stored was made.
+  const QueueConfig* queue = nullptr;  ///< Cached by the scheduler.
   std::vector<std::function<void(bool stored)>> on_stored;
 
   bool StepReady(const OccurrenceState& occurrence, std::size_t step) const;
   JobProgress Progress() const;
+  /// Returns whether the store has the change with this number.
+  bool HasStored(std::uint64_t number) const { return first_change == 0 || number < first_change; }
 };
 
 using JobPointer = std::shared_ptr<Job>;
@@ -116,17 +121,15 @@
   bool OpenDue(TimePoint now, std::int64_t now_unix_ms);
 
   /// Marks a task as done, and also its occurrence and job if all their tasks are done.
-  void MarkDone(const TaskRef& task, std::int64_t now_unix_ms);
-  void SetState(Job* job, JobState state, std::int64_t now_unix_ms);
+  void MarkDone(TimePoint now, const TaskRef& task, std::int64_t now_unix_ms);
+  void SetState(TimePoint now, Job* job, JobState state, std::int64_t now_unix_ms);
   /// Records that the job has a change to store. @return the number of the change
-  std::uint64_t MarkChanged(Job* job);
+  std::uint64_t MarkChanged(TimePoint now, Job* job);
 
   /// Jobs with changes to store, oldest change first.
   const std::set<std::pair<std::uint64_t, Job*>>& changed() const { return m_changed; }
-  /// Records that the changes of `job` up to number `change` have been stored.
-  void MarkStored(Job* job, std::uint64_t change);
-  /// Returns the number up to which all changes are stored.
-  std::uint64_t StoredUpTo() const;
+  /// Records that the changes of `job` up to number `change`, as they were at `built`, are stored.
+  void MarkStored(TimePoint built, Job* job, std::uint64_t change);
 
   const std::unordered_map<std::string, JobPointer>& jobs() const { return m_jobs; }
   /// Jobs that are not final, by id.
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,9 +42,12 @@
 struct JobChange {
   std::string job;
   std::uint64_t number = 0;
+  TimePoint collected{};                ///< The job's changes up to then are included.
   std::optional<std::string> record;    ///< New value of the job's record.
   std::optional<std::string> progress;  ///< New value of the job's progress.
-  bool remove_progress = false;
+  bool progress_in_log = false;         ///< `progress` goes to the log that all jobs share.
+  bool job_ended = false;
+  bool remove_progress = false;  ///< Remove the job's own entry of progress.
   bool remove_record = false;
 };
 
@@ -70,6 +74,7 @@
   std::uint64_t failed_renewals = 0;
   std::uint64_t tasks_done = 0;
   std::uint64_t tasks_failed = 0;
+  std::uint64_t ends_stored = 0;  ///< Ended runs whose changes are stored.
   std::uint64_t runs_lost = 0;
   std::uint64_t restarted_workers = 0;
   std::uint64_t jobs_done = 0;
@@ -132,7 +137,13 @@
   void Tick(Now now);
 
   /// Collects changes to store, oldest first, with at most `max_entries` keys in total.
-  std::vector<JobChange> CollectChanges(std::size_t max_entries) const;
+  std::vector<JobChange> CollectChanges(TimePoint now, std::size_t max_entries) const;
+  /// Sets whether progress is stored in a log that all jobs share, or in an entry for each job.
+  /// When a daemon of an earlier version may take over, which knows only the latter, the progress
+  /// of all jobs is stored again in that form.
+  void SetProgressInLog(TimePoint now, bool in_log);
+  /// Returns the age of the oldest change that is not stored.
+  Duration OldestUnstored(TimePoint now) const;
   void OnStored(Now now, std::span<const JobChange> changes);
   /// Returns the workers to record, if the record in the store is not up to date.
   std::optional<std::vector<RecordedWorker>> WorkersToRecord() const;
@@ -166,7 +177,11 @@
   void VacateWorker(TimePoint now, const std::string& id, bool all);
   /// Returns the load of each configured pool; the numbers of VMs are left at 0.
   std::vector<JobPoolLoad> PoolLoads(TimePoint now);
+  /// Returns the number of workers on which a run could be started in the last placement pass.
+  std::size_t usable_workers() const { return m_usable_workers; }
   bool may_act(TimePoint now) const { return MayAct(now); }
+  /// Sets how many tasks may be started in one placement pass.
+  void SetStartLimit(int starts) { m_start_limit = starts; }
   /// Sets the workers, besides draining ones, on which no run is started.
   void SetClosedWorkers(std::set<std::string> ids) { m_closed = std::move(ids); }
   Worker* FindWorker(const std::string& id);
@@ -177,6 +192,7 @@
 
   bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority; }
   const QueueConfig& QueueOfJob(const Job& job);
+  const QueueConfig& FindOrAddQueue(const Job& job);
 
   // Leases and lists of runs.
   void SendRenewals(TimePoint now);
@@ -200,7 +216,7 @@
   void StopUntrackedRun(TimePoint now, Worker* worker, const ListedRun& listed);
   void LoseRuns(TimePoint now, Worker* worker, std::string_view reason);
   void ReleaseAcknowledged(TimePoint now);
-  static void ReleaseAcknowledged(TimePoint now, Worker* worker, std::uint64_t stored);
+  void ReleaseAcknowledged(TimePoint now, Worker* worker);
   void ExpireWorkers(TimePoint now);
   void UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task, const ListedRun& listed);
 
@@ -222,7 +238,7 @@
   std::vector<WaitingStep> CollectWaiting(TimePoint now);
   void PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass);
   void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable);
-  std::vector<Worker*> UsableWorkers(std::string_view pool);
+  std::map<std::string_view, PoolPass> UsableWorkersByPool();
   bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                  std::string_view ticket);
   bool WithinCap(const Job& job, const Resources& more) const;
@@ -264,6 +280,11 @@
   TimePoint m_authority{};
   TimePoint m_unreconciled_bound{};
   TimePoint m_last_schedule{};
+  TimePoint m_last_expiry{};
+  bool m_progress_in_log = false;
+  int m_start_limit = std::numeric_limits<int>::max();
+  std::size_t m_usable_workers = 0;
+  int m_starts_left = 0;  ///< In the current placement pass.
   TimePoint m_last_watch{};
   TimePoint m_last_cleanup{};
   std::int64_t m_unix_ms = 0;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cranberryplank/jobs/job.h"
@@ -64,6 +65,8 @@
   kGangIncomplete,  ///< The other members of the gang did not start in time.
 };
 
+std::string_view ToString(RunEndKind kind);
+
 /// An ended run, which the worker lists until it is acknowledged.
 struct EndedRun {
   std::uint64_t number = 0;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -60,7 +60,10 @@
 /// An ended run whose acknowledgement waits until the change that it caused is stored.
 struct PendingAcknowledgement {
   std::uint64_t number = 0;
-  std::uint64_t change = 0;
+  JobPointer job;            ///< Null if the run's job is not known.
+  std::uint64_t change = 0;  ///< Of the job; 0 if nothing is to be stored.
+
+  bool Stored() const { return job == nullptr || change == 0 || job->HasStored(change); }
 };
 
 /// Adjacent runs in a worker's map of runs.
@@ -111,6 +114,10 @@
   Resources free() const { return info.capacity - used; }
   /// Returns whether the worker has no runs and no ended runs to acknowledge.
   bool idle() const { return runs.empty() && pending_acknowledgements.empty(); }
+  /// Returns whether the worker's VM may be shut down: the worker has no runs, and the store has
+  /// all ended runs that it listed. A worker that has not listed its runs to this owner may have
+  /// some until its leases have expired.
+  bool MayBeTakenDown(TimePoint now) const { return idle() && (reconciled || now > lease_bound); }
   /// Returns the runs of the step of `step`; its index is not used.
   RunRange RunsOfStep(const TaskRef& step) const;
 };
--- a/packages/scheduler/src/job_order.cc
+++ b/packages/scheduler/src/job_order.cc
@@ -45,7 +45,7 @@
   key.rank = RankOf(input, now);
   key.priority = input.priority;
   key.objective = input.due + input.objective;
-  key.id = input.id;
+  key.serial = input.serial;
   return key;
 }
 
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -58,7 +58,7 @@
   Job* raw = job.get();
   m_active.emplace(raw->spec.id, raw);
   m_jobs.emplace(raw->spec.id, std::move(job));
-  MarkChanged(raw);
+  MarkChanged(now, raw);
   return raw;
 }
 
@@ -198,7 +198,7 @@
   return opened;
 }
 
-void JobTable::MarkDone(const TaskRef& task, std::int64_t now_unix_ms) {
+void JobTable::MarkDone(TimePoint now, const TaskRef& task, std::int64_t now_unix_ms) {
   JobTaskState* state = task.state();
   if (state == nullptr || state->done) {
     return;
@@ -215,31 +215,32 @@
     task.job->open.erase(occurrence);
   }
   if (static_cast<int>(task.job->done_occurrences.size()) == task.job->spec.occurrence_count()) {
-    SetState(task.job, JobState::kDone, now_unix_ms);
+    SetState(now, task.job, JobState::kDone, now_unix_ms);
     return;
   }
-  MarkChanged(task.job);
+  MarkChanged(now, task.job);
 }
 
-void JobTable::SetState(Job* job, JobState state, std::int64_t now_unix_ms) {
+void JobTable::SetState(TimePoint now, Job* job, JobState state, std::int64_t now_unix_ms) {
   job->state = state;
   if (IsFinal(state)) {
     job->finished_unix_ms = now_unix_ms;
     m_active.erase(job->spec.id);
   }
-  MarkChanged(job);
+  MarkChanged(now, job);
 }
 
-std::uint64_t JobTable::MarkChanged(Job* job) {
+std::uint64_t JobTable::MarkChanged(TimePoint now, Job* job) {
   job->change = ++m_last_change;
   if (job->first_change == 0) {
     job->first_change = job->change;
+    job->changed_at = now;
     m_changed.emplace(job->first_change, job);
   }
   return job->change;
 }
 
-void JobTable::MarkStored(Job* job, std::uint64_t change) {
+void JobTable::MarkStored(TimePoint built, Job* job, std::uint64_t change) {
   job->stored = true;
   m_changed.erase({job->first_change, job});
   if (job->change == change) {
@@ -247,11 +248,8 @@
     return;
   }
   job->first_change = change + 1;
+  job->changed_at = built;
   m_changed.emplace(job->first_change, job);
 }
 
-std::uint64_t JobTable::StoredUpTo() const {
-  return m_changed.empty() ? m_last_change : m_changed.begin()->first - 1;
-}
-
 }  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -15,22 +15,29 @@
 /// Run numbers of a later owner are higher than those of all earlier owners.
 constexpr int kRunsPerGeneration = 1'000;
 constexpr Duration kScheduleInterval{100};
+constexpr Duration kExpiryInterval{40};
 constexpr Duration kLeaseMargin{150};
 /// Records of ended jobs are kept a little longer than the retention time.
 constexpr Duration kRetentionMargin{10'000};
 constexpr Duration kCleanupInterval{1'000};
 
-PendingChange PendingChangeOf(const Job& job) {
+PendingChange PendingChangeOf(TimePoint now, const Job& job, bool progress_in_log) {
   PendingChange pending;
+  pending.age = std::chrono::duration_cast<Duration>(now - job.changed_at);
   pending.awaited = !job.ended_record && (IsFinal(job.state) || !job.stored);
   pending.entries = !job.ended_record && IsFinal(job.state) && job.progress_stored ? 2 : 1;
+  if (progress_in_log && !pending.awaited && !job.ended_record) {
+    pending.entries = 0;  // The progress of all jobs shares one entry.
+  }
   return pending;
 }
 
-JobChange ChangeOf(const Job& job) {
+JobChange ChangeOf(TimePoint now, const Job& job, bool progress_in_log) {
   JobChange change;
+  change.collected = now;
   change.job = job.spec.id;
   change.number = job.change;
+  change.job_ended = IsFinal(job.state);
   if (job.ended_record) {
     change.remove_record = true;
   } else if (IsFinal(job.state)) {
@@ -41,6 +48,7 @@
     change.record = EncodeJob(job.spec);
   } else {
     change.progress = EncodeProgress(job.Progress());
+    change.progress_in_log = progress_in_log;
   }
   return change;
 }
@@ -108,6 +116,14 @@
 }
 
 const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
+  if (job.queue == nullptr) {
+    // Entries of the map are changed in place and never removed, so the address stays valid.
+    m_jobs.Find(job.spec.id)->queue = &FindOrAddQueue(job);
+  }
+  return *job.queue;
+}
+
+const QueueConfig& Scheduler::FindOrAddQueue(const Job& job) {
   const auto it = m_queues.find(job.spec.queue);
   if (it != m_queues.end()) {
     return it->second;
@@ -276,14 +292,18 @@
   if (m_jobs.OpenDue(now.time, now.unix_ms)) {
     m_schedule_needed = true;
   }
-  ExpireWorkers(now.time);
-  MoveLongRunningOffDraining(now.time);
+  // What keeps running work alive goes before new starts.
+  SendRenewals(now.time);
+  if (now.time - m_last_expiry >= kExpiryInterval) {
+    m_last_expiry = now.time;
+    ExpireWorkers(now.time);
+    MoveLongRunningOffDraining(now.time);
+  }
   WatchRuns(now.time);
+  SendStops(now.time);
   if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval) {
     Schedule(now.time);
   }
-  SendStops(now.time);
-  SendRenewals(now.time);
   RemoveOldJobs(now);
 }
 
@@ -301,24 +321,48 @@
   }
   for (Job* job : old) {
     job->finished_unix_ms = 0;
-    m_jobs.MarkChanged(job);
+    m_jobs.MarkChanged(now.time, job);
   }
 }
 
-std::vector<JobChange> Scheduler::CollectChanges(std::size_t max_entries) const {
+std::vector<JobChange> Scheduler::CollectChanges(TimePoint now, std::size_t max_entries) const {
   std::vector<const Job*> jobs;
   std::vector<PendingChange> pending;
   for (const auto& [number, job] : m_jobs.changed()) {
     jobs.push_back(job);
-    pending.push_back(PendingChangeOf(*job));
+    pending.push_back(PendingChangeOf(now, *job, m_progress_in_log));
   }
   std::vector<JobChange> changes;
   for (const std::size_t index : ChooseChanges(pending, max_entries)) {
-    changes.push_back(ChangeOf(*jobs[index]));
+    changes.push_back(ChangeOf(now, *jobs[index], m_progress_in_log));
   }
   return changes;
 }
 
+void Scheduler::SetProgressInLog(TimePoint now, bool in_log) {
+  if (in_log == m_progress_in_log) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "progress_format").Field("in_log", in_log);
+  m_progress_in_log = in_log;
+  if (in_log) {
+    return;  // Entries of single jobs stay valid until there is newer progress.
+  }
+  for (const auto& [id, job] : m_jobs.active()) {
+    if (job->stored && job->started) {
+      m_jobs.MarkChanged(now, job);
+    }
+  }
+}
+
+Duration Scheduler::OldestUnstored(TimePoint now) const {
+  TimePoint oldest = now;
+  for (const auto& [number, job] : m_jobs.changed()) {
+    oldest = std::min(oldest, job->changed_at);
+  }
+  return std::chrono::duration_cast<Duration>(now - oldest);
+}
+
 void Scheduler::OnStored(Now now, std::span<const JobChange> changes) {
   for (const JobChange& change : changes) {
     Job* job = m_jobs.Find(change.job);
@@ -326,8 +370,8 @@
       continue;
     }
     const bool current = job->change == change.number;
-    m_jobs.MarkStored(job, change.number);
-    job->progress_stored = job->progress_stored || change.progress.has_value();
+    m_jobs.MarkStored(change.collected, job, change.number);
+    job->progress_stored = job->progress_stored || (change.progress && !change.progress_in_log);
     if (change.remove_record) {
       m_jobs.Remove(change.job);
       continue;
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -11,6 +13,7 @@
 /// A step with waiting tasks and its position in the order.
 struct Scheduler::WaitingStep {
   OrderKey key;
+  const QueueConfig* queue = nullptr;
   TaskRef step;  ///< The index is not used.
 };
 
@@ -44,8 +47,11 @@
 }
 
 /// Returns the longest chain of the steps that are not done, by the submitter's estimates.
-Duration RemainingChain(const JobSpec& spec, const OccurrenceState& occurrence) {
-  std::vector<std::int64_t> end(spec.steps.size(), 0);
+/// @param ends space for the calculation, reused between calls
+Duration RemainingChain(const JobSpec& spec, const OccurrenceState& occurrence,
+                        std::vector<std::int64_t>* ends) {
+  std::vector<std::int64_t>& end = *ends;
+  end.assign(spec.steps.size(), 0);
   std::int64_t longest = 0;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     std::int64_t start = 0;
@@ -90,6 +96,38 @@
   return candidates;
 }
 
+/// Log line of the tasks of one step that are started in one pass. A line for each task would be
+/// most of the log of an owner that starts a thousand tasks per second.
+class StartsLine {
+ public:
+  StartsLine(TimePoint now, const TaskRef& step, std::uint64_t config_version)
+      : m_now(now), m_step(step), m_config_version(config_version) {}
+  StartsLine(const StartsLine&) = delete;
+  StartsLine& operator=(const StartsLine&) = delete;
+  ~StartsLine() {
+    if (m_runs.empty()) {
+      return;
+    }
+    const OccurrenceState& occurrence = m_step.job->open.at(m_step.occurrence);
+    LogLine(LogLevel::kInfo, "start")
+        .Field("step", m_step.Id().StepName())
+        .Field("runs", m_runs)
+        .Field("config", m_config_version)
+        .Field("waited_ms", std::chrono::duration_cast<Duration>(m_now - occurrence.due).count());
+  }
+
+  void Add(int index, int run, std::string_view worker) {
+    fmt::format_to(std::back_inserter(m_runs), "{}{}:{}@{}", m_runs.empty() ? "" : " ", index, run,
+                   worker);
+  }
+
+ private:
+  TimePoint m_now;
+  TaskRef m_step;
+  std::uint64_t m_config_version;
+  std::string m_runs;
+};
+
 /// Subtracts a placed task from the candidate's free capacity for the step's next tasks.
 void Occupy(WorkerCandidate* candidate, const StepSpec& step) {
   candidate->free -= step.Footprint();
@@ -124,16 +162,17 @@
 
 std::vector<Scheduler::WaitingStep> Scheduler::CollectWaiting(TimePoint now) {
   std::vector<WaitingStep> waiting;
+  std::vector<std::int64_t> ends;
   for (const auto& [id, job] : m_jobs.active()) {
     if (!job->stored) {
       continue;
     }
-    const QueueConfig& queue = QueueOfJob(*job);
     for (const auto& [number, occurrence] : job->open) {
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         if (occurrence.steps[i].waiting() <= 0 || !job->StepReady(occurrence, i)) {
           continue;
         }
+        const QueueConfig& queue = QueueOfJob(*job);
         OrderInput input;
         input.long_running = job->spec.steps[i].long_running;
         input.best_effort = job->spec.steps[i].uses_leftover_cpu;
@@ -141,13 +180,13 @@
         input.priority = queue.priority;
         input.due = occurrence.due;
         input.objective = ObjectiveOf(job->spec, queue);
-        input.remaining_chain = RemainingChain(job->spec, occurrence);
+        input.remaining_chain = RemainingChain(job->spec, occurrence, &ends);
         for (const StepState& step : occurrence.steps) {
           input.remaining_steps += step.done < static_cast<int>(step.tasks.size()) ? 1 : 0;
           input.begun = input.begun || step.done > 0 || step.placed > 0;
         }
-        input.id = id;
-        waiting.push_back({OrderOf(input, now), {job, number, static_cast<int>(i), 0}});
+        input.serial = job->serial;
+        waiting.push_back({OrderOf(input, now), &queue, {job, number, static_cast<int>(i), 0}});
       }
     }
   }
@@ -163,14 +202,18 @@
     return;
   }
   m_advice.Expire(now);
-  std::map<std::string_view, PoolPass> passes;
-  for (const WaitingStep& waiting : CollectWaiting(now)) {
-    const std::string_view pool = QueueOfJob(*waiting.step.job).pool;
-    const auto [pass, added] = passes.try_emplace(pool);
-    if (added) {
-      pass->second.usable = UsableWorkers(pool);
+  m_starts_left = m_start_limit;
+  const std::vector<WaitingStep> all_waiting = CollectWaiting(now);
+  if (all_waiting.empty()) {
+    return;
+  }
+  std::map<std::string_view, PoolPass> passes = UsableWorkersByPool();
+  for (const WaitingStep& waiting : all_waiting) {
+    PlaceStep(now, waiting, &passes[waiting.queue->pool]);
+    if (m_starts_left <= 0) {
+      m_schedule_needed = true;
+      return;
     }
-    PlaceStep(now, waiting, &pass->second);
   }
 }
 
@@ -182,17 +225,18 @@
                       [&](const auto& item) { return item.second.pool == pool; });
 }
 
-std::vector<Worker*> Scheduler::UsableWorkers(std::string_view pool) {
-  std::vector<Worker*> usable;
+std::map<std::string_view, Scheduler::PoolPass> Scheduler::UsableWorkersByPool() {
+  std::map<std::string_view, PoolPass> passes;
+  m_usable_workers = 0;
   for (auto& [id, worker] : m_workers) {
     const bool trusted = worker.reconciled && worker.recorded && worker.clock.known &&
                          worker.failed_renewals == 0 && !worker.has_untracked_runs;
-    if (trusted && worker.registered && !worker.info.draining && worker.info.pool == pool &&
-        !m_closed.contains(id)) {
-      usable.push_back(&worker);
+    if (trusted && worker.registered && !worker.info.draining && !m_closed.contains(id)) {
+      passes[worker.info.pool].usable.push_back(&worker);
+      ++m_usable_workers;
     }
   }
-  return usable;
+  return passes;
 }
 
 bool Scheduler::WithinCap(const Job& job, const Resources& more) const {
@@ -211,7 +255,7 @@
   const TaskRef& step = waiting.step;
   Job* job = step.job;
   const StepSpec& spec = step.spec();
-  const QueueConfig& queue = QueueOfJob(*job);
+  const QueueConfig& queue = *waiting.queue;
   if (job->loaded_from_store &&
       (!PoolReconciled(now, job->spec.pool) || !PoolReconciled(now, queue.pool))) {
     return;
@@ -250,12 +294,13 @@
   }
   TaskRef task = step;
   std::vector<JobTaskState>& tasks = step.step_state()->tasks;
+  StartsLine line(now, step, m_config->version);
   for (task.index = 0; task.index < spec.count; ++task.index) {
     JobTaskState& state = tasks[static_cast<std::size_t>(task.index)];
     if (state.done || state.placed > 0 || now < state.retry_at) {
       continue;
     }
-    if (!WithinCap(*job, spec.per_task)) {
+    if (m_starts_left <= 0 || !WithinCap(*job, spec.per_task)) {
       return;
     }
     for (WorkerCandidate& candidate : candidates) {
@@ -271,6 +316,8 @@
     if (!StartTask(now, worker, task, run, m_advice.Ticket(now, step_name, worker->info.id))) {
       return;
     }
+    --m_starts_left;
+    line.Add(task.index, run, worker->info.id);
     Occupy(&candidates[static_cast<std::size_t>(chosen)], spec);
   }
 }
@@ -311,10 +358,15 @@
   }
   const std::string step_name = step.Id().StepName();
   TaskRef task = step;
+  // A gang is never split, so it may exceed the limit of the pass.
+  m_starts_left -= spec.count;
+  StartsLine line(now, step, m_config->version);
   for (task.index = 0; task.index < spec.count; ++task.index) {
     Worker* worker = usable[static_cast<std::size_t>(chosen[static_cast<std::size_t>(task.index)])];
     state.tasks[static_cast<std::size_t>(task.index)].saved = saved;
-    StartTask(now, worker, task, run + 1, m_advice.Ticket(now, step_name, worker->info.id));
+    if (StartTask(now, worker, task, run + 1, m_advice.Ticket(now, step_name, worker->info.id))) {
+      line.Add(task.index, run + 1, worker->info.id);
+    }
   }
 }
 
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -1,4 +1,7 @@
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "cranberryplank/model/log.h"
@@ -120,7 +123,7 @@
     worker->last_list_sent = renewal.sent;
     ApplyList(now, worker, renewal, reply);
   }
-  ReleaseAcknowledged(now, worker, m_jobs.StoredUpTo());
+  ReleaseAcknowledged(now, worker);
   worker->next_renewal = now + PauseAfterRenewal(*worker);
   m_schedule_needed = true;
 }
@@ -206,19 +209,28 @@
 }
 
 void Scheduler::ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply) {
+  // One line for all of a reply's runs, because a line for each run would be most of the log of an
+  // owner that ends a thousand runs per second.
+  std::string ended;
   for (const EndedRun& end : reply.ended) {
     if (end.number > worker->last_ended_number) {
+      fmt::format_to(std::back_inserter(ended), "{}{}:{}:{}", ended.empty() ? "" : " ", end.task,
+                     end.run, ToString(end.kind));
       ApplyEndedRun(now, worker, end);
       worker->last_ended_number = end.number;
     }
   }
+  if (!ended.empty()) {
+    LogLine(LogLevel::kInfo, "tasks_ended").Field("worker", worker->info.id).Field("runs", ended);
+  }
 }
 
 void Scheduler::ApplyEndedRun(TimePoint now, Worker* worker, const EndedRun& end) {
   const TaskRef task = m_jobs.Resolve(end.task);
-  std::uint64_t change = 0;
+  PendingAcknowledgement pending;
+  pending.number = end.number;
   if (task.job != nullptr) {
-    const JobPointer keep = m_jobs.jobs().at(task.job->spec.id);
+    pending.job = m_jobs.jobs().at(task.job->spec.id);
     JobTaskState* state = task.state();
     if (state != nullptr) {
       state->last_run = std::max(state->last_run, end.run);
@@ -228,11 +240,6 @@
     }
     const auto placed = worker->runs.find(task);
     const bool is_placed = placed != worker->runs.end() && placed->second.run <= end.run;
-    LogLine(LogLevel::kInfo, "task_ended")
-        .Field("task", end.task)
-        .Field("run", end.run)
-        .Field("how", static_cast<int>(end.kind))
-        .Field("worker", worker->info.id);
     if (is_placed) {
       RemoveRun(now, worker, task);
     }
@@ -247,9 +254,9 @@
     }
     // The acknowledgement also waits for an earlier change, such as a cancellation. Otherwise the
     // next owner would start the task again.
-    change = keep->change;
+    pending.change = pending.job->change;
   }
-  worker->pending_acknowledgements.push_back({end.number, change});
+  worker->pending_acknowledgements.push_back(std::move(pending));
 }
 
 void Scheduler::ApplyList(TimePoint now, Worker* worker, const RenewalInFlight& renewal,
@@ -394,17 +401,17 @@
 }
 
 void Scheduler::ReleaseAcknowledged(TimePoint now) {
-  const std::uint64_t stored = m_jobs.StoredUpTo();
   for (auto& [id, worker] : m_workers) {
-    ReleaseAcknowledged(now, &worker, stored);
+    ReleaseAcknowledged(now, &worker);
   }
 }
 
-void Scheduler::ReleaseAcknowledged(TimePoint now, Worker* worker, std::uint64_t stored) {
+void Scheduler::ReleaseAcknowledged(TimePoint now, Worker* worker) {
   while (!worker->pending_acknowledgements.empty() &&
-         worker->pending_acknowledgements.front().change <= stored) {
+         worker->pending_acknowledgements.front().Stored()) {
     worker->acknowledged = worker->pending_acknowledgements.front().number;
     worker->pending_acknowledgements.pop_front();
+    ++m_counters.ends_stored;
   }
   if (worker->pending_acknowledgements.empty() &&
       worker->acknowledged > worker->acknowledged_sent && worker->failed_renewals == 0) {
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -76,7 +76,7 @@
     TaskRef member = task;
     member.index = task.spec().gang ? i : task.index;
     StopOtherRuns(now, member);
-    m_jobs.MarkDone(member, m_unix_ms);
+    m_jobs.MarkDone(now, member, m_unix_ms);
   }
   if (task.job->state == JobState::kDone) {
     ++m_counters.jobs_done;
@@ -118,7 +118,7 @@
     member.index = task.spec().gang ? i : task.index;
     member.state()->failed_runs.insert(run);
   }
-  m_jobs.MarkChanged(task.job);
+  m_jobs.MarkChanged(now, task.job);
   const int attempts = QueueOfJob(*task.job).max_attempts;
   if (static_cast<int>(state->failed_runs.size()) >= attempts) {
     ++m_counters.jobs_failed;
@@ -132,7 +132,7 @@
 
 void Scheduler::EndJob(TimePoint now, Job* job, JobState state) {
   StopRunsOf(now, job, ToString(state));
-  m_jobs.SetState(job, state, m_unix_ms);
+  m_jobs.SetState(now, job, state, m_unix_ms);
   m_advice.ForgetJob(job->spec.id);
 }
 
@@ -189,10 +189,7 @@
   }
   JobTaskState* state = task.state();
   state->last_run = std::max(state->last_run, run);
-  if (worker->idle()) {
-    // Ends the pause of an idle worker.
-    worker->next_renewal = std::min(worker->next_renewal, now);
-  }
+  const bool was_idle = worker->idle();
   PlacedRun* placed = AddRun(now, worker, task, run);
   StartOrder order;
   order.task = task.Id();
@@ -204,14 +201,11 @@
   order.ticket = ticket;
   task.job->started = true;
   ++m_counters.starts;
-  LogLine(LogLevel::kInfo, "start")
-      .Field("task", order.task.Name())
-      .Field("run", run)
-      .Field("worker", worker->info.id)
-      .Field("used_cpu", worker->used.cpu_millis)
-      .Field("fence", order.fence);
   placed->phase = RunPhase::kStarting;
   m_link->Start(worker->info, order);
+  if (was_idle && worker->renewals.empty()) {
+    SendRenewal(now, worker);  // Ends the pause of an idle worker.
+  }
   return true;
 }
 
--- a/packages/scheduler/src/worker_link.cc
+++ b/packages/scheduler/src/worker_link.cc
@@ -6,6 +6,24 @@
   return outcome != CallOutcome::kOk && outcome != CallOutcome::kUnknown;
 }
 
+std::string_view ToString(RunEndKind kind) {
+  switch (kind) {
+    case RunEndKind::kDone:
+      return "done";
+    case RunEndKind::kFailed:
+      return "failed";
+    case RunEndKind::kStopped:
+      return "stopped";
+    case RunEndKind::kLeaseExpired:
+      return "lease_expired";
+    case RunEndKind::kGangBroken:
+      return "gang_broken";
+    case RunEndKind::kGangIncomplete:
+      return "gang_incomplete";
+  }
+  return "unknown";
+}
+
 std::string_view ToString(CallOutcome outcome) {
   switch (outcome) {
     case CallOutcome::kOk:
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -84,7 +84,7 @@
     if (const auto workers = scheduler.WorkersToRecord()) {
       scheduler.OnWorkersRecorded(*workers);
     }
-    scheduler.OnStored(At(), scheduler.CollectChanges(29));
+    scheduler.OnStored(At(), scheduler.CollectChanges(now, 29));
   }
 
   /// Replies to the newest lease renewal of the worker.
--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <utility>
 
 #include "cranberryplank/scheduler/change_choice.h"
 #include "cranberryplank/scheduler/cluster_config.h"
@@ -6,6 +9,7 @@
 #include "cranberryplank/scheduler/placement.h"
 #include "cranberryplank/scheduler/pool_planner.h"
 #include "cranberryplank/scheduler/run_watch.h"
+#include "cranberryplank/scheduler/start_limit.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
 #include "cranberryplank/scheduler/worker_table.h"
 
@@ -15,9 +19,9 @@
 
 constexpr TimePoint kNow{std::chrono::seconds(100)};
 
-OrderInput InputOf(const std::string& id, Duration due_ago, Duration chain) {
+OrderInput InputOf(std::uint64_t serial, Duration due_ago, Duration chain) {
   OrderInput input;
-  input.id = id;
+  input.serial = serial;
   input.due = kNow - due_ago;
   input.objective = Duration(2'000);
   input.remaining_chain = chain;
@@ -52,9 +56,9 @@
 // Guards against ordering by arrival, which lets work that is too late delay work that can still
 // meet its objective.
 TEST_CASE("work that can meet its objective goes before work that can not") {
-  const OrderKey late = OrderOf(InputOf("a", Duration(1'900), Duration(800)), kNow);
-  const OrderKey soon = OrderOf(InputOf("b", Duration(1'000), Duration(800)), kNow);
-  const OrderKey fresh = OrderOf(InputOf("c", Duration(0), Duration(800)), kNow);
+  const OrderKey late = OrderOf(InputOf(1, Duration(1'900), Duration(800)), kNow);
+  const OrderKey soon = OrderOf(InputOf(2, Duration(1'000), Duration(800)), kNow);
+  const OrderKey fresh = OrderOf(InputOf(3, Duration(0), Duration(800)), kNow);
   CHECK(soon < fresh);
   CHECK(fresh < late);
 }
@@ -62,9 +66,9 @@
 // Guards against a full pool in which all work begins at the last moment and ends just too late. In
 // the worst second only 28 of 445 jobs were in time.
 TEST_CASE("work that has not begun needs time to spare") {
-  OrderInput tight = InputOf("tight", Duration(900), Duration(1'000));
+  OrderInput tight = InputOf(1, Duration(900), Duration(1'000));
   tight.remaining_steps = 2;
-  const OrderInput roomy = InputOf("roomy", Duration(0), Duration(1'000));
+  const OrderInput roomy = InputOf(2, Duration(0), Duration(1'000));
   CHECK(OrderOf(roomy, kNow) < OrderOf(tight, kNow));
   tight.begun = true;
   CHECK(OrderOf(tight, kNow) < OrderOf(roomy, kNow));
@@ -72,9 +76,9 @@
 
 // Guards against a customer that submits more than its share and delays the others.
 TEST_CASE("work beyond a customer's share comes after guaranteed work") {
-  OrderInput excess = InputOf("a", Duration(1'000), Duration(100));
+  OrderInput excess = InputOf(1, Duration(1'000), Duration(100));
   excess.over_share = true;
-  const OrderKey guaranteed = OrderOf(InputOf("b", Duration(5'000), Duration(800)), kNow);
+  const OrderKey guaranteed = OrderOf(InputOf(2, Duration(5'000), Duration(800)), kNow);
   CHECK(guaranteed < OrderOf(excess, kNow));
 }
 
@@ -251,6 +255,70 @@
   CHECK(ChooseChanges({}, 29).empty());
 }
 
+// Guards against progress that waits for seconds while jobs come and end faster than the store
+// accepts: until it is stored, only a worker knows of the ended runs.
+TEST_CASE("progress that has waited too long goes before new and ended jobs") {
+  std::vector<PendingChange> pending(40, {1, true});
+  pending[39] = {1, false, Duration(2'000)};
+  CHECK(ChooseChanges(pending, 4).back() == 39);
+  CHECK(ChooseChanges(pending, 1) == std::vector<std::size_t>{39});
+}
+
+// Guards against leaving progress behind that takes no room, because all of it shares one entry.
+TEST_CASE("progress without entries of its own is always chosen") {
+  std::vector<PendingChange> pending(10, {1, true});
+  pending.insert(pending.end(), 500, {0, false});
+  CHECK(ChooseChanges(pending, 4).size() == 504);
+}
+
+TEST_CASE("starts slow down while the storing of ends is behind") {
+  const auto starts = [](Duration oldest, Duration transaction, bool failing) {
+    return StartsAllowed({oldest, transaction, 10.0, failing});
+  };
+  constexpr Duration kFast{5};
+  CHECK(starts(Duration(200), kFast, false) == starts(Duration(0), kFast, false));
+  CHECK(starts(Duration(800), kFast, false) < starts(Duration(0), kFast, false));
+  CHECK(starts(Duration(3'000), kFast, false) < starts(Duration(800), kFast, false));
+  CHECK(starts(Duration(3'000), kFast, false) > 0);
+  CHECK(starts(Duration(5'000), kFast, false) == 0);
+  // A store that is slow or does not answer shows no overload.
+  CHECK(starts(Duration(700), Duration(350), false) == starts(Duration(0), kFast, false));
+  CHECK(starts(Duration(5'000), kFast, true) == starts(Duration(0), kFast, false));
+}
+
+// Replays demand of three times what the store can carry, with tasks of 0.8 s. Guards against a
+// backlog of ends that grows for as long as the demand lasts, and against throttling so much that
+// the store has nothing to do.
+TEST_CASE("under three times the load the backlog of ends is bounded and the store stays busy") {
+  constexpr Duration kPass{10};
+  constexpr Duration kRunTime{800};
+  constexpr int kDemand = 30;  // Starts per pass.
+  constexpr int kStored = 10;  // Ends stored per pass.
+  constexpr double kAveragedPasses = 50;
+  std::deque<std::pair<Duration, int>> running;
+  std::deque<Duration> unstored;
+  int stored = 0;
+  double ends_per_pass = 0;
+  Duration oldest_seen{0};
+  const Duration end{30'000};
+  for (Duration now{0}; now < end; now += kPass) {
+    while (!running.empty() && running.front().first <= now) {
+      unstored.insert(unstored.end(), static_cast<std::size_t>(running.front().second), now);
+      running.pop_front();
+    }
+    const int stored_now = std::min(kStored, static_cast<int>(unstored.size()));
+    unstored.erase(unstored.begin(), unstored.begin() + stored_now);
+    stored += stored_now;
+    ends_per_pass += (stored_now - ends_per_pass) / kAveragedPasses;
+    const Duration oldest = unstored.empty() ? Duration(0) : now - unstored.front();
+    oldest_seen = std::max(oldest_seen, oldest);
+    running.emplace_back(now + kRunTime,
+                         std::min(kDemand, StartsAllowed({oldest, kPass, ends_per_pass, false})));
+  }
+  CHECK(oldest_seen <= Duration(3'000));
+  CHECK(stored >= 0.95 * kStored * static_cast<double>((end - kRunTime) / kPass));
+}
+
 TEST_CASE("lease renewals of idle workers stay within a rate") {
   CHECK(IdleRenewalPause(49, Duration(1'000)) == Duration(0));
   CHECK(IdleRenewalPause(300, Duration(1'000)) == Duration(0));
--- a/packages/scheduler/tests/scheduler_random_test.cc
+++ b/packages/scheduler/tests/scheduler_random_test.cc
@@ -90,7 +90,7 @@
       m_store->workers = *workers;
       m_scheduler.OnWorkersRecorded(*workers);
     }
-    const std::vector<JobChange> changes = m_scheduler.CollectChanges(29);
+    const std::vector<JobChange> changes = m_scheduler.CollectChanges(m_now, 29);
     for (const JobChange& change : changes) {
       if (change.record) {
         m_store->records[change.job] = *change.record;
