Send no order after the authority has ended, and claim from no owner that still writes

- Each order to a worker or VM carries the end of the sender's authority; the HTTP client checks it when the request leaves, also after waiting for a connection.
Before, a process paused between the decision and the sending relied on fences alone.
- A daemon that has not heard the owner for 0.4 s reads the cursor in the store.
While the cursor changes, silence counts as a failure only after 3 s.
Silence is the age of the oldest unanswered ping; a timeout no longer counts as a refused connection.
- The owner asks for fewer pings when many daemons call: 200 per second together.

--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/model/text.h"
 #include "cranberryplank/platform/event_priority.h"
 
@@ -181,7 +182,14 @@
   auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
   auto* server = static_cast<ApiServer*>(self);
   server->m_open.push_back(exchange);
-  server->m_handler(Clock::now(), exchange);
+  try {
+    server->m_handler(Clock::now(), exchange);
+  } catch (const std::exception& error) {
+    // One request that cannot be handled must not end the process; its caller gets an error.
+    LogLine(LogLevel::kError, "request_not_handled")
+        .Field("path", exchange->request().path)
+        .Field("reason", error.what());
+  }
 }
 
 }  // namespace cranberryplank
--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "router_fixture.h"
@@ -201,5 +202,26 @@
   CHECK(fixture.router().node(0).router->waiting() == 0);
 }
 
+// Guards against one request that ends the process because its handler meets an unexpected error.
+TEST_CASE("an exception of a request's handler is answered, and the server keeps working") {
+  const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(),
+                                                                     &event_base_free);
+  const std::uint16_t port = FreePort();
+  ApiServer server(base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
+                   [](TimePoint, const std::shared_ptr<ApiExchange>& exchange) {
+                     if (exchange->request().path == "/bad") {
+                       throw std::out_of_range("unexpected");
+                     }
+                     exchange->Reply(ApiResponse{204, "text/plain", "", {}});
+                   });
+  REQUIRE(server.Listen(Endpoint{"127.0.0.1", port}));
+  RawConnection bad(base.get(), port);
+  bad.Write("GET /bad HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(bad.ReadUntil("\r\n\r\n").find("HTTP/1.1 500") == 0);
+  RawConnection good(base.get(), port);
+  good.Write("GET /good HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(good.ReadUntil("\r\n\r\n").find("HTTP/1.1 204") == 0);
+}
+
 }  // namespace
 }  // namespace cranberryplank
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -69,6 +69,8 @@
   /// log.
   bool AllReadProgressLog(TimePoint now) const;
   void ConsiderClaim(TimePoint now);
+  /// Finds out whether an owner that does not answer still writes to the store.
+  void ReadCursorOfSilentOwner(TimePoint now, Duration silence);
   Duration ClaimDelay() const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
@@ -97,6 +99,10 @@
   bool m_owner_ended = false;
   std::map<std::string, Peer> m_peers;  ///< Daemons that called, by address.
   std::optional<TimePoint> m_claim_at;
+  std::optional<std::uint64_t> m_cursor_seen;  ///< Its revision, read while the owner is silent.
+  std::optional<TimePoint> m_owner_wrote_at;   ///< When the cursor was last seen to have changed.
+  bool m_reading_cursor = false;
+  TimePoint m_next_cursor_read{};
   bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
   TimePoint m_next_hand_over{};
--- a/packages/entry/include/cranberryplank/entry/owner_client.h
+++ b/packages/entry/include/cranberryplank/entry/owner_client.h
@@ -2,6 +2,7 @@
 #define CRANBERRYPLANK_ENTRY_OWNER_CLIENT_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -31,26 +32,28 @@
   void Tick(TimePoint now, std::uint64_t config_version);
   void Call(const std::string& address, const OwnerCall& call, Duration timeout, Callback done);
 
-  /// Returns whether at least two calls could not be sent to the owner since it last answered.
+  /// Returns whether at least two connections to the owner failed since it last answered.
   bool refused() const { return m_send_failures_since_answer >= 2; }
   /// Returns whether the daemon at the owner's address replied that it is not the owner.
   bool denies_ownership() const { return m_denies_ownership; }
   bool owner_store_unreachable() const { return m_owner_store_unreachable; }
   /// Processing power of the strongest VM that the last owner reported, in cores; 0 if unknown.
   double strongest_cores() const { return m_strongest_cores; }
-  TimePoint last_answer() const { return m_last_answer; }
+  /// Returns the age of the oldest ping that the owner has not answered. 0 if it has answered all.
+  Duration silence(TimePoint now) const;
   std::uint64_t owner_config_version() const { return m_config_version; }
 
  private:
-  void Observe(TimePoint now, const std::string& address, const OwnerReply& reply, bool answered,
-               bool not_sent);
+  void Observe(const std::string& address, const OwnerReply& reply, bool answered,
+               bool connection_failed);
 
   HttpClient* m_http;
   std::string m_self;
   double m_cores;
   double m_strongest_cores = 0;
   std::string m_address;
-  TimePoint m_last_answer{};
+  std::optional<TimePoint> m_unanswered_since;
+  Duration m_ping_interval{0};  ///< As the owner asks for.
   TimePoint m_next_ping{};
   bool m_ping_in_flight = false;
   int m_send_failures_since_answer = 0;
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -52,6 +52,7 @@
   bool store_reached = true;   ///< The store answers the calls of the replying daemon.
   double strongest_cores = 0;  ///< Of the strongest VM among the replying daemon and its callers.
   std::string incarnation;     ///< Of the daemon that replies.
+  std::int64_t ping_interval_ms = 0;  ///< Time between two pings that the owner asks for.
   std::string reason;
 };
 
--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -34,8 +34,10 @@
   bool denies_ownership = false;         ///< The daemon at the owner's address replied kNotOwner.
   bool refused = false;                  ///< The owner's address refuses connections.
   bool owner_store_unreachable = false;  ///< The owner reports that the store does not answer it.
-  Duration silence{0};                   ///< Time since the owner last answered this daemon.
-  Duration known_for{0};                 ///< Time since this daemon read the current record.
+  Duration silence{0};  ///< Age of the oldest ping that the owner has not answered.
+  /// Time since the owner was last seen to have written to the store.
+  Duration since_write = Duration::max();
+  Duration known_for{0};  ///< Time since this daemon read the current record.
   Duration store_age{0};  ///< Time since sending the newest call that the store answered.
 };
 
--- a/packages/entry/include/cranberryplank/entry/vm_control.h
+++ b/packages/entry/include/cranberryplank/entry/vm_control.h
@@ -43,6 +43,7 @@
 struct VmOrderFence {
   std::string holder;
   std::uint64_t token = 0;
+  TimePoint not_after{};  ///< The sender's authority ends then; not sent later.
 };
 
 /// An upkeep wave requested by the operators.
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -31,12 +31,16 @@
 constexpr Duration kTakeOverTimeout{300};
 constexpr Duration kHandOverInterval{500};
 /// A daemon that called within this time can take over the schedule.
-constexpr Duration kRecentCall{1'000};
+constexpr Duration kRecentCall{2'500};
 constexpr Duration kPredecessorInterval{250};
+/// An owner that has not answered for this long is watched by what it writes to the store.
+constexpr Duration kSilenceBeforeCursor{400};
+constexpr Duration kCursorReadInterval{200};
+/// Pings that the owner asks all other daemons together to send.
+constexpr int kPingsPerSecond = 200;
 /// Time in which a new owner is called by all other daemons.
 constexpr Duration kFirstPings{1'500};
-/// A daemon that has not called for this long is taken as gone when the format of the state is
-/// chosen.
+/// A daemon that has not called for this long is forgotten.
 constexpr Duration kMayTakeOver{10'000};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
@@ -277,11 +281,34 @@
   }
 }
 
+void JobService::ReadCursorOfSilentOwner(TimePoint now, Duration silence) {
+  if (silence < kSilenceBeforeCursor) {
+    m_cursor_seen.reset();
+    m_owner_wrote_at.reset();
+    return;
+  }
+  if (m_reading_cursor || now < m_next_cursor_read) {
+    return;
+  }
+  m_reading_cursor = true;
+  m_next_cursor_read = now + kCursorReadInterval;
+  m_parts.store->Get(kCursorKey, [this, now](TimePoint, const KvReadReply& reply) {
+    m_reading_cursor = false;
+    if (reply.status != KvStatus::kOk || reply.items.empty()) {
+      return;
+    }
+    const std::uint64_t revision = reply.items.front().revision;
+    if (m_cursor_seen && *m_cursor_seen != revision) {
+      m_owner_wrote_at = now;
+    }
+    m_cursor_seen = revision;
+  });
+}
+
 bool JobService::AllReadProgressLog(TimePoint now) const {
   return now - m_ownership.record_changed_at() >= kFirstPings &&
-         std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
-           return item.second.state_format >= kProgressLogFormat ||
-                  now - item.second.last_call > kMayTakeOver;
+         std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
+           return item.second.state_format >= kProgressLogFormat;
          });
 }
 
@@ -332,7 +359,11 @@
   input.denies_ownership = m_owner_client.denies_ownership();
   input.refused = m_owner_client.refused();
   input.owner_store_unreachable = m_owner_client.owner_store_unreachable();
-  input.silence = std::chrono::duration_cast<Duration>(now - m_owner_client.last_answer());
+  input.silence = m_owner_client.silence(now);
+  ReadCursorOfSilentOwner(now, input.silence);
+  if (m_owner_wrote_at) {
+    input.since_write = std::chrono::duration_cast<Duration>(now - *m_owner_wrote_at);
+  }
   input.known_for = std::chrono::duration_cast<Duration>(now - m_ownership.record_changed_at());
   const TimePoint answered = std::max(m_ownership.store_answered(), m_operators.confirmed_at());
   input.store_age = std::chrono::duration_cast<Duration>(now - answered);
@@ -382,6 +413,8 @@
     return;
   }
   if (!call->sender.empty()) {
+    std::erase_if(m_peers,
+                  [&](const auto& item) { return now - item.second.last_call > kMayTakeOver; });
     m_peers[call->sender] = {now, call->cores, call->state_format};
   }
   RecordNewestConfigVersion(now, call->config_version);
@@ -395,6 +428,7 @@
       reply.strongest_cores = std::max(reply.strongest_cores, recent ? peer.cores : 0);
     }
     const bool writes_fail = m_owner && m_owner->ready() && m_owner->store_failing(at);
+    reply.ping_interval_ms = static_cast<std::int64_t>(m_peers.size()) * 1'000 / kPingsPerSecond;
     reply.store_reached = !writes_fail && at - m_ownership.store_answered() < kStoreSilence;
     ApiResponse encoded;
     encoded.content_type = "application/octet-stream";
--- a/packages/entry/src/owner_client.cc
+++ b/packages/entry/src/owner_client.cc
@@ -1,5 +1,6 @@
 #include "cranberryplank/entry/owner_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cranberryplank/daemon/settings_table.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr Duration kPingInterval{300};
+constexpr Duration kMaxPingInterval{2'000};
 constexpr Duration kPingAfterFailure{100};
 constexpr Duration kPingTimeout{600};
 
@@ -17,7 +19,7 @@
 
 void OwnerClient::SetOwner(TimePoint now, const std::string& address) {
   m_address = address;
-  m_last_answer = now;
+  m_unanswered_since.reset();
   m_next_ping = now;
   m_ping_in_flight = false;
   m_send_failures_since_answer = 0;
@@ -30,6 +32,9 @@
     return;
   }
   m_ping_in_flight = true;
+  if (!m_unanswered_since) {
+    m_unanswered_since = now;
+  }
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
   ping.sender = m_self;
@@ -40,7 +45,8 @@
          if (address == m_address) {
            m_ping_in_flight = false;
            m_next_ping =
-               at + (reply.status == OwnerStatus::kOk ? kPingInterval : kPingAfterFailure);
+               at + (reply.status == OwnerStatus::kOk ? std::max(kPingInterval, m_ping_interval)
+                                                      : kPingAfterFailure);
          }
        });
 }
@@ -75,24 +81,30 @@
       reply.status = not_sent ? OwnerStatus::kNotOwner : OwnerStatus::kUnknown;
       reply.reason = http.reason.empty() ? "the reply cannot be decoded" : http.reason;
     }
-    Observe(now, address, reply, decoded.has_value(), http.outcome == HttpOutcome::kNotSent);
+    Observe(address, reply, decoded.has_value(), http.connection_failed);
     done(now, reply);
   });
 }
 
-void OwnerClient::Observe(TimePoint now, const std::string& address, const OwnerReply& reply,
-                          bool answered, bool not_sent) {
+Duration OwnerClient::silence(TimePoint now) const {
+  return m_unanswered_since ? std::chrono::duration_cast<Duration>(now - *m_unanswered_since)
+                            : Duration(0);
+}
+
+void OwnerClient::Observe(const std::string& address, const OwnerReply& reply, bool answered,
+                          bool connection_failed) {
   if (address != m_address) {
     return;
   }
   if (!answered) {
-    m_send_failures_since_answer += not_sent ? 1 : 0;
+    m_send_failures_since_answer += connection_failed ? 1 : 0;
     return;
   }
   m_send_failures_since_answer = 0;
   m_denies_ownership = reply.status == OwnerStatus::kNotOwner;
   if (!m_denies_ownership) {
-    m_last_answer = now;
+    m_unanswered_since.reset();
+    m_ping_interval = std::min(Duration(reply.ping_interval_ms), kMaxPingInterval);
     m_owner_store_unreachable = !reply.store_reached;
     m_config_version = reply.config_version;
     m_strongest_cores = reply.strongest_cores;
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -64,10 +64,10 @@
 }
 
 std::string EncodeOwnerReply(const OwnerReply& reply) {
-  return ToMessagePack(
-      json::array({static_cast<int>(reply.status), static_cast<int>(reply.state), reply.waiting,
-                   reply.retry_after_ms, reply.config_version, reply.epoch, reply.store_reached,
-                   reply.reason, reply.incarnation, reply.strongest_cores}));
+  return ToMessagePack(json::array(
+      {static_cast<int>(reply.status), static_cast<int>(reply.state), reply.waiting,
+       reply.retry_after_ms, reply.config_version, reply.epoch, reply.store_reached, reply.reason,
+       reply.incarnation, reply.strongest_cores, reply.ping_interval_ms}));
 }
 
 std::optional<OwnerReply> DecodeOwnerReply(std::string_view bytes) {
@@ -84,6 +84,7 @@
     reply.reason = fields.at(7);
     reply.incarnation = fields.at(8);
     reply.strongest_cores = fields.at(9);
+    reply.ping_interval_ms = fields.size() > 10 ? fields.at(10).get<std::int64_t>() : 0;
     return reply;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/entry/src/schedule_ownership.cc
+++ b/packages/entry/src/schedule_ownership.cc
@@ -15,8 +15,13 @@
 constexpr Duration kReadRetry{150};
 /// An owner reads the record when no transaction has confirmed its ownership for this long.
 constexpr Duration kConfirmInterval{700};
-/// Time without an answer after which an owner counts as failed.
+/// Time without an answer to a ping after which an owner counts as failed.
 constexpr Duration kSilenceBound{1'000};
+/// The same for an owner that still writes to the store: it is busy, or this daemon cannot reach
+/// it.
+constexpr Duration kSilenceBoundWhileWriting{3'000};
+/// A busy owner writes more often than this.
+constexpr Duration kRecentWrite{700};
 /// Time that a new owner has to start before its silence counts.
 constexpr Duration kFirstAnswerBound{1'800};
 /// A daemon claims only if the store has answered it within this time.
@@ -52,7 +57,10 @@
   if (input.known_for < kFirstAnswerBound) {
     return false;
   }
-  return input.silence > kSilenceBound || input.owner_store_unreachable;
+  if (input.owner_store_unreachable || input.silence > kSilenceBoundWhileWriting) {
+    return true;
+  }
+  return input.silence > kSilenceBound && input.since_write > kRecentWrite;
 }
 
 ScheduleOwnership::ScheduleOwnership(KeyValueStore* store, std::string key, OwnershipRecord self)
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -447,7 +447,8 @@
       OnOrder(at, vm, token, outcome);
     }
   };
-  const VmOrderFence fence{m_settings.holder, operation->token};
+  const VmOrderFence fence{m_settings.holder, operation->token,
+                           m_parts.ownership->authority_until()};
   if (operation->upkeep) {
     m_parts.machines->Upkeep(vm, operation->wave, fence, done);
   } else {
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -178,6 +178,15 @@
   CHECK_FALSE(ShouldClaim(input));
   input.silence = Duration(1'200);
   CHECK(ShouldClaim(input));
+  // Guards against taking a busy owner for a failed one. Daemons that had not heard a saturated
+  // owner for a second claimed twice, and tasks that had ended were started again.
+  input.since_write = Duration(150);
+  CHECK_FALSE(ShouldClaim(input));
+  input.silence = Duration(3'500);
+  CHECK(ShouldClaim(input));
+  input.silence = Duration(1'200);
+  input.since_write = Duration(900);
+  CHECK(ShouldClaim(input));
   // Guards against claims by a daemon that cannot reach the store itself.
   input.store_age = Duration(5'000);
   CHECK_FALSE(ShouldClaim(input));
@@ -272,6 +281,8 @@
   OwnerReply reply;
   reply.status = OwnerStatus::kRefused;
   reply.retry_after_ms = 1'500;
+  reply.ping_interval_ms = 700;
+  CHECK(DecodeOwnerReply(EncodeOwnerReply(reply))->ping_interval_ms == 700);
   CHECK(DecodeOwnerReply(EncodeOwnerReply(reply))->retry_after_ms == 1'500);
   CHECK_FALSE(DecodeOwnerCall("nonsense").has_value());
   CHECK_FALSE(DecodeOwnerReply("").has_value());
--- a/packages/platform/include/cranberryplank/platform/http_message.h
+++ b/packages/platform/include/cranberryplank/platform/http_message.h
@@ -29,6 +29,8 @@
   /// The reply is handled before other events of a loop with priorities. Urgent requests have
   /// connections of their own.
   bool urgent = false;
+  /// The request is not sent from this time on, because the permission for it has ended.
+  TimePoint not_after = TimePoint::max();
 };
 
 /// Outcome of a call.
@@ -45,6 +47,9 @@
   std::vector<HttpHeader> headers;
   std::string body;
   std::string reason;  ///< Set unless the outcome is kAnswered.
+  /// The connection was refused or broke before the request was written. A server that is only slow
+  /// does not cause this.
+  bool connection_failed = false;
 
   /// Returns the value of the first header `name` (case-insensitive), or an empty string.
   std::string_view Header(std::string_view name) const;
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/event_priority.h"
 #include "http_connection.h"
 
@@ -112,6 +113,14 @@
 }
 
 void HttpClient::StartOrWait(Call* call) {
+  // Checked here because the process may have been paused since the caller decided to send.
+  if (Clock::now() >= call->request.not_after) {
+    HttpReply reply;
+    reply.outcome = HttpOutcome::kNotSent;
+    reply.reason = "the permission to send the request has ended";
+    call->SetReply(std::move(reply));
+    return;
+  }
   Pool& pool = m_pools[call->server];
   if (pool.used >= m_limits.connections_per_server) {
     pool.waiting.push_back(call->id);
@@ -162,7 +171,14 @@
   }
   Release(call);
   // The callback may destroy the client.
-  call->done(Clock::now(), std::move(*call->reply));
+  try {
+    call->done(Clock::now(), std::move(*call->reply));
+  } catch (const std::exception& error) {
+    // One reply that cannot be handled must not end the process.
+    LogLine(LogLevel::kError, "reply_not_handled")
+        .Field("target", call->request.target)
+        .Field("reason", error.what());
+  }
 }
 
 void HttpClient::Release(Call* call) {
--- a/packages/platform/src/http_connection.cc
+++ b/packages/platform/src/http_connection.cc
@@ -201,6 +201,7 @@
   HttpReply reply;
   reply.outcome = m_written ? HttpOutcome::kNoReply : HttpOutcome::kNotSent;
   reply.reason = reason;
+  reply.connection_failed = !m_written;
   return reply;
 }
 
--- a/packages/platform/tests/http_client_test.cc
+++ b/packages/platform/tests/http_client_test.cc
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
+#include <stdexcept>
+#include <utility>
 #include <vector>
 
 #include "cranberryplank/support/event_loop.h"
@@ -266,5 +268,60 @@
   CHECK(callbacks == 1);
 }
 
+// Guards against a process that was paused between its decision to send an order and the sending,
+// and so acts on an authority that has ended meanwhile.
+TEST_CASE("a request is not sent once the permission for it has ended") {
+  HttpClientFixture fixture;
+  HttpRequest request = fixture.Request("/order");
+  request.not_after = Clock::now() - Duration(1);
+  fixture.Send(std::move(request));
+  REQUIRE(fixture.WaitForReplies(1));
+  CHECK(fixture.replies.front().outcome == HttpOutcome::kNotSent);
+  CHECK_FALSE(fixture.replies.front().connection_failed);
+  CHECK(fixture.exchanges.empty());
+}
+
+// The same for a request that waits for a connection meanwhile.
+TEST_CASE("a request that waits for a connection is not sent after its permission has ended") {
+  HttpClientLimits limits;
+  limits.connections_per_server = 1;
+  HttpClientFixture fixture(limits);
+  fixture.Send(fixture.Request("/first"));
+  REQUIRE(fixture.WaitForExchanges(1));
+  HttpRequest request = fixture.Request("/second");
+  request.not_after = Clock::now() + Duration(50);
+  fixture.Send(std::move(request));
+  const TimePoint later = Clock::now() + Duration(60);
+  fixture.loop.RunUntil([&] { return Clock::now() > later; });
+  fixture.exchanges.front()->Reply(k_reply);
+  REQUIRE(fixture.WaitForReplies(2));
+  CHECK(fixture.replies.back().outcome == HttpOutcome::kNotSent);
+  CHECK(fixture.exchanges.size() == 1);
+}
+
+// Guards against an unexpected reply that ends the process.
+TEST_CASE("an exception of a reply's handler leaves the client working") {
+  HttpClientFixture fixture;
+  fixture.client->Send(fixture.Request("/x"),
+                       [](TimePoint, const HttpReply&) { throw std::runtime_error("unexpected"); });
+  REQUIRE(fixture.WaitForExchanges(1));
+  fixture.exchanges.front()->Reply(k_reply);
+  CHECK(fixture.Call([](HttpExchange& e) { e.Reply(k_reply); }).status == 201);
+}
+
+// Guards against taking a server that is only slow for one that refuses connections.
+TEST_CASE("only a failed connection is reported as such") {
+  HttpClientFixture fixture;
+  fixture.Send(fixture.Request("/slow"));
+  REQUIRE(fixture.WaitForReplies(1));
+  CHECK(fixture.replies.front().outcome == HttpOutcome::kNoReply);
+  CHECK_FALSE(fixture.replies.front().connection_failed);
+  HttpRequest refused = fixture.Request("/x");
+  refused.port = 1;
+  fixture.Send(std::move(refused));
+  REQUIRE(fixture.WaitForReplies(2));
+  CHECK(fixture.replies.back().connection_failed);
+}
+
 }  // namespace
 }  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -83,6 +83,7 @@
   std::optional<std::int64_t> lease_until_ms;  ///< On the worker's clock.
   std::uint64_t acknowledged = 0;  ///< The worker may drop ended runs up to this number.
   Duration wait{0};                ///< The worker may delay its reply this long until a run ends.
+  TimePoint not_after{};           ///< The sender's authority ends then; not sent later.
 };
 
 struct LeaseRenewalReply {
@@ -103,12 +104,14 @@
   std::uint64_t fence = 0;
   std::string saved;
   std::string ticket;
+  TimePoint not_after{};  ///< The sender's authority ends then; not sent later.
 };
 
 struct StopOrder {
   TaskId task;
   int run = 0;
   std::uint64_t fence = 0;
+  TimePoint not_after{};  ///< The sender's authority ends then; not sent later.
 };
 
 /// Limits a run to a share of its full speed.
@@ -117,6 +120,7 @@
   int run = 0;
   int percent = 100;
   std::uint64_t fence = 0;
+  TimePoint not_after{};  ///< The sender's authority ends then; not sent later.
 };
 
 /// Reply to a start, stop or throttle order.
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -52,6 +52,7 @@
   }
   LeaseRenewalOrder order;
   order.call = ++m_last_call;
+  order.not_after = m_authority;
   order.fence = worker->fence;
   const bool trusted = worker->reconciled && worker->clock.known && worker->failed_renewals == 0;
   // A restarted worker numbers its ended runs from 1 again, so an old acknowledgement could hide
@@ -380,7 +381,7 @@
       .Field("run", listed.run)
       .Field("worker", worker->info.id)
       .Field("reason", "the run is not needed");
-  m_link->Stop(worker->info, {*id, listed.run, worker->fence});
+  m_link->Stop(worker->info, {*id, listed.run, worker->fence, m_authority});
 }
 
 void Scheduler::LoseRuns(TimePoint now, Worker* worker, std::string_view reason) {
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -166,7 +166,7 @@
   }
   run->stop_sent = now;
   ++m_counters.stops;
-  m_link->Stop(worker->info, {task.Id(), run->run, worker->fence});
+  m_link->Stop(worker->info, {task.Id(), run->run, worker->fence, m_authority});
 }
 
 void Scheduler::SendStops(TimePoint now) {
@@ -199,6 +199,7 @@
   order.fence = worker->fence;
   order.saved = task.spec().saves_progress ? state->saved : std::string();
   order.ticket = ticket;
+  order.not_after = m_authority;
   task.job->started = true;
   ++m_counters.starts;
   placed->phase = RunPhase::kStarting;
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -123,6 +123,16 @@
   CHECK(fixture.link.renewals.back().acknowledged == 1);
 }
 
+// Guards against an order that is sent after the authority has ended, because the process was paused
+// between the decision and the sending: the link checks the time again.
+TEST_CASE("each order carries the time at which the authority ends") {
+  AcknowledgementFixture fixture;
+  REQUIRE(fixture.link.starts.size() == 1);
+  CHECK(fixture.link.starts.back().not_after == fixture.scheduler.authority());
+  CHECK(fixture.link.renewals.back().not_after > fixture.now);
+  CHECK(fixture.link.renewals.back().not_after <= fixture.scheduler.authority());
+}
+
 // Guards against acknowledging an ended run before the cancellation of its job is stored. The next
 // owner then found the job active and started the task a second time.
 TEST_CASE("the end of a cancelled job's task waits for the cancellation") {
