Replace VMs that are in upkeep

VMs of a wave that were vacated or in upkeep counted as available, so a task found no VM for up to 14 s with VMs in standby.

Change: they are not counted when moves between pools are planned. The test fails before.

--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -314,9 +314,15 @@
   std::map<std::string, int> sizes;
   for (const auto& [id, vm] : m_vms) {
     const auto operation = m_operations.find(id);
-    if (operation != m_operations.end() && !operation->second.upkeep) {
-      ++sizes[operation->second.pool];
-      ++under_way;
+    if (operation != m_operations.end()) {
+      // A VM that is vacated for upkeep, or in it, runs nothing for a while, so the pool needs
+      // another one instead.
+      if (!operation->second.upkeep) {
+        ++sizes[operation->second.pool];
+        ++under_way;
+      }
+    } else if (vm.state == ListedVmState::kInUpkeep) {
+      continue;  // An earlier owner ordered it.
     } else if (vm.state != ListedVmState::kDown ||
                m_parts.scheduler->config()->IsStandby(vm.pool)) {
       ++sizes[vm.pool];
--- a/packages/entry/tests/vm_fleet_test.cc
+++ b/packages/entry/tests/vm_fleet_test.cc
@@ -68,4 +68,30 @@
   CHECK(fixture.machines.taken_down.empty());
 }
 
+// Guards against long-running tasks that wait for 14 s during a wave: with one task per VM a pool of
+// just as many VMs had none for the tasks of a VM in upkeep, and counted that VM as available.
+TEST_CASE("a VM in upkeep is replaced by another one") {
+  FleetFixture fixture;
+  fixture.machines.vms.push_back({"vm-spare", "standby", ListedVmState::kDown, "", ""});
+  fixture.Begin();
+  JobSpec spec;
+  spec.id = "lasting";
+  spec.queue = "queue";
+  spec.pool = "pool";
+  StepSpec step;
+  step.count = FleetFixture::kVms;
+  step.per_task = {1'000, 100, 0};
+  step.estimate_ms = 500;
+  step.long_running = true;
+  step.max_per_vm = 1;
+  spec.steps.push_back(step);
+  fixture.scheduler.Submit(fixture.At(), spec, [](bool) {});
+  fixture.fleet->SetWave(fixture.now, {1, {"vm-0"}, Duration(10'000), 1});
+  for (int i = 0; i < 10; ++i) {
+    fixture.Step();
+    fixture.ReplyToRenewals();
+  }
+  CHECK(Contains(fixture.machines.moved, "vm-spare"));
+}
+
 }  // namespace cranberryplank
