Keep several transactions under way while many changes wait

Change: up to four transactions with a cursor each are under way while at least 14 changes wait. The changes of one job are never in two of them. The record of workers and other shared keys are written by the first only. A new owner reads the revisions of the cursors that an earlier one left; the epoch is part of a cursor's value. A fleet with little load keeps one transaction and pays nothing.

--- a/packages/entry/include/cranberryplank/entry/progress_log.h
+++ b/packages/entry/include/cranberryplank/entry/progress_log.h
@@ -40,9 +40,14 @@
   void OnStored(const std::string& key, std::span<const std::string> jobs);
   /// Records that a job has ended, so its progress is not needed any more.
   void OnJobEnded(const std::string& job);
-  /// Returns entries that no job needs, at most `max`, oldest first.
-  std::vector<std::string> Unneeded(std::size_t max) const;
+  /// Takes entries that no job needs, at most `max`, oldest first, in order to remove them.
+  std::vector<std::string> TakeUnneeded(std::size_t max);
+  /// Returns entries that were taken and not removed.
+  void Return(std::span<const std::string> keys);
+  /// Records that entries that were taken have been removed.
   void OnRemoved(std::span<const std::string> keys);
+  /// Returns the number of entries that no job needs and that are not taken.
+  std::size_t unneeded() const { return m_unneeded.size(); }
 
   std::size_t entries() const { return m_jobs_of_entry.size(); }
   /// Returns whether the newest progress of a job is in the log.
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -25,10 +25,14 @@
 std::string EncodeWorkers(std::span<const RecordedWorker> workers);
 std::vector<RecordedWorker> DecodeWorkers(std::string_view value);
 
-/// Stores the changes of the schedule in batches, one transaction at a time. Each transaction has
-/// two preconditions. The revision of the ownership record keeps it from taking effect after
-/// another daemon's claim. The revision of the cursor, which each transaction writes, keeps it from
-/// overwriting a newer one, because the store may apply an unanswered transaction seconds later.
+/// Stores the changes of the schedule in batches. Each transaction has two preconditions. The
+/// revision of the ownership record keeps it from taking effect after another daemon's claim. The
+/// revision of a cursor, which the transaction writes, keeps it from taking effect after a newer
+/// one with the same cursor, because the store may apply an unanswered transaction seconds later.
+///
+/// The load that this answers: hundreds of jobs come and end per second, while a busy owner takes
+/// tens of milliseconds for one transaction. So several transactions with a cursor each are under
+/// way while many changes wait. The changes of one job are never in two of them.
 class StateWriter {
  public:
   StateWriter(KeyValueStore* store, ScheduleOwnership* ownership, Scheduler* scheduler);
@@ -38,6 +42,8 @@
   void Tick(Now now);
   /// Adds writes to the next transaction that has room. @param done runs once they are stored
   void Put(std::vector<KvWrite> writes, std::function<void()> done);
+  /// Sets the revision of a cursor that an earlier owner has written.
+  void LoadCursor(const std::string& key, std::uint64_t revision);
   /// Restores an entry of the progress log that an earlier owner wrote. Entries must be given in
   /// the order of their keys. @param jobs active jobs with progress in it
   void LoadProgressLog(const std::string& key, std::span<const std::string> jobs);
@@ -56,48 +62,58 @@
     std::function<void()> done;
   };
 
-  /// Builds the next transaction. @return false if there is nothing to store
-  bool Build(TimePoint now);
-  /// Returns whether the transaction only removes a few entries of the progress log.
-  bool OnlyRemovesLog() const;
+  /// A transaction, and the cursor that it shares with the earlier and later ones of the slot. It
+  /// is retried unchanged until its outcome is known.
+  struct Slot {
+    std::string cursor_key;
+    std::uint64_t cursor_revision = 0;  ///< 0 if the key does not exist.
+    std::string cursor_value;
+    bool in_flight = false;
+    bool built = false;
+    bool uncertain = false;  ///< It may have been applied, or may be applied later.
+    TimePoint sent{};
+    KvTransaction transaction;
+    std::vector<JobChange> changes;
+    bool writes_workers = false;
+    std::vector<RecordedWorker> workers;
+    std::vector<ExtraWrites> extra;
+    std::string log_key;  ///< Entry of the progress log that the transaction writes.
+    std::vector<std::string> log_removals;
+  };
+
+  /// Builds the next transaction of a slot. @return false if there is nothing to store
+  bool Build(TimePoint now, Slot* slot);
+  void AddWorkers(TimePoint now, Slot* slot, std::size_t* room);
+  void AddExtra(Slot* slot, std::size_t* room);
+  /// Adds the collected changes of jobs. @return progress for the log
+  static std::vector<StoredProgress> AddChanges(Slot* slot);
+  /// Returns whether the removals alone are worth a transaction.
+  bool HasEnoughRemovals(const Slot& slot) const;
   /// Updates the progress log after the transaction has been applied.
-  void RecordProgressLog();
-  /// Returns whether the newest transaction had no room left.
-  bool HasFullTransaction() const;
-  void Send(TimePoint now);
-  void OnReply(TimePoint now, const KvCommitReply& reply);
-  void OnConflict(TimePoint now, const KvCommitReply& reply);
-  void Finish(TimePoint now, std::uint64_t cursor_revision);
+  void RecordProgressLog(const Slot& slot);
+  /// Returns whether the transaction had no room left.
+  static bool HasFullTransaction(const Slot& slot);
+  void Send(TimePoint now, Slot* slot);
+  void OnReply(TimePoint now, Slot* slot, const KvCommitReply& reply);
+  void OnConflict(TimePoint now, Slot* slot, const KvCommitReply& reply);
+  void Finish(TimePoint now, Slot* slot, std::uint64_t cursor_revision);
   void RecordFailure(TimePoint now, KvStatus status);
-  void Withdraw();
+  void Withdraw(Slot* slot);
 
   KeyValueStore* m_store;
   ScheduleOwnership* m_ownership;
   Scheduler* m_scheduler;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
-  bool m_in_flight = false;
-  TimePoint m_sent{};
+  std::vector<Slot> m_slots;  ///< Its size never changes.
+  std::deque<ExtraWrites> m_extra;
+  ProgressLog m_progress_log;
   TimePoint m_failing_since{};
   bool m_failing = false;
   TimePoint m_retry_at{};
-  std::deque<ExtraWrites> m_extra;
-  // The current transaction. It is retried unchanged until its outcome is known.
-  bool m_built = false;
-  bool m_uncertain = false;  ///< It may have been applied, or may be applied later.
-  KvTransaction m_transaction;
-  std::vector<JobChange> m_changes;
-  std::vector<RecordedWorker> m_workers;
-  std::vector<ExtraWrites> m_built_extra;
-  bool m_writes_workers = false;
   TimePoint m_workers_written{};
-  std::string m_log_key;  ///< Entry of the progress log that the transaction writes.
-  std::vector<std::string> m_log_removals;
-  ProgressLog m_progress_log;
-  bool m_full = false;  ///< The newest transaction had no room left.
   std::uint64_t m_transactions = 0;
   Duration m_last_transaction_time{0};
-  std::uint64_t m_batch = 0;            ///< Number of the transaction, which is the cursor's value.
-  std::uint64_t m_cursor_revision = 0;  ///< 0 before the first transaction.
+  std::uint64_t m_batch = 0;  ///< Number of the newest transaction.
 };
 
 }  // namespace cranberryplank
--- a/packages/entry/src/progress_log.cc
+++ b/packages/entry/src/progress_log.cc
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "cranberryplank/jobs/message_pack.h"
@@ -73,15 +71,20 @@
   }
 }
 
-std::vector<std::string> ProgressLog::Unneeded(std::size_t max) const {
+std::vector<std::string> ProgressLog::TakeUnneeded(std::size_t max) {
   std::vector<std::string> keys;
-  std::copy_n(m_unneeded.begin(), std::min(max, m_unneeded.size()), std::back_inserter(keys));
+  while (keys.size() < max && !m_unneeded.empty()) {
+    keys.push_back(std::move(m_unneeded.extract(m_unneeded.begin()).value()));
+  }
   return keys;
 }
 
+void ProgressLog::Return(std::span<const std::string> keys) {
+  m_unneeded.insert(keys.begin(), keys.end());
+}
+
 void ProgressLog::OnRemoved(std::span<const std::string> keys) {
   for (const std::string& key : keys) {
-    m_unneeded.erase(key);
     m_jobs_of_entry.erase(key);
   }
 }
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -15,8 +15,8 @@
 constexpr Duration kReadRetry{100};
 /// Added to the time after which all runs on unreconciled workers have ended.
 constexpr Duration kUnreconciledMargin{300};
-constexpr std::array<std::string_view, 5> kPrefixes{kJobPrefix, kProgressPrefix, kProgressLogPrefix,
-                                                    kWorkersKey, kWavePrefix};
+constexpr std::array<std::string_view, 6> kPrefixes{
+    kJobPrefix, kProgressPrefix, kProgressLogPrefix, kWorkersKey, kWavePrefix, kCursorKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 
 OwnerReply ReplyOf(OwnerStatus status, std::string_view reason = {}) {
@@ -104,6 +104,12 @@
 void ScheduleOwner::LoadItem(const KvItem& item) {
   const std::string_view prefix = kPrefixes.at(static_cast<std::size_t>(m_prefix));
   const std::string id = item.key.substr(prefix.size());
+  if (prefix == kCursorKey) {
+    if (item.key != kCursorKey) {
+      m_writer.LoadCursor(item.key, item.revision);
+    }
+    return;
+  }
   if (prefix == kWorkersKey) {
     m_recorded = DecodeWorkers(item.value);
     return;
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "cranberryplank/model/log.h"
 
@@ -14,6 +16,11 @@
 
 /// Minimum time between the starts of two transactions, so that changes are batched.
 constexpr Duration kBatchInterval{20};
+/// Transactions under way at the same time while many changes wait.
+constexpr std::size_t kSlots = 4;
+/// Changes that must wait before a further transaction is sent while another is under way. Fewer
+/// wait for its reply, because each call to the store has a price.
+constexpr std::size_t kChangesForFurtherSlot = 14;
 constexpr Duration kRetryInterval{100};
 /// Minimum time between two writes of the record of workers.
 constexpr Duration kWorkersInterval{80};
@@ -56,190 +63,237 @@
 }
 
 StateWriter::StateWriter(KeyValueStore* store, ScheduleOwnership* ownership, Scheduler* scheduler)
-    : m_store(store), m_ownership(ownership), m_scheduler(scheduler) {}
+    : m_store(store), m_ownership(ownership), m_scheduler(scheduler), m_slots(kSlots) {
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    m_slots[i].cursor_key = i == 0 ? std::string(kCursorKey) : fmt::format("{}/{}", kCursorKey, i);
+  }
+}
 
 bool StateWriter::failing(TimePoint now) const {
   return (m_failing && now - m_failing_since > kFailingBound) ||
-         (m_in_flight && now - m_sent > kSlowCall);
+         std::any_of(m_slots.begin(), m_slots.end(), [&](const Slot& slot) {
+           return slot.in_flight && now - slot.sent > kSlowCall;
+         });
 }
 
 void StateWriter::Put(std::vector<KvWrite> writes, std::function<void()> done) {
   m_extra.push_back({std::move(writes), std::move(done)});
 }
 
+void StateWriter::LoadCursor(const std::string& key, std::uint64_t revision) {
+  for (Slot& slot : m_slots) {
+    if (slot.cursor_key == key) {
+      slot.cursor_revision = revision;
+    }
+  }
+}
+
+void StateWriter::LoadProgressLog(const std::string& key, std::span<const std::string> jobs) {
+  m_progress_log.OnStored(key, jobs);
+}
+
 void StateWriter::Tick(Now now) {
-  if (m_in_flight || now.time < m_retry_at || now.time - m_sent < kBatchInterval) {
+  if (now.time < m_retry_at) {
     return;
   }
-  if (m_built || Build(now.time)) {
-    Send(now.time);
+  for (Slot& slot : m_slots) {
+    const bool first = &slot == &m_slots.front();
+    if (slot.in_flight || (first && now.time - slot.sent < kBatchInterval)) {
+      continue;
+    }
+    const bool wanted = first || m_scheduler->WaitingChanges() >= kChangesForFurtherSlot;
+    if (slot.built || (wanted && Build(now.time, &slot))) {
+      Send(now.time, &slot);
+    }
   }
 }
 
-bool StateWriter::Build(TimePoint now) {
+bool StateWriter::Build(TimePoint now, Slot* slot) {
   std::size_t room = kEntriesForState - 1;  // One is kept for the entry of the progress log.
-  m_transaction = {};
-  m_log_removals = m_progress_log.Unneeded(kLogRemovals);
-  m_transaction.removals = m_log_removals;
-  room -= m_log_removals.size();
-  m_built_extra.clear();
+  slot->transaction = {};
+  slot->log_removals = m_progress_log.TakeUnneeded(kLogRemovals);
+  slot->transaction.removals = slot->log_removals;
+  room -= slot->log_removals.size();
+  slot->extra.clear();
+  slot->writes_workers = false;
+  if (slot == &m_slots.front()) {
+    // These replace earlier values, so only one transaction at a time may write them.
+    AddWorkers(now, slot, &room);
+    AddExtra(slot, &room);
+  }
+  slot->changes = m_scheduler->CollectChanges(now, room);
+  const std::vector<StoredProgress> progress = AddChanges(slot);
+  if (slot->transaction.writes.empty() && progress.empty() && !HasEnoughRemovals(*slot)) {
+    m_progress_log.Return(slot->log_removals);
+    m_scheduler->ReleaseChanges(slot->changes);
+    return false;
+  }
+  if (slot == &m_slots.front() && slot->cursor_revision == 0) {
+    slot->cursor_revision = m_ownership->revision();  // The claim wrote both keys.
+  }
+  // The epoch distinguishes the value from that of an earlier owner.
+  slot->cursor_value = fmt::format("{}-{}", m_ownership->revision(), ++m_batch);
+  slot->transaction.preconditions.push_back({m_ownership->key(), m_ownership->revision()});
+  slot->transaction.preconditions.push_back({slot->cursor_key, slot->cursor_revision});
+  slot->transaction.writes.push_back({slot->cursor_key, slot->cursor_value});
+  slot->log_key.clear();
+  if (!progress.empty()) {
+    slot->log_key = ProgressLogKey(m_ownership->revision(), m_batch);
+    slot->transaction.writes.push_back({slot->log_key, EncodeProgressEntry(progress)});
+  }
+  slot->built = true;
+  slot->uncertain = false;
+  return true;
+}
+
+void StateWriter::AddWorkers(TimePoint now, Slot* slot, std::size_t* room) {
   // The record lists all workers, and with many moves of VMs it changes all the time.
-  auto workers =
-      now - m_workers_written >= kWorkersInterval ? m_scheduler->WorkersToRecord() : std::nullopt;
-  m_writes_workers = workers.has_value();
-  if (m_writes_workers) {
-    m_workers_written = now;
-    m_workers = std::move(*workers);
-    m_transaction.writes.push_back({std::string(kWorkersKey), EncodeWorkers(m_workers)});
-    --room;
+  if (now - m_workers_written < kWorkersInterval) {
+    return;
   }
-  while (!m_extra.empty() && m_extra.front().writes.size() <= room) {
+  auto workers = m_scheduler->WorkersToRecord();
+  if (!workers) {
+    return;
+  }
+  m_workers_written = now;
+  slot->writes_workers = true;
+  slot->workers = std::move(*workers);
+  slot->transaction.writes.push_back({std::string(kWorkersKey), EncodeWorkers(slot->workers)});
+  --*room;
+}
+
+void StateWriter::AddExtra(Slot* slot, std::size_t* room) {
+  while (!m_extra.empty() && m_extra.front().writes.size() <= *room) {
     const std::vector<KvWrite>& writes = m_extra.front().writes;
-    room -= writes.size();
-    m_transaction.writes.insert(m_transaction.writes.end(), writes.begin(), writes.end());
-    m_built_extra.push_back(std::move(m_extra.front()));
+    *room -= writes.size();
+    slot->transaction.writes.insert(slot->transaction.writes.end(), writes.begin(), writes.end());
+    slot->extra.push_back(std::move(m_extra.front()));
     m_extra.pop_front();
   }
-  m_changes = m_scheduler->CollectChanges(now, room);
+}
+
+std::vector<StoredProgress> StateWriter::AddChanges(Slot* slot) {
+  KvTransaction& transaction = slot->transaction;
   std::vector<StoredProgress> progress;
-  for (const JobChange& change : m_changes) {
+  for (const JobChange& change : slot->changes) {
     if (change.progress && change.progress_in_log) {
       progress.emplace_back(change.job, *change.progress);
     } else if (change.progress) {
-      m_transaction.writes.push_back({ProgressKey(change.job), *change.progress});
+      transaction.writes.push_back({ProgressKey(change.job), *change.progress});
     }
     if (change.record) {
-      m_transaction.writes.push_back({JobKey(change.job), *change.record});
+      transaction.writes.push_back({JobKey(change.job), *change.record});
     }
     if (change.remove_progress) {
-      m_transaction.removals.push_back(ProgressKey(change.job));
+      transaction.removals.push_back(ProgressKey(change.job));
     }
     if (change.remove_record) {
-      m_transaction.removals.push_back(JobKey(change.job));
+      transaction.removals.push_back(JobKey(change.job));
     }
   }
-  if (m_transaction.writes.empty() && progress.empty() &&
-      (m_transaction.removals.empty() || OnlyRemovesLog())) {
-    return false;
-  }
-  if (m_cursor_revision == 0) {
-    m_cursor_revision = m_ownership->revision();  // The claim wrote both keys.
-  }
-  m_transaction.preconditions.push_back({m_ownership->key(), m_ownership->revision()});
-  m_transaction.preconditions.push_back({std::string(kCursorKey), m_cursor_revision});
-  m_transaction.writes.push_back({std::string(kCursorKey), fmt::to_string(++m_batch)});
-  m_log_key.clear();
-  if (!progress.empty()) {
-    m_log_key = ProgressLogKey(m_ownership->revision(), m_batch);
-    m_transaction.writes.push_back({m_log_key, EncodeProgressEntry(progress)});
-  }
-  m_built = true;
-  m_uncertain = false;
-  return true;
+  return progress;
 }
 
-bool StateWriter::OnlyRemovesLog() const {
-  return m_transaction.removals.size() == m_log_removals.size() &&
-         m_progress_log.Unneeded(kLogRemovalsAlone).size() < kLogRemovalsAlone;
+bool StateWriter::HasEnoughRemovals(const Slot& slot) const {
+  const std::size_t log = slot.log_removals.size();
+  return slot.transaction.removals.size() > log ||
+         (log > 0 && log + m_progress_log.unneeded() >= kLogRemovalsAlone);
 }
 
-bool StateWriter::HasFullTransaction() const {
+bool StateWriter::HasFullTransaction(const Slot& slot) {
   // The writes of the cursor and the progress log are counted too, so this also holds with two
   // entries of room left, which is too little for a job that needs two.
-  return m_transaction.writes.size() + m_transaction.removals.size() >= kEntriesForState;
+  return slot.transaction.writes.size() + slot.transaction.removals.size() >= kEntriesForState;
 }
 
-void StateWriter::RecordProgressLog() {
-  m_progress_log.OnRemoved(m_log_removals);
+void StateWriter::RecordProgressLog(const Slot& slot) {
+  m_progress_log.OnRemoved(slot.log_removals);
   std::vector<std::string> jobs;
-  for (const JobChange& change : m_changes) {
+  for (const JobChange& change : slot.changes) {
     if (change.progress && change.progress_in_log) {
       jobs.push_back(change.job);
     } else if (change.job_ended || change.progress) {
       m_progress_log.OnJobEnded(change.job);  // The log's progress of the job is superseded.
     }
   }
-  if (!m_log_key.empty()) {
-    m_progress_log.OnStored(m_log_key, jobs);
+  if (!slot.log_key.empty()) {
+    m_progress_log.OnStored(slot.log_key, jobs);
   }
 }
 
-void StateWriter::LoadProgressLog(const std::string& key, std::span<const std::string> jobs) {
-  m_progress_log.OnStored(key, jobs);
-}
-
-void StateWriter::Send(TimePoint now) {
-  m_in_flight = true;
-  m_sent = now;
+void StateWriter::Send(TimePoint now, Slot* slot) {
+  slot->in_flight = true;
+  slot->sent = now;
   const std::weak_ptr<int> lifetime = m_lifetime;
-  m_store->Commit(m_transaction, [this, lifetime](TimePoint at, const KvCommitReply& reply) {
-    if (!lifetime.expired()) {
-      OnReply(at, reply);
-    }
-  });
+  m_store->Commit(slot->transaction,
+                  [this, slot, lifetime](TimePoint at, const KvCommitReply& reply) {
+                    if (!lifetime.expired()) {
+                      OnReply(at, slot, reply);
+                    }
+                  });
 }
 
-void StateWriter::OnReply(TimePoint now, const KvCommitReply& reply) {
-  m_in_flight = false;
+void StateWriter::OnReply(TimePoint now, Slot* slot, const KvCommitReply& reply) {
+  slot->in_flight = false;
   switch (reply.status) {
     case KvStatus::kOk:
-      m_ownership->Confirm(m_sent);
-      Finish(now, reply.revision);
+      m_ownership->Confirm(slot->sent);
+      Finish(now, slot, reply.revision);
       return;
     case KvStatus::kConflict:
-      OnConflict(now, reply);
+      OnConflict(now, slot, reply);
       return;
     case KvStatus::kUnknown:
-      m_uncertain = true;
+      slot->uncertain = true;
       RecordFailure(now, reply.status);
       return;
     case KvStatus::kRefused:
     case KvStatus::kCompacted:
       RecordFailure(now, reply.status);
-      if (!m_uncertain) {
-        Withdraw();
+      if (!slot->uncertain) {
+        Withdraw(slot);
       }
       return;
   }
 }
 
-void StateWriter::OnConflict(TimePoint now, const KvCommitReply& reply) {
+void StateWriter::OnConflict(TimePoint now, Slot* slot, const KvCommitReply& reply) {
   const KvItem* ownership = nullptr;
   const KvItem* cursor = nullptr;
   for (const KvItem& item : reply.current) {
     ownership = item.key == m_ownership->key() ? &item : ownership;
-    cursor = item.key == kCursorKey ? &item : cursor;
+    cursor = item.key == slot->cursor_key ? &item : cursor;
   }
   const bool owned = ownership != nullptr && ownership->revision == m_ownership->revision();
-  if (owned && cursor != nullptr && cursor->value == fmt::to_string(m_batch)) {
+  if (owned && cursor != nullptr && cursor->value == slot->cursor_value) {
     // An earlier attempt that got no answer was applied.
-    m_ownership->Confirm(m_sent);
-    Finish(now, cursor->revision);
+    m_ownership->Confirm(slot->sent);
+    Finish(now, slot, cursor->revision);
     return;
   }
   RecordFailure(now, reply.status);
   m_ownership->Lose(now, "a transaction found another owner");
 }
 
-void StateWriter::Finish(TimePoint now, std::uint64_t cursor_revision) {
+void StateWriter::Finish(TimePoint now, Slot* slot, std::uint64_t cursor_revision) {
   if (m_failing) {
     LogLine(LogLevel::kInfo, "store_writes_regained");
   }
-  m_failing = m_built = m_uncertain = false;
-  m_cursor_revision = cursor_revision;
+  m_failing = slot->built = slot->uncertain = false;
+  slot->cursor_revision = cursor_revision;
   ++m_transactions;
-  m_last_transaction_time = std::chrono::duration_cast<Duration>(now - m_sent);
-  RecordProgressLog();
-  if (m_writes_workers) {
-    m_scheduler->OnWorkersRecorded(m_workers);
+  m_last_transaction_time = std::chrono::duration_cast<Duration>(now - slot->sent);
+  RecordProgressLog(*slot);
+  if (slot->writes_workers) {
+    m_scheduler->OnWorkersRecorded(slot->workers);
   }
-  for (const ExtraWrites& extra : m_built_extra) {
+  for (const ExtraWrites& extra : slot->extra) {
     extra.done();
   }
-  m_scheduler->OnStored({now, UnixMilliseconds()}, m_changes);
+  m_scheduler->OnStored({now, UnixMilliseconds()}, slot->changes);
   // After a full transaction more changes may be waiting, so the next one is sent immediately.
-  if (HasFullTransaction() && Build(now)) {
-    Send(now);
+  if (HasFullTransaction(*slot) && Build(now, slot)) {
+    Send(now, slot);
   }
 }
 
@@ -254,10 +308,12 @@
 
 /// Withdraws a transaction that was never applied. New jobs are refused, and other changes are
 /// collected again.
-void StateWriter::Withdraw() {
-  m_built = false;
-  m_extra.insert(m_extra.begin(), m_built_extra.begin(), m_built_extra.end());
-  for (const JobChange& change : m_changes) {
+void StateWriter::Withdraw(Slot* slot) {
+  slot->built = false;
+  m_extra.insert(m_extra.begin(), slot->extra.begin(), slot->extra.end());
+  m_progress_log.Return(slot->log_removals);
+  m_scheduler->ReleaseChanges(slot->changes);
+  for (const JobChange& change : slot->changes) {
     m_scheduler->Withdraw(change.job);
   }
 }
--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -53,7 +53,9 @@
 
   void Commit(const KvTransaction& transaction, CommitCallback done) override {
     ++commits;
-    const CommitFault fault = std::exchange(next_fault, CommitFault::kNone);
+    const CommitFault fault = skip_before_fault-- > 0
+                                  ? CommitFault::kNone
+                                  : std::exchange(next_fault, CommitFault::kNone);
     KvCommitReply reply;
     if (fault == CommitFault::kRefuse) {
       reply.status = KvStatus::kRefused;
@@ -112,6 +114,7 @@
   std::uint64_t revision() const { return m_table.revision(); }
 
   CommitFault next_fault = CommitFault::kNone;
+  int skip_before_fault = 0;  ///< Transactions before the one to which `next_fault` applies.
   int commits = 0;
   std::uint64_t watched_after = 0;
 
--- a/packages/entry/tests/progress_log_test.cc
+++ b/packages/entry/tests/progress_log_test.cc
@@ -33,19 +33,21 @@
 TEST_CASE("an entry is removed only once no job needs it") {
   ProgressLog log;
   log.OnStored("1", Names{"a", "b"});
-  CHECK(log.Unneeded(10).empty());
+  CHECK(log.unneeded() == 0);
   log.OnStored("2", Names{"a"});
-  CHECK(log.Unneeded(10).empty());
+  CHECK(log.unneeded() == 0);
   log.OnStored("3", Names{"b", "b"});
-  CHECK(log.Unneeded(10) == Names{"1"});
-  CHECK(log.Unneeded(0).empty());
+  CHECK(log.TakeUnneeded(0).empty());
+  CHECK(log.TakeUnneeded(10) == Names{"1"});
   log.OnRemoved(Names{"1"});
-  CHECK(log.Unneeded(10).empty());
+  CHECK(log.unneeded() == 0);
   log.OnJobEnded("a");
   log.OnJobEnded("unknown");
-  CHECK(log.Unneeded(10) == Names{"2"});
+  CHECK(log.TakeUnneeded(10) == Names{"2"});
   log.OnJobEnded("b");
-  CHECK(log.Unneeded(10) == Names{"2", "3"});
+  // A transaction that was refused removes nothing.
+  log.Return(Names{"2"});
+  CHECK(log.TakeUnneeded(10) == Names{"2", "3"});
   log.OnRemoved(Names{"2", "3"});
   CHECK(log.entries() == 0);
 }
@@ -54,7 +56,7 @@
 TEST_CASE("an entry without active jobs is not needed") {
   ProgressLog log;
   log.OnStored("1", Names{});
-  CHECK(log.Unneeded(10) == Names{"1"});
+  CHECK(log.TakeUnneeded(10) == Names{"1"});
 }
 
 }  // namespace cranberryplank
--- a/packages/entry/tests/state_writer_test.cc
+++ b/packages/entry/tests/state_writer_test.cc
@@ -105,6 +105,101 @@
   }
 }
 
+// Replays 150 new jobs while the store takes its time. Guards against a backlog: with one
+// transaction of 28 jobs per reply, callers waited for a second.
+TEST_CASE("several transactions are under way while many changes wait") {
+  FleetFixture fixture;
+  fixture.Begin();
+  fixture.Step();
+  for (int i = 0; i < 150; ++i) {
+    fixture.Submit(fmt::format("job{}", i), 1);
+  }
+  fixture.store_answers = false;
+  const int before = fixture.store.commits;
+  fixture.Step();
+  CHECK(fixture.store.commits == before + 4);
+  CHECK(fixture.scheduler.WaitingChanges() < 150 - 4 * 25);
+  fixture.store_answers = true;
+  for (int i = 0; i < 4; ++i) {
+    fixture.Step();
+  }
+  CHECK(fixture.scheduler.WaitingChanges() == 0);
+  for (int i = 0; i < 150; ++i) {
+    CHECK_FALSE(fixture.store.Value(JobKey(fmt::format("job{}", i))).empty());
+  }
+}
+
+// Guards against more calls to the store than needed: each has a price.
+TEST_CASE("a few changes wait for the transaction that is under way") {
+  FleetFixture fixture;
+  fixture.Begin();
+  fixture.Step();
+  fixture.store_answers = false;
+  const int before = fixture.store.commits;
+  for (int i = 0; i < 5; ++i) {
+    fixture.Submit(fmt::format("job{}", i), 1);
+    fixture.Step();
+  }
+  CHECK(fixture.store.commits == before + 1);
+}
+
+// Guards against changes of one job in two transactions at once: the store may apply them in any
+// order, so that the older one would be the last.
+TEST_CASE("the changes of one job are never in two transactions") {
+  FleetFixture fixture;
+  fixture.Begin();
+  fixture.Step();
+  for (int i = 0; i < 60; ++i) {
+    fixture.Submit(fmt::format("job{}", i), 1);
+  }
+  fixture.store_answers = false;
+  fixture.Step();
+  fixture.scheduler.Cancel(fixture.At(), "job0", [](bool) {});
+  const int before = fixture.store.commits;
+  fixture.Step();
+  fixture.Step();
+  CHECK(fixture.store.commits == before);
+  fixture.store_answers = true;
+  for (int i = 0; i < 3; ++i) {
+    fixture.Step();
+  }
+  const auto record = DecodeJob("job0", fixture.store.Value(JobKey("job0")));
+  REQUIRE(record);
+  REQUIRE(record->ended);
+  CHECK(record->ended->state == JobState::kCancelled);
+}
+
+// Guards against a late transaction of a further slot, as the cursor does for the first one.
+TEST_CASE("a late transaction of any slot never overwrites a newer one") {
+  FleetFixture fixture;
+  fixture.Begin();
+  fixture.Step();
+  for (int i = 0; i < 60; ++i) {
+    fixture.Submit(fmt::format("job{:02}", i), 1);
+  }
+  fixture.store_answers = false;
+  fixture.store.skip_before_fault = 1;
+  fixture.store.next_fault = CommitFault::kApplyLate;
+  fixture.Step();
+  fixture.store_answers = true;
+  for (int i = 0; i < 5; ++i) {
+    fixture.Step();
+  }
+  for (int i = 0; i < 60; ++i) {
+    fixture.scheduler.Cancel(fixture.At(), fmt::format("job{:02}", i), [](bool) {});
+  }
+  for (int i = 0; i < 5; ++i) {
+    fixture.Step();
+  }
+  CHECK(fixture.store.ApplyLate() == 0);
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = fmt::format("job{:02}", i);
+    const auto record = DecodeJob(id, fixture.store.Value(JobKey(id)));
+    REQUIRE(record);
+    CHECK(record->ended);
+  }
+}
+
 namespace {
 
 std::string ProgressOf(std::set<int> done) {
@@ -154,4 +249,42 @@
   CHECK(jobs.Find("b")->Progress().done.at({0, 0}) == std::set<int>{0, 2});
 }
 
+// Guards against an owner that cannot store, because an earlier one left cursors behind.
+TEST_CASE("a new owner goes on with the cursors of an earlier one") {
+  FleetFixture fixture;
+  for (int i = 1; i < 4; ++i) {
+    fixture.store.Put(fmt::format("{}/{}", kCursorKey, i), "5-77");
+  }
+  ScheduleOwner owner({&fixture.store, &fixture.link, &fixture.format, &fixture.ownership, nullptr},
+                      SchedulerSettings{}, VmFleetSettings{});
+  owner.SetConfig(fixture.At(), std::make_shared<const ClusterConfig>());
+  owner.Begin(fixture.At());
+  const auto run = [&] {
+    fixture.now += Duration(30);
+    owner.Tick(fixture.At());
+    fixture.store.Deliver(fixture.now);
+  };
+  for (int i = 0; i < 20 && !owner.ready(); ++i) {
+    run();
+  }
+  REQUIRE(owner.ready());
+  int stored = 0;
+  for (int i = 0; i < 150; ++i) {
+    OwnerCall call;
+    call.kind = OwnerCallKind::kSubmit;
+    call.job = fmt::format("job{}", i);
+    call.spec = JobSpec{};
+    call.spec->id = call.job;
+    call.spec->steps.emplace_back().count = 1;
+    owner.Handle(fixture.At(), call, [&](TimePoint, const OwnerReply& reply) {
+      stored += reply.status == OwnerStatus::kOk ? 1 : 0;
+    });
+  }
+  for (int i = 0; i < 5; ++i) {
+    run();
+  }
+  CHECK(stored == 150);
+  CHECK(fixture.ownership.owned());
+}
+
 }  // namespace cranberryplank
--- a/packages/entry/tests/vm_fleet_test.cc
+++ b/packages/entry/tests/vm_fleet_test.cc
@@ -68,8 +68,8 @@
   CHECK(fixture.machines.taken_down.empty());
 }
 
-// Guards against long-running tasks that wait for 14 s during a wave: with one task per VM a pool of
-// just as many VMs had none for the tasks of a VM in upkeep, and counted that VM as available.
+// Guards against long-running tasks that wait for 14 s during a wave: with one task per VM a pool
+// of just as many VMs had none for the tasks of a VM in upkeep, and counted that VM as available.
 TEST_CASE("a VM in upkeep is replaced by another one") {
   FleetFixture fixture;
   fixture.machines.vms.push_back({"vm-spare", "standby", ListedVmState::kDown, "", ""});
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -71,6 +71,7 @@
   std::uint64_t change = 0;        ///< Number of the newest change that is not stored; 0 if none.
   std::uint64_t first_change = 0;  ///< Lower bound of the changes that are not stored.
   TimePoint changed_at{};          ///< When the oldest change that is not stored was made.
+  bool being_stored = false;       ///< Its changes are in a transaction that is under way.
   const QueueConfig* queue = nullptr;  ///< Cached by the scheduler.
   std::vector<std::function<void(bool stored)>> on_stored;
 
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -136,8 +136,13 @@
   /// Executes all due work. Must be called every few milliseconds.
   void Tick(Now now);
 
-  /// Collects changes to store, oldest first, with at most `max_entries` keys in total.
-  std::vector<JobChange> CollectChanges(TimePoint now, std::size_t max_entries) const;
+  /// Collects changes to store, oldest first, with at most `max_entries` keys in total. Further
+  /// changes of their jobs are collected only after `OnStored` or `ReleaseChanges`.
+  std::vector<JobChange> CollectChanges(TimePoint now, std::size_t max_entries);
+  /// Reports that collected changes were certainly not stored.
+  void ReleaseChanges(std::span<const JobChange> changes);
+  /// Returns the number of jobs with changes to collect.
+  std::size_t WaitingChanges() const;
   /// Sets whether progress is stored in a log that all jobs share, or in an entry for each job.
   /// When a daemon of an earlier version may take over, which knows only the latter, the progress
   /// of all jobs is stored again in that form.
@@ -285,6 +290,7 @@
   TimePoint m_last_schedule{};
   TimePoint m_last_expiry{};
   bool m_progress_in_log = false;
+  std::size_t m_being_stored = 0;  ///< Jobs whose changes were collected.
   int m_start_limit = std::numeric_limits<int>::max();
   std::size_t m_usable_workers = 0;
   int m_starts_left = 0;  ///< In the current placement pass.
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -326,20 +326,36 @@
   }
 }
 
-std::vector<JobChange> Scheduler::CollectChanges(TimePoint now, std::size_t max_entries) const {
-  std::vector<const Job*> jobs;
+std::vector<JobChange> Scheduler::CollectChanges(TimePoint now, std::size_t max_entries) {
+  std::vector<Job*> jobs;
   std::vector<PendingChange> pending;
   for (const auto& [number, job] : m_jobs.changed()) {
+    if (job->being_stored) {
+      continue;
+    }
     jobs.push_back(job);
     pending.push_back(PendingChangeOf(now, *job, m_progress_in_log));
   }
   std::vector<JobChange> changes;
   for (const std::size_t index : ChooseChanges(pending, max_entries)) {
     changes.push_back(ChangeOf(now, *jobs[index], m_progress_in_log));
+    jobs[index]->being_stored = true;
+    ++m_being_stored;
   }
   return changes;
 }
 
+void Scheduler::ReleaseChanges(std::span<const JobChange> changes) {
+  for (const JobChange& change : changes) {
+    if (Job* job = m_jobs.Find(change.job); job != nullptr && job->being_stored) {
+      job->being_stored = false;
+      --m_being_stored;
+    }
+  }
+}
+
+std::size_t Scheduler::WaitingChanges() const { return m_jobs.changed().size() - m_being_stored; }
+
 void Scheduler::SetProgressInLog(TimePoint now, bool in_log) {
   if (in_log == m_progress_in_log) {
     return;
@@ -365,6 +381,7 @@
 }
 
 void Scheduler::OnStored(Now now, std::span<const JobChange> changes) {
+  ReleaseChanges(changes);
   for (const JobChange& change : changes) {
     Job* job = m_jobs.Find(change.job);
     if (job == nullptr) {
