Keep the priority of urgent connections, and read long replies at once

A normal connection reads 16 KiB per turn of the event loop, so the longer a turn, the longer the list; and the priority of urgent connections had no effect, because libevent resets it when a socket is assigned.

A count of waiting jobs is kept for 300 ms, as each visited all jobs.

--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -110,6 +110,7 @@
   evhttp* m_http;
   evhttp_bound_socket* m_socket = nullptr;
   Handler m_handler;
+  bool m_urgent;
   std::vector<std::weak_ptr<ApiExchange>> m_open;
   std::string m_last_reason;
 };
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -42,12 +42,6 @@
   return decoded == nullptr ? std::string() : std::string(decoded.get(), size);
 }
 
-bufferevent* NewUrgentStream(event_base* base, void* /*unused*/) {
-  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
-  bufferevent_priority_set(stream, kUrgentEvents);
-  return stream;
-}
-
 ApiRequest ReadRequest(evhttp_request* raw) {
   ApiRequest request;
   request.method = MethodName(evhttp_request_get_command(raw));
@@ -138,16 +132,13 @@
 }
 
 ApiServer::ApiServer(event_base* base, const ApiLimits& limits, Handler handler)
-    : m_http(evhttp_new(base)), m_handler(std::move(handler)) {
+    : m_http(evhttp_new(base)), m_handler(std::move(handler)), m_urgent(limits.urgent) {
   evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.max_header_bytes));
   evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.max_body_bytes));
   evhttp_set_timeout(m_http, static_cast<int>(limits.idle_timeout.count() / 1000));
   evhttp_set_allowed_methods(m_http,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_gencb(m_http, &ApiServer::HandleRequest, this);
-  if (limits.urgent) {
-    evhttp_set_bevcb(m_http, &NewUrgentStream, nullptr);
-  }
 }
 
 ApiServer::~ApiServer() { evhttp_free(m_http); }
@@ -181,6 +172,12 @@
 void ApiServer::HandleRequest(evhttp_request* raw, void* self) {
   auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
   auto* server = static_cast<ApiServer*>(self);
+  if (server->m_urgent) {
+    // libevent resets the priority when a connection is accepted, so it is set from the first
+    // request on.
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)),
+                             kUrgentEvents);
+  }
   server->m_open.push_back(exchange);
   try {
     server->m_handler(Clock::now(), exchange);
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -71,6 +71,11 @@
   void SetProgressInLog(TimePoint now, bool in_log) { m_scheduler->SetProgressInLog(now, in_log); }
 
  private:
+  struct WaitingCount {
+    TimePoint counted_at{};
+    int jobs = 0;
+  };
+
   struct LoadedProgress {
     JobProgress progress;
     std::uint64_t revision = 0;
@@ -84,6 +89,8 @@
   void NextPrefix();
   void FinishLoad(Now now);
   void OnWorkerItem(TimePoint now, const KvItem& item);
+  /// Returns a recent count of the jobs of a queue without a started task.
+  int WaitingJobs(TimePoint now, const std::string& queue);
   void Submit(Now now, const OwnerCall& call, Callback done);
   void Answer(std::uint64_t waiting, const OwnerReply& reply);
   std::uint64_t AddWaitingCall(Callback done);
@@ -111,6 +118,7 @@
   std::optional<TimePoint> m_earlier_ended;
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
+  std::map<std::string, WaitingCount> m_waiting_counts;  ///< By queue.
   OwnerLoadMeter m_load;
   std::uint64_t m_reported_starts = 0;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -13,6 +13,8 @@
 
 constexpr Duration kWorkerWatchWait{10'000};
 constexpr Duration kReadRetry{100};
+/// Counts of waiting jobs are at most this old. Many callers ask, and each count visits all jobs.
+constexpr Duration kCountInterval{300};
 /// Added to the time after which all runs on unreconciled workers have ended.
 constexpr Duration kUnreconciledMargin{300};
 constexpr std::array<std::string_view, 6> kPrefixes{
@@ -272,6 +274,14 @@
       .Field("waiting_calls", m_waiting.size());
 }
 
+int ScheduleOwner::WaitingJobs(TimePoint now, const std::string& queue) {
+  WaitingCount& count = m_waiting_counts[queue];
+  if (now - count.counted_at >= kCountInterval) {
+    count = {now, m_scheduler->WaitingJobs(queue)};
+  }
+  return count.jobs;
+}
+
 std::uint64_t ScheduleOwner::AddWaitingCall(Callback done) {
   m_waiting.emplace(++m_last_waiting, std::move(done));
   return m_last_waiting;
@@ -347,7 +357,7 @@
       return;
     }
     case OwnerCallKind::kCountWaiting:
-      reply.waiting = m_scheduler->WaitingJobs(call.queue);
+      reply.waiting = WaitingJobs(now.time, call.queue);
       done(now.time, reply);
       return;
   }
--- a/packages/platform/src/http_connection.cc
+++ b/packages/platform/src/http_connection.cc
@@ -22,7 +22,7 @@
 /// first.
 constexpr Duration kExtraTimeout{1'000};
 constexpr int kMaxHeaderBytes = 64 << 10;
-constexpr std::size_t kUrgentPieceBytes = 512 << 10;
+constexpr std::size_t kPieceBytes = 512 << 10;
 
 evhttp_cmd_type ToCommand(HttpMethod method) {
   switch (method) {
@@ -38,14 +38,12 @@
   return EVHTTP_REQ_GET;
 }
 
-bufferevent* NewStream(event_base* base, bool urgent) {
+bufferevent* NewStream(event_base* base) {
   bufferevent* stream = bufferevent_socket_new(base, -1, 0);
-  if (urgent) {
-    bufferevent_priority_set(stream, kUrgentEvents);
-    // By default a large request is written in pieces of 16 KiB, one per turn of the event loop.
-    bufferevent_set_max_single_write(stream, kUrgentPieceBytes);
-    bufferevent_set_max_single_read(stream, kUrgentPieceBytes);
-  }
+  // By default 16 KiB are read or written per turn of the event loop. A list that grows while it is
+  // read at that rate would never be complete in a busy loop.
+  bufferevent_set_max_single_read(stream, kPieceBytes);
+  bufferevent_set_max_single_write(stream, kPieceBytes);
   return stream;
 }
 
@@ -113,8 +111,9 @@
 
 HttpConnection::HttpConnection(event_base* base, const std::string& host, std::uint16_t port,
                                std::size_t max_reply_bytes, bool urgent)
-    : m_connection(evhttp_connection_base_bufferevent_new(base, nullptr, NewStream(base, urgent),
-                                                          host.c_str(), port)) {
+    : m_connection(evhttp_connection_base_bufferevent_new(base, nullptr, NewStream(base),
+                                                          host.c_str(), port)),
+      m_urgent(urgent) {
   evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(max_reply_bytes));
   evhttp_connection_set_max_headers_size(m_connection, kMaxHeaderBytes);
   evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), OnOutput,
@@ -154,9 +153,18 @@
   if (evhttp_make_request(m_connection, message, ToCommand(request.method),
                           request.target.c_str()) != 0) {
     Finish(Failure("the connection could not be started"));
+    return;
+  }
+  if (m_urgent) {
+    // libevent resets the priority when a socket is assigned, so it is set after that.
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(m_connection), kUrgentEvents);
   }
 }
 
+int HttpConnection::priority() const {
+  return bufferevent_get_priority(evhttp_connection_get_bufferevent(m_connection));
+}
+
 bool HttpConnection::KeptAlive() const {
   bufferevent* stream = evhttp_connection_get_bufferevent(m_connection);
   return m_reusable && bufferevent_getfd(stream) >= 0 &&
--- a/packages/platform/src/http_connection.h
+++ b/packages/platform/src/http_connection.h
@@ -37,6 +37,8 @@
   /// Returns whether a byte of the current request may have been written.
   bool written() const { return m_written; }
 
+  /// Returns the priority of the connection's events. It is set by `Send`.
+  int priority() const;
   /// Returns whether the last reply left the connection open and idle.
   bool KeptAlive() const;
   /// Returns whether the connection is open and idle, with no byte or end of stream to read. Asks
@@ -51,6 +53,7 @@
   HttpReply Failure(std::string_view reason) const;
 
   evhttp_connection* m_connection;
+  bool m_urgent;
   Callback m_done;
   bool m_written = false;
   bool m_reusable = false;
--- a/packages/platform/tests/event_priority_test.cc
+++ b/packages/platform/tests/event_priority_test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "http_connection.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -56,4 +58,23 @@
   event_base_free(turns.base);
 }
 
+// Guards against an urgent connection whose events wait all the same: libevent resets the priority
+// of a connection when its socket is assigned.
+TEST_CASE("the events of an urgent connection keep their priority") {
+  event_base* base = NewPrioritizedEventBase();
+  HttpRequest request;
+  request.host = "127.0.0.1";
+  request.port = 1;
+  request.target = "/";
+  {
+    HttpConnection urgent(base, request.host, request.port, 1'000, true);
+    urgent.Send(request, [](const HttpReply&) {});
+    CHECK(urgent.priority() == kUrgentEvents);
+    HttpConnection normal(base, request.host, request.port, 1'000, false);
+    normal.Send(request, [](const HttpReply&) {});
+    CHECK(normal.priority() == kNormalEvents);
+  }
+  event_base_free(base);
+}
+
 }  // namespace cranberryplank
