Order waiting work by the owner's own delay too

Cause: an owner whose turns take 80 ms needs 200 to 300 ms for a step besides the time of its tasks, but the order assumed 80 ms. It began work that could not be in time any more.

Change: the delay is measured (two turns and a transaction) and counted for each remaining step of work that has not begun.

--- a/packages/entry/include/cranberryplank/entry/owner_load_meter.h
+++ b/packages/entry/include/cranberryplank/entry/owner_load_meter.h
@@ -24,6 +24,8 @@
   /// @param ends_stored number of ended runs stored by this owner so far
   /// @return limit of starts in the placement pass of this turn
   int Record(TimePoint now, OwnerLoad load, std::uint64_t ends_stored);
+  /// Returns the average time between two turns of the owner's timed work.
+  Duration average_turn() const { return Duration(static_cast<Duration::rep>(m_average_turn_ms)); }
   /// Returns the load since the last report once a reporting interval has passed.
   std::optional<OwnerLoadReport> TakeReport(TimePoint now);
   /// Returns the newest report.
@@ -33,6 +35,7 @@
   OwnerLoadReport m_current;
   OwnerLoadReport m_last_report;
   double m_ends_per_turn = 0;
+  double m_average_turn_ms = 0;
   std::uint64_t m_ends_stored = 0;
   TimePoint m_last_turn{};
   TimePoint m_next_report{};
--- a/packages/entry/src/owner_load_meter.cc
+++ b/packages/entry/src/owner_load_meter.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration kReportInterval{1'000};
-constexpr double kAveragedTurns = 50;
+constexpr double kAveragedTurns = 20;
 
 }  // namespace
 
@@ -20,6 +20,7 @@
   if (m_last_turn != TimePoint{}) {
     const auto turn = std::chrono::duration_cast<Duration>(now - m_last_turn);
     m_current.longest_turn = std::max(m_current.longest_turn, turn);
+    m_average_turn_ms += (static_cast<double>(turn.count()) - m_average_turn_ms) / kAveragedTurns;
   }
   m_last_turn = now;
   m_current.oldest_unstored = std::max(m_current.oldest_unstored, load.oldest_unstored);
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -257,6 +257,8 @@
   load.transaction_time = m_writer.last_transaction_time();
   load.store_failing = m_writer.failing(now);
   m_scheduler->SetStartLimit(m_load.Record(now, load, m_scheduler->counters().ends_stored));
+  // A step waits for a turn to be placed, and its end for a turn to be handled and for the store.
+  m_scheduler->SetStepDelay(2 * m_load.average_turn() + load.transaction_time);
   const auto report = m_load.TakeReport(now);
   if (!report) {
     return;
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -18,6 +18,9 @@
   Duration objective{0};        ///< From `due`.
   Duration remaining_chain{0};  ///< Duration of the longest chain of dependent steps that remain.
   int remaining_steps = 0;      ///< Steps that are not done.
+  /// Time that a busy owner takes for each step besides the time of its tasks: until it is placed,
+  /// and until its end is known.
+  Duration step_delay{0};
   bool begun = false;           ///< A task of the occurrence has been started or is done.
   std::uint64_t serial = 0;     ///< Breaks ties: the order in which the jobs were added.
 };
@@ -37,7 +40,8 @@
 /// pool for a few seconds. The earliest objective goes first. Work that can no longer meet its
 /// objective comes after work that can, because its late result has little value. Work that has not
 /// begun counts as too late a little earlier; otherwise all of it would begin at the last moment
-/// and end just too late.
+/// and end just too late. How much earlier follows the owner's own delay, which grows when the
+/// demand is more than it can carry.
 OrderKey OrderOf(const OrderInput& input, TimePoint now);
 
 }  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -185,6 +185,8 @@
   /// Returns the number of workers on which a run could be started in the last placement pass.
   std::size_t usable_workers() const { return m_usable_workers; }
   bool may_act(TimePoint now) const { return MayAct(now); }
+  /// Sets the time that this owner takes for a step besides the time of its tasks.
+  void SetStepDelay(Duration delay) { m_step_delay = delay; }
   /// Sets how many tasks may be started in one placement pass.
   void SetStartLimit(int starts) { m_start_limit = starts; }
   /// Sets the workers, besides draining ones, on which no run is started.
@@ -293,6 +295,7 @@
   std::size_t m_being_stored = 0;  ///< Jobs whose changes were collected.
   int m_start_limit = std::numeric_limits<int>::max();
   std::size_t m_usable_workers = 0;
+  Duration m_step_delay{0};
   int m_starts_left = 0;  ///< In the current placement pass.
   TimePoint m_last_watch{};
   TimePoint m_last_cleanup{};
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -209,6 +209,7 @@
         input.long_running = job->spec.steps[i].long_running;
         input.best_effort = job->spec.steps[i].uses_leftover_cpu;
         input.over_share = job->over_share;
+        input.step_delay = m_step_delay;
         input.priority = queue.priority;
         input.due = occurrence.due;
         input.objective = ObjectiveOf(job->spec, queue);
--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -72,6 +72,12 @@
   CHECK(OrderOf(roomy, kNow) < OrderOf(tight, kNow));
   tight.begun = true;
   CHECK(OrderOf(tight, kNow) < OrderOf(roomy, kNow));
+  // Guards against an overloaded owner that begins work which its own delay makes late.
+  OrderInput delayed = InputOf(2, Duration(500), Duration(1'000));
+  delayed.remaining_steps = 2;
+  CHECK(OrderOf(delayed, kNow) < OrderOf(roomy, kNow));
+  delayed.step_delay = Duration(150);
+  CHECK(OrderOf(roomy, kNow) < OrderOf(delayed, kNow));
 }
 
 // Guards against a customer that submits more than its share and delays the others.
