Write the log line of starts explicitly, and let a test fail on the code that it guards against

The test of VMs that are moved before their ended runs are stored passed on the earlier rule as well, since its VM was among those that stay; it is now the first to be moved.

--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -132,7 +132,7 @@
       info.pool = "pool";
       info.capacity = {8'000, 8'000, 0};
       scheduler.SetWorker(At(), info);
-      machines.vms.push_back({"vm-" + std::to_string(i), "pool", ListedVmState::kUp, "", worker});
+      machines.vms.push_back({VmOf(worker), "pool", ListedVmState::kUp, "", worker});
     }
   }
 
@@ -213,7 +213,11 @@
     return worker;
   }
 
-  static std::string VmOf(const std::string& worker) { return "vm-" + worker.substr(7); }
+  /// Returns the VM of a worker. The first worker, on which tasks are placed first, has the last
+  /// VM, which is moved first.
+  static std::string VmOf(const std::string& worker) {
+    return "vm-" + std::to_string(kVms - 1 - std::stoi(worker.substr(7)));
+  }
 };
 
 }  // namespace cranberryplank
--- a/packages/entry/tests/vm_fleet_test.cc
+++ b/packages/entry/tests/vm_fleet_test.cc
@@ -61,7 +61,7 @@
   takeover.unreconciled_bound = fixture.now + Duration(10'000);
   takeover.workers.push_back({"worker-0", "pool"});
   fixture.Begin(takeover);
-  fixture.fleet->SetWave(fixture.now, {1, {"vm-0"}, Duration(1'000), 1});
+  fixture.fleet->SetWave(fixture.now, {1, {FleetFixture::VmOf("worker-0")}, Duration(1'000), 1});
   for (int i = 0; i < 20; ++i) {
     fixture.Step();  // No worker replies.
   }
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -137,9 +137,14 @@
         m_waited(
             std::chrono::duration_cast<Duration>(now - step.job->open.at(step.occurrence).due)),
         m_config_version(config_version) {}
-  StartsLine(const StartsLine&) = delete;
-  StartsLine& operator=(const StartsLine&) = delete;
-  ~StartsLine() {
+
+  void Add(int index, int run, std::string_view worker) {
+    fmt::format_to(std::back_inserter(m_runs), "{}{}:{}@{}", m_runs.empty() ? "" : " ", index, run,
+                   worker);
+  }
+
+  /// Writes the line if a task was started.
+  void Write() const {
     if (m_runs.empty()) {
       return;
     }
@@ -150,11 +155,6 @@
         .Field("waited_ms", m_waited.count());
   }
 
-  void Add(int index, int run, std::string_view worker) {
-    fmt::format_to(std::back_inserter(m_runs), "{}{}:{}@{}", m_runs.empty() ? "" : " ", index, run,
-                   worker);
-  }
-
  private:
   std::string m_step;
   Duration m_waited;
@@ -353,24 +353,25 @@
       continue;
     }
     if (m_starts_left <= 0 || !WithinCap(*step.job, spec.per_task)) {
-      return;
+      break;
     }
     SetFailedTask(places.candidates, state.failed_worker, true);
     const int chosen = ChoosePlacement(places.candidates, spec, places.rack);
     SetFailedTask(places.candidates, state.failed_worker, false);
     if (chosen < 0) {
       pass->RecordRefused(spec, *waiting.queue);
-      return;
+      break;
     }
     Worker* worker = places.workers[static_cast<std::size_t>(chosen)];
     const int run = std::max(state.last_run, m_run_base) + 1;
     if (!StartTask(now, worker, task, run, m_advice.Ticket(now, step_name, worker->info.id))) {
-      return;
+      break;
     }
     --m_starts_left;
     line.Add(task.index, run, worker->info.id);
     Occupy(&places.candidates[static_cast<std::size_t>(chosen)], spec);
   }
+  line.Write();
 }
 
 void Scheduler::PlaceGang(TimePoint now, const WaitingStep& waiting,
@@ -419,6 +420,7 @@
       line.Add(task.index, run + 1, worker->info.id);
     }
   }
+  line.Write();
 }
 
 void Scheduler::MoveLongRunningOffDraining(TimePoint now) {
