Clarify two comments and remove a function that nothing calls

The class comment of the load meter left out that it limits starts, the comment on moves in progress had to be read twice, and ProgressLog::Contains was unused.

--- a/packages/entry/include/cranberryplank/entry/owner_load_meter.h
+++ b/packages/entry/include/cranberryplank/entry/owner_load_meter.h
@@ -16,7 +16,7 @@
   int fewest_starts = -1;       ///< Lowest limit of starts in a placement pass; -1 if none was set.
 };
 
-/// Measures the owner's load, for the log and the metrics.
+/// Measures the owner's load for the log and the metrics, and limits its starts accordingly.
 class OwnerLoadMeter {
  public:
   /// Records a turn of the owner's timed work and decides how many tasks it may start.
--- a/packages/entry/include/cranberryplank/entry/progress_log.h
+++ b/packages/entry/include/cranberryplank/entry/progress_log.h
@@ -49,9 +49,8 @@
   /// Returns the number of entries that no job needs and that are not taken.
   std::size_t unneeded() const { return m_unneeded.size(); }
 
+  /// Returns the number of entries in the store.
   std::size_t entries() const { return m_jobs_of_entry.size(); }
-  /// Returns whether the newest progress of a job is in the log.
-  bool Contains(const std::string& job) const { return m_entry_of_job.contains(job); }
 
  private:
   void Release(const std::string& key);
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -33,7 +33,7 @@
 /// Time without runs after which a VM may be moved to a standby pool.
 constexpr Duration kIdleBeforeStandby{600};
 constexpr Duration kPoolLogInterval{1'000};
-/// Maximum number of moves in progress: one of this many VMs.
+/// The number of VMs divided by this is the maximum number of moves in progress.
 constexpr std::size_t kMovingDivisor = 2;
 
 }  // namespace
