--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -42,10 +42,25 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
+/// Counts one request as open until it is destroyed.
+class OpenRequest {
+ public:
+  explicit OpenRequest(std::shared_ptr<std::size_t> count) : m_count(std::move(count)) {
+    ++*m_count;
+  }
+  ~OpenRequest() { --*m_count; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+ private:
+  std::shared_ptr<std::size_t> m_count;
+};
+
 /// One HTTP request and its pending response, which may be sent at any later time, once.
 class ApiExchange {
  public:
-  ApiExchange(evhttp_request* raw, ApiRequest request);
+  /// @param open exists until the response is written or the connection is closed
+  ApiExchange(evhttp_request* raw, ApiRequest request, std::unique_ptr<OpenRequest> open);
   ~ApiExchange();
   ApiExchange(const ApiExchange&) = delete;
   ApiExchange& operator=(const ApiExchange&) = delete;
@@ -70,6 +85,7 @@
 
   evhttp_request* m_raw;
   ApiRequest m_request;
+  std::unique_ptr<OpenRequest> m_open;
   std::function<void()> m_closed;
 };
 
@@ -102,6 +118,10 @@
   /// while a request is being processed, so it does not detect this itself.
   void CheckCallerConnections();
 
+  /// Returns the number of requests that were read and whose response is not yet written completely
+  /// to a connection that is still open.
+  std::size_t open_requests() const { return *m_open_count; }
+
   const std::string& last_reason() const { return m_last_reason; }
 
  private:
@@ -112,6 +132,7 @@
   Handler m_handler;
   bool m_urgent;
   std::vector<std::weak_ptr<ApiExchange>> m_open;
+  std::shared_ptr<std::size_t> m_open_count = std::make_shared<std::size_t>(0);
   std::string m_last_reason;
 };
 
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -68,6 +68,15 @@
   return request;
 }
 
+void OnReplyWritten(evhttp_request* raw, void* open) {
+  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
+  delete static_cast<OpenRequest*>(open);
+}
+
+void OnClosedBeforeReply(evhttp_connection* /*connection*/, void* open) {
+  delete static_cast<OpenRequest*>(open);
+}
+
 }  // namespace
 
 std::string_view ApiRequest::Header(std::string_view name) const {
@@ -78,8 +87,8 @@
   return header->second;
 }
 
-ApiExchange::ApiExchange(evhttp_request* raw, ApiRequest request)
-    : m_raw(raw), m_request(std::move(request)) {
+ApiExchange::ApiExchange(evhttp_request* raw, ApiRequest request, std::unique_ptr<OpenRequest> open)
+    : m_raw(raw), m_request(std::move(request)), m_open(std::move(open)) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &ApiExchange::HandleClose,
                                 this);
 }
@@ -97,7 +106,10 @@
     return;
   }
   evhttp_request* raw = std::exchange(m_raw, nullptr);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
+  // evhttp calls one of the two: the first once the reply is written, else the second.
+  OpenRequest* open = m_open.release();
+  evhttp_request_set_on_complete_cb(raw, &OnReplyWritten, open);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &OnClosedBeforeReply, open);
   evkeyvalq* headers = evhttp_request_get_output_headers(raw);
   evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
   for (const auto& [name, value] : response.headers) {
@@ -113,6 +125,7 @@
   auto* exchange = static_cast<ApiExchange*>(self);
   // evhttp frees the request together with its connection, so it must not be used any more.
   exchange->m_raw = nullptr;
+  exchange->m_open.reset();
   exchange->ReportClosed();
 }
 
@@ -170,8 +183,9 @@
 }
 
 void ApiServer::HandleRequest(evhttp_request* raw, void* self) {
-  auto exchange = std::make_shared<ApiExchange>(raw, ReadRequest(raw));
   auto* server = static_cast<ApiServer*>(self);
+  auto exchange = std::make_shared<ApiExchange>(
+      raw, ReadRequest(raw), std::make_unique<OpenRequest>(server->m_open_count));
   if (server->m_urgent) {
     // libevent resets the priority when a connection is accepted, so it is set from the first
     // request on.
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -50,6 +50,8 @@
   /// Begins a graceful shutdown.
   void BeginShutdown(TimePoint now);
   bool finished(TimePoint now) const;
+  /// Returns the number of callers' requests whose response is not yet written completely.
+  std::size_t open_requests() const { return m_caller_server.open_requests(); }
   /// Returns whether this daemon owns the schedule, so that its loop has frequent work.
   bool owner() const { return m_owner != nullptr; }
 
