Write all responses before a stopping daemon ends

Cause: a daemon ended when no request waited for its owner any more. A response that had just been given was still in the connection's buffer, because the event loop writes it in its next turn. When the tick that ends the process came in the same turn, the response was never written, and the connection was closed. The longer a turn takes, the likelier this is; with a tick each 40 ms and a processor that is used up for the rest of a tenth of a second, both fall into one turn.

Change: the end of the process waits until the responses to callers and to other daemons are written (bounded, as before, by the grace period).

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -557,7 +557,9 @@
     return false;
   }
   const auto elapsed = now - *m_stopping_since;
-  return (elapsed >= kUnreadyTime && m_gateway.open_requests() == 0 && !m_ownership.owned()) ||
+  // A response that was given is written in a later turn of the event loop.
+  const bool answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
+  return (elapsed >= kUnreadyTime && answered && !m_ownership.owned()) ||
          elapsed >= m_settings.shutdown_grace - kGraceReserve;
 }
 
