Answer all requests before the grace period of a stopping daemon ends

Cause: a daemon ends some time before its grace period does, whatever is open. A request that arrived late, or waited for a change of the schedule's owner, could still wait for its answer then, because its own limit was up to 2.85 s after its arrival.

Change: from the beginning of a stop, the limit of every request is at most 300 ms before that end. What waits then is refused (503), or answered with 504 if it may have run. A request that arrives later is refused at once.

--- a/packages/entry/include/cranberryplank/entry/caller_gateway.h
+++ b/packages/entry/include/cranberryplank/entry/caller_gateway.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cranberryplank/daemon/api_server.h"
@@ -54,8 +55,9 @@
   /// Retries calls that reached no owner. Must be called regularly.
   void Tick(TimePoint now);
   std::size_t open_requests() const { return m_pending.size(); }
-  /// Makes all further replies ask callers to close their connections.
-  void SetClosing() { m_closing = true; }
+  /// Begins to close: all further replies ask callers to close their connections, and requests that
+  /// have no answer by `answer_by` are given up then, or refused at once if they arrive later.
+  void Close(TimePoint answer_by);
 
  private:
   struct Pending {
@@ -81,7 +83,7 @@
   const PlatformFormat* m_format;
   Metrics* m_metrics;
   CallOwner m_call_owner;
-  bool m_closing = false;
+  std::optional<TimePoint> m_answer_by;  ///< Set while the daemon stops.
   std::uint64_t m_last_id = 0;
   std::map<std::uint64_t, Pending> m_pending;
 };
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -106,8 +106,20 @@
 CallerGateway::CallerGateway(const PlatformFormat* format, Metrics* metrics, CallOwner call_owner)
     : m_format(format), m_metrics(metrics), m_call_owner(std::move(call_owner)) {}
 
+void CallerGateway::Close(TimePoint answer_by) {
+  m_answer_by = answer_by;
+  for (auto& [id, pending] : m_pending) {
+    pending.deadline = std::min(pending.deadline, answer_by);
+    pending.give_up = std::min(pending.give_up, answer_by);
+  }
+}
+
 void CallerGateway::Handle(Now now, const ClusterConfig* config, const ConfigAge& age,
                            const std::shared_ptr<ApiExchange>& exchange) {
+  if (m_answer_by && now.time >= *m_answer_by) {
+    Refuse(now.time, exchange, kUnavailable, "the daemon stops");
+    return;
+  }
   const ApiRequest& request = exchange->request();
   const QueueConfig* queue =
       config == nullptr ? nullptr : config->Route(HostOf(request), request.path);
@@ -150,6 +162,9 @@
   }
   pending.arrived = now.time;
   pending.deadline = now.time + caller_timeout - kAnswerReserve;
+  if (m_answer_by) {
+    pending.deadline = std::min(pending.deadline, *m_answer_by);
+  }
   pending.give_up = std::min(pending.deadline, now.time + kOwnerWait);
   const std::uint64_t id = ++m_last_id;
   m_pending.emplace(id, std::move(pending));
@@ -266,7 +281,7 @@
       .Field("reason", reason);
   m_metrics->Count("cranberryplank_answers_total", fmt::format("status=\"{}\"", response.status));
   m_metrics->RecordLatency(latency);
-  if (m_closing) {
+  if (m_answer_by) {
     response.headers.emplace_back("Connection", "close");
   }
   pending.exchange->Reply(response);
@@ -286,7 +301,7 @@
   if (status == kUnavailable) {
     SetRetryAfter(&response, kDefaultRetryAfterMs);
   }
-  if (m_closing) {
+  if (m_answer_by) {
     response.headers.emplace_back("Connection", "close");
   }
   exchange->Reply(response);
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -28,6 +28,8 @@
 constexpr Duration kUnreadyTime{2'400};
 /// Part of the grace period that remains when the process ends.
 constexpr Duration kGraceReserve{900};
+/// Time before the end of the process in which the last responses are written.
+constexpr Duration kLastWrites{300};
 constexpr Duration kTakeOverTimeout{300};
 constexpr Duration kHandOverInterval{500};
 /// A daemon that called within this time can take over the schedule.
@@ -519,7 +521,7 @@
     return;
   }
   m_stopping_since = now;
-  m_gateway.SetClosing();
+  m_gateway.Close(now + m_settings.shutdown_grace - kGraceReserve - kLastWrites);
   LogLine(LogLevel::kInfo, "stopping")
       .Field("owner", m_ownership.owned())
       .Field("open_requests", m_gateway.open_requests());
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -147,4 +147,22 @@
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
+// Guards against a whole request that gets no answer: a request that arrived late in the grace
+// period was still waiting for an owner of the schedule when the process had to end.
+TEST_CASE("a stopping daemon answers all requests before its grace period ends") {
+  ShutdownFixture fixture;
+  fixture.store.Deliver(Clock::now());  // Loads the configuration. The schedule has no owner.
+  const TimePoint stopped = Clock::now() - fixture.settings().shutdown_grace + Duration(1'900);
+  fixture.service().BeginShutdown(stopped);
+  fixture.SendRequest();
+  fixture.RunUntilRequestIsRead();
+  while (!fixture.service().finished(Clock::now())) {
+    fixture.service().Tick({Clock::now(), UnixMilliseconds()});
+    fixture.RunOneTurn();
+    usleep(1'000);
+  }
+  CHECK(fixture.service().open_requests() == 0);
+  CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
+}
+
 }  // namespace cranberryplank
