--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -43,6 +43,8 @@
 
 constexpr Duration kTickInterval{20};
 constexpr Duration kCallerCheckInterval{200};
+/// Longest time after the last stage of a shutdown in which responses are still written.
+constexpr Duration kLastWrites{1'000};
 
 timeval ToTimeval(Duration duration) {
   timeval time{};
@@ -140,6 +142,7 @@
   void Tick();
   void Handle(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void BeginShutdown();
+  void EndOnceResponsesAreWritten(TimePoint now);
 
   static void OnTick(int, short, void* self) {  // NOLINT(google-runtime-int): libevent's type
     static_cast<Parts*>(self)->Tick();
@@ -177,6 +180,7 @@
   StatusApi status_api;
   ApiServer server;
   TimePoint last_caller_check;
+  std::optional<TimePoint> finished_at;  ///< When the shutdown's last stage ended.
   EventPointer tick;
   EventPointer terminate;
   EventPointer interrupt;
@@ -306,11 +310,23 @@
     server.StopAccepting();
   }
   if (shutdown.finished()) {
-    LogLine(LogLevel::kInfo, "shutdown").Field("state", "finished");
-    event_base_loopexit(base.get(), nullptr);
+    EndOnceResponsesAreWritten(now);
   }
 }
 
+void Daemon::Parts::EndOnceResponsesAreWritten(TimePoint now) {
+  if (!finished_at) {
+    finished_at = now;
+  }
+  if (server.open_requests() > 0 && now - *finished_at < kLastWrites) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "shutdown")
+      .Field("state", "finished")
+      .Field("open_requests", server.open_requests());
+  event_base_loopexit(base.get(), nullptr);
+}
+
 Daemon::Daemon(const Settings& settings) : m_parts(std::make_unique<Parts>(settings)) {}
 
 Daemon::~Daemon() = default;
