Write the last response of a daemon that ends with its grace period

Cause: a daemon that still owns the schedule, because it has no successor (its peers stop too, or it is alone) or because the store does not answer, ends when its grace period is used up but for 900 ms.

Change: this end too waits until the responses are written, for at most 300 ms.

Evidence: the test failed before the change (nothing received), and passes now.

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -28,7 +28,8 @@
 constexpr Duration kUnreadyTime{2'400};
 /// Part of the grace period that remains when the process ends.
 constexpr Duration kGraceReserve{900};
-/// Time before the end of the process in which the last responses are written.
+/// Time before the end of the process in which the last responses are written. The end is delayed
+/// by at most this time if some are not yet written.
 constexpr Duration kLastWrites{300};
 constexpr Duration kTakeOverTimeout{300};
 constexpr Duration kHandOverInterval{500};
@@ -561,8 +562,9 @@
   const auto elapsed = now - *m_stopping_since;
   // A response that was given is written in a later turn of the event loop.
   const bool answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
-  return (elapsed >= kUnreadyTime && answered && !m_ownership.owned()) ||
-         elapsed >= m_settings.shutdown_grace - kGraceReserve;
+  const Duration end = m_settings.shutdown_grace - kGraceReserve;
+  return (answered && ((elapsed >= kUnreadyTime && !m_ownership.owned()) || elapsed >= end)) ||
+         elapsed >= end + kLastWrites;
 }
 
 }  // namespace cranberryplank
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -165,4 +165,21 @@
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
+// Guards against a whole request that gets no answer: a daemon without a successor ended in the
+// turn of the event loop in which its last response was given, because no more time was left.
+TEST_CASE("a daemon that ends with its grace period writes its last response") {
+  ShutdownFixture fixture;
+  const TimePoint stopped = Clock::now();
+  fixture.service().BeginShutdown(stopped);
+  fixture.SendRequest();
+  fixture.RunUntilRequestIsRead();
+  CHECK(fixture.service().finished(stopped + fixture.settings().shutdown_grace));
+  const TimePoint last = stopped + fixture.settings().shutdown_grace - Duration(900);
+  while (!fixture.service().finished(last) && Clock::now() < stopped + Duration(5'000)) {
+    fixture.RunOneTurn();
+  }
+  CHECK(fixture.service().finished(last));
+  CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
+}
+
 }  // namespace cranberryplank
