Forget ended requests in all servers of a daemon

What was seen: nothing yet; found by reading. The memory of a job daemon grew with each readiness check, each read of its metrics and each call from another daemon, by the size of one exchange (some hundred bytes); an owner gets up to hundreds of such calls a second.

Cause: a server keeps a weak reference to each exchange, which keeps its memory, and removed them only in CheckCallerConnections(). The job service calls that for the callers' server only.

Change: a server removes the references to ended exchanges before its list of them grows.

Evidence: the test failed before the change (1,000 of 1,000 ended requests remembered), and passes now.

--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -122,6 +122,9 @@
   /// to a connection that is still open.
   std::size_t open_requests() const { return *m_open_count; }
 
+  /// Returns the number of requests that the server refers to, of which some may have ended.
+  std::size_t remembered_requests() const { return m_open.size(); }
+
   const std::string& last_reason() const { return m_last_reason; }
 
  private:
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// Room for requests in a server's list of them before it removes those that have ended.
+constexpr std::size_t kMinRemembered = 64;
+
 std::string_view MethodName(evhttp_cmd_type method) {
   switch (method) {
     case EVHTTP_REQ_GET:
@@ -192,7 +195,12 @@
     bufferevent_priority_set(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)),
                              kUrgentEvents);
   }
-  server->m_open.push_back(exchange);
+  std::vector<std::weak_ptr<ApiExchange>>& open = server->m_open;
+  if (open.size() == open.capacity()) {
+    std::erase_if(open, [](const auto& each) { return each.expired(); });
+    open.reserve(2 * open.size() + kMinRemembered);
+  }
+  open.push_back(exchange);
   try {
     server->m_handler(Clock::now(), exchange);
   } catch (const std::exception& error) {
--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -223,5 +223,29 @@
   CHECK(good.ReadUntil("\r\n\r\n").find("HTTP/1.1 204") == 0);
 }
 
+// Guards against memory that grows with each request: a server kept a reference to every exchange
+// unless its user looked for disconnected callers.
+TEST_CASE("a server forgets the requests that have ended") {
+  const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(),
+                                                                     &event_base_free);
+  const std::uint16_t port = FreePort();
+  int handled = 0;
+  ApiServer server(base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
+                   [&](TimePoint, const std::shared_ptr<ApiExchange>& exchange) {
+                     ++handled;
+                     exchange->Reply(ApiResponse{204, "text/plain", "", {}});
+                   });
+  REQUIRE(server.Listen(Endpoint{"127.0.0.1", port}));
+  RawConnection caller(base.get(), port);
+  for (int i = 0; i < 1'000; ++i) {
+    caller.Write("GET /job HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  for (int i = 0; i < 100'000 && handled < 1'000; ++i) {
+    event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  }
+  REQUIRE(handled == 1'000);
+  CHECK(server.remembered_requests() < 100);
+}
+
 }  // namespace
 }  // namespace cranberryplank
