Close connections after their next reply once a server accepts no more

What callers would see: a whole request that gets neither an answer nor a refusal while a daemon of the earlier product stops. Found by reading.

Cause: a stopping daemon refused requests, but left their connections open. So callers sent the next request on the same connection until the process ended, and one that had arrived and was not yet read then got no answer.

Change: after StopAccepting() every reply to a request read later carries "Connection: close". Before that the connections stay open, because callers would only open new ones.

Evidence: the test failed before the change (no such header), and passes now.

--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -189,6 +189,10 @@
   auto* server = static_cast<ApiServer*>(self);
   auto exchange = std::make_shared<ApiExchange>(
       raw, ReadRequest(raw), std::make_unique<OpenRequest>(server->m_open_count));
+  if (server->m_socket == nullptr) {
+    // The process ends soon, so the caller must send no further request on this connection.
+    evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection", "close");
+  }
   if (server->m_urgent) {
     // libevent resets the priority when a connection is accepted, so it is set from the first
     // request on.
--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -223,6 +223,22 @@
   CHECK(good.ReadUntil("\r\n\r\n").find("HTTP/1.1 204") == 0);
 }
 
+// Guards against a whole request that gets no answer: callers sent requests on their connections to
+// a stopping daemon until its process ended, because its refusals kept the connections open.
+TEST_CASE("a server that accepts no connections any more closes each one after its next reply") {
+  CallerApiFixture fixture;
+  const auto caller = fixture.Connect();
+  const std::string request = CallerApiFixture::Post("/v1/queues/none/requests", kBody);
+  caller->Write(request);
+  CHECK(caller->ReadUntil("}").find("HTTP/1.1 404") == 0);
+  fixture.server().StopAccepting();
+  caller->Write(request);
+  const std::string reply = caller->ReadUntil("<closed>");
+  CHECK(reply.find("HTTP/1.1 404") == 0);
+  CHECK(reply.find("Connection: close") != std::string::npos);
+  CHECK(reply.ends_with("<closed>"));
+}
+
 // Guards against memory that grows with each request: a server kept a reference to every exchange
 // unless its user looked for disconnected callers.
 TEST_CASE("a server forgets the requests that have ended") {
