Test that each request is counted as open exactly until its end

The end of a stopping daemon waits for open requests, so one that is counted for ever would use up its grace period, and one that is counted too short would lose its response. The test covers a written response, a connection that ends before or while the response is written, a handler that drops the request, a caller that closes its sending direction, and a server that ends first.

--- a/packages/daemon/tests/caller_api_test.cc
+++ b/packages/daemon/tests/caller_api_test.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "router_fixture.h"
 
@@ -72,6 +73,8 @@
     usleep(5'000);
   }
 
+  void CloseForSending() const { REQUIRE(shutdown(m_socket, SHUT_WR) == 0); }
+
   void Close() {
     if (m_socket >= 0) {
       close(m_socket);
@@ -263,5 +266,80 @@
   CHECK(server.remembered_requests() < 100);
 }
 
+// Guards against a request that is counted after its end, so that the end of the daemon waits for
+// it, and against one that is counted no more before its response is written.
+TEST_CASE("a request is open until its response is written or its connection has ended") {
+  const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(),
+                                                                     &event_base_free);
+  const std::uint16_t port = FreePort();
+  std::vector<std::shared_ptr<ApiExchange>> held;
+  auto server = std::make_unique<ApiServer>(
+      base.get(), ApiLimits{1'000, 2'000, Duration(1'000)},
+      [&](TimePoint, const std::shared_ptr<ApiExchange>& exchange) { held.push_back(exchange); });
+  REQUIRE(server->Listen(Endpoint{"127.0.0.1", port}));
+  const auto request = [&] {
+    auto caller = std::make_unique<RawConnection>(base.get(), port);
+    caller->Write("GET /job HTTP/1.1\r\nHost: x\r\n\r\n");
+    for (int i = 0; i < 5; ++i) {
+      caller->RunLoop();
+    }
+    return caller;
+  };
+  const ApiResponse small;
+  const ApiResponse large{200, "text/plain", std::string(std::size_t{64} << 20U, 'x'), {}};
+
+  auto caller = request();
+  REQUIRE(held.size() == 1);
+  CHECK(server->open_requests() == 1);
+  held.back()->Reply(small);
+  CHECK(server->open_requests() == 1);
+  CHECK(caller->ReadUntil("\r\n\r\n").find("HTTP/1.1 200") == 0);
+  CHECK(server->open_requests() == 0);
+
+  SECTION("the connection ends while the response is being written") {
+    caller = request();
+    held.back()->Reply(large);
+    caller->RunLoop();
+    CHECK(server->open_requests() == 1);
+    caller->Close();
+    caller->RunLoop();
+    caller->RunLoop();
+    CHECK(server->open_requests() == 0);
+  }
+  SECTION("the connection ends before the response") {
+    caller = request();
+    caller->Close();
+    caller->RunLoop();
+    held.back()->Reply(small);
+    caller->RunLoop();
+    caller->RunLoop();
+    CHECK(server->open_requests() == 0);
+  }
+  SECTION("the handler drops the request") {
+    caller = request();
+    held.clear();
+    CHECK(caller->ReadUntil("\r\n\r\n").find("HTTP/1.1 500") == 0);
+    CHECK(server->open_requests() == 0);
+  }
+  SECTION("the caller sends nothing more") {
+    caller = request();
+    caller->CloseForSending();
+    caller->RunLoop();
+    held.back()->Reply(small);
+    CHECK(caller->ReadUntil("\r\n\r\n").find("HTTP/1.1 200") == 0);
+    CHECK(server->open_requests() == 0);
+  }
+  SECTION("the server ends first") {
+    caller = request();
+    const auto other = request();
+    held.back()->Reply(large);
+    other->RunLoop();
+    CHECK(server->open_requests() == 2);
+    server.reset();
+    held.at(1)->Reply(small);
+    CHECK(caller->ReadUntil("\r\n\r\n") == "<closed>");
+  }
+}
+
 }  // namespace
 }  // namespace cranberryplank
