Check in the fault soak that every whole request gets an answer, also around planned work

Change: a call whose connection ends without a complete response later than 200 ms after it was sent is a violation, unless its daemon was killed, paused or continued since (or in the half second before). Delays of the soak's own process are subtracted. Besides the calls for jobs, one query goes to a daemon in each tick. Planned work is added, with random numbers of its own, so that the faults of a seed stay the same: SIGTERM of all daemons one after another, two SIGTERMs that overlap, and SIGHUP after a change of the settings file.

--- a/soak/daemon_process.cc
+++ b/soak/daemon_process.cc
@@ -88,6 +88,10 @@
   }
 }
 
+void DaemonProcess::TouchSettings() const {
+  std::ofstream(m_settings_path, std::ios::app) << "# touched\n";
+}
+
 bool DaemonProcess::Running() {
   if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
     m_pid = -1;
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -27,6 +27,8 @@
 
   void Start();
   void Signal(int signal) const;
+  /// Changes the text of the settings file, but none of the settings.
+  void TouchSettings() const;
   /// Reaps the process if it has exited. @return whether it is running
   bool Running();
   const Endpoint& callers() const { return m_caller_endpoint; }
--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -27,6 +27,7 @@
     : m_settings(settings),
       m_random(settings.seed),
       m_load_random(settings.seed + 1),
+      m_planned_random(settings.seed + 4),
       m_store_random(settings.seed + 2),
       m_workers(settings.seed + 3),
       m_store(m_loop.base(), &m_store_random),
@@ -35,7 +36,7 @@
 bool FaultSoak::Run() {
   StartAll();
   m_start_time = Clock::now();
-  m_next_fault = m_next_job = m_start_time + kWarmUp;
+  m_next_fault = m_next_job = m_next_planned = m_start_time + kWarmUp;
   const TimePoint faults_end = m_start_time + kWarmUp + m_settings.duration;
   const auto run_until = [this](const std::function<bool(TimePoint)>& condition) {
     while (!condition(Clock::now())) {
@@ -93,6 +94,10 @@
     m_next_fault = now + Duration(300 + m_random.Below(1'800));
     InjectFault(now);
   }
+  if (!m_faults_ended && now >= m_next_planned) {
+    m_next_planned = now + Duration(1'000 + m_planned_random.Below(5'000));
+    DoPlannedWork(now);
+  }
   m_load->Tick(now);
 }
 
@@ -116,7 +121,7 @@
   switch (m_random.Below(4)) {
     case 0:
       Log(now, fmt::format("kill daemon-{}", number));
-      daemon->Signal(SIGKILL);
+      Disrupt(number, SIGKILL);
       return;
     case 1:
       Log(now, fmt::format("terminate daemon-{}", number));
@@ -125,18 +130,43 @@
     case 2: {
       const Duration pause{500 + m_random.Below(11'000)};
       Log(now, fmt::format("pause daemon-{} for {} ms", number, pause.count()));
-      daemon->Signal(SIGSTOP);
-      ScheduleAction(now + pause, [daemon] { daemon->Signal(SIGCONT); });
+      Disrupt(number, SIGSTOP);
+      ScheduleAction(now + pause, [this, number] { Disrupt(number, SIGCONT); });
       return;
     }
     default:
       Log(now, "kill all daemons");
-      for (const auto& each : m_daemons) {
-        each->Signal(SIGKILL);
+      for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        Disrupt(i, SIGKILL);
       }
   }
 }
 
+void FaultSoak::Disrupt(std::size_t number, int signal) {
+  m_load->RecordDisruption(number);
+  m_daemons[number]->Signal(signal);
+}
+
+void FaultSoak::DoPlannedWork(TimePoint now) {
+  const std::size_t first = m_planned_random.Below(m_daemons.size());
+  const std::uint64_t kind = m_planned_random.Below(3);
+  const Duration interval{kind == 0 ? 500 + m_planned_random.Below(2'500)
+                                    : m_planned_random.Below(2'000)};
+  if (kind == 2) {
+    Log(now, fmt::format("reload settings of daemon-{}", first));
+    m_daemons[first]->TouchSettings();
+    m_daemons[first]->Signal(SIGHUP);
+    return;
+  }
+  const std::size_t count = kind == 0 ? m_daemons.size() : 2;
+  Log(now, fmt::format("terminate {} daemons from daemon-{} on, one each {} ms", count, first,
+                       interval.count()));
+  for (std::size_t i = 0; i < count; ++i) {
+    const DaemonProcess* daemon = m_daemons[(first + i) % m_daemons.size()].get();
+    ScheduleAction(now + static_cast<int>(i) * interval, [daemon] { daemon->Signal(SIGTERM); });
+  }
+}
+
 void FaultSoak::InjectStoreFault(TimePoint now) {
   constexpr std::array kFaults{StoreFault::kDown, StoreFault::kSilent, StoreFault::kSlow,
                                StoreFault::kLoseAnswers, StoreFault::kLateWrites};
@@ -213,8 +243,9 @@
   for (const std::string& job : m_load->UnresolvedJobs()) {
     failures.push_back("not resolved in time: " + job);
   }
-  fmt::print("seed {}: {} jobs, {} accepted, {} starts, {} promises broken\n", m_settings.seed,
-             m_load->jobs(), m_load->accepted(), m_workers.starts(), failures.size());
+  fmt::print("seed {}: {} jobs, {} accepted, {} starts, {} calls, {} promises broken\n",
+             m_settings.seed, m_load->jobs(), m_load->accepted(), m_workers.starts(),
+             m_load->calls(), failures.size());
   for (const std::string& text : failures) {
     fmt::print("broken: {}\n", text);
   }
--- a/soak/fault_soak.h
+++ b/soak/fault_soak.h
@@ -39,6 +39,10 @@
   void Tick(TimePoint now);
   void InjectFault(TimePoint now);
   void InjectDaemonFault(TimePoint now, std::size_t number);
+  /// Signals a daemon in a way that excuses unanswered calls.
+  void Disrupt(std::size_t number, int signal);
+  /// Terminates daemons as for their replacement, or reloads their settings.
+  void DoPlannedWork(TimePoint now);
   void InjectStoreFault(TimePoint now);
   void InjectWorkerFault(TimePoint now);
   void ScheduleAction(TimePoint when, std::function<void()> action);
@@ -49,6 +53,7 @@
   SoakSettings m_settings;
   SeededRandom m_random;  ///< Used for faults only, so that a seed reproduces them.
   SeededRandom m_load_random;
+  SeededRandom m_planned_random;  ///< Used for planned work only.
   SeededRandom m_store_random;
   EventLoop m_loop;
   SimulatedWorkers m_workers;
@@ -60,6 +65,7 @@
   std::vector<TimePoint> m_restart_at;
   TimePoint m_start_time{};
   TimePoint m_next_fault{};
+  TimePoint m_next_planned{};
   TimePoint m_next_job{};
   bool m_faults_ended = false;
 };
--- a/soak/job_load.cc
+++ b/soak/job_load.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "cranberryplank/platform/http_status.h"
@@ -15,6 +16,13 @@
 constexpr Duration kSubmitRetryInterval{250};
 constexpr Duration kPollInterval{700};
 constexpr double kCancelShare = 0.02;
+/// A request can be sent while the daemon's process ends. It need not be answered if the connection
+/// is closed within this time.
+constexpr Duration kLossSlack{200};
+/// Time that the end of a killed process or the work left by a pause takes at most.
+constexpr Duration kDisruptionTime{500};
+/// Longer times between two ticks count as a delay of this process.
+constexpr Duration kUsualTick{30};
 
 bool IsEnded(const std::string& state) {
   return state == "done" || state == "failed" || state == "cancelled";
@@ -24,7 +32,11 @@
 
 JobLoad::JobLoad(event_base* base, SimulatedWorkers* workers, RandomSource* random,
                  std::vector<Endpoint> daemons)
-    : m_callers(base), m_workers(workers), m_random(random), m_daemons(std::move(daemons)) {}
+    : m_callers(base),
+      m_workers(workers),
+      m_random(random),
+      m_daemons(std::move(daemons)),
+      m_disrupted(m_daemons.size()) {}
 
 void JobLoad::Submit(TimePoint now) {
   constexpr std::uint64_t kCpuRange = 3'000;
@@ -51,6 +63,9 @@
 }
 
 void JobLoad::Tick(TimePoint now) {
+  m_delayed = DelayedTime(now);
+  m_last_tick = now;
+  Probe();
   for (auto& [id, entry] : m_jobs) {
     const bool open = entry.phase != Phase::kRefused && entry.phase != Phase::kEnded;
     if (open && !entry.in_flight && now >= entry.next) {
@@ -60,13 +75,16 @@
 }
 
 void JobLoad::Call(TimePoint now, Entry* entry) {
-  const Endpoint& daemon = m_daemons[m_random->Below(m_daemons.size())];
+  const std::size_t number = m_random->Below(m_daemons.size());
+  const Endpoint& daemon = m_daemons[number];
   entry->in_flight = true;
   entry->next = now + (entry->phase == Phase::kSubmitting ? kSubmitRetryInterval : kPollInterval);
   const std::string& id = entry->spec.id;
   if (entry->phase == Phase::kSubmitting) {
-    m_callers.Submit(daemon, entry->spec,
-                     [this, entry](const CallerResult& result) { OnSubmit(entry, result); });
+    m_callers.Submit(
+        daemon, entry->spec,
+        Checked(number, "submission of " + id,
+                [this, entry](const CallerResult& result) { OnSubmit(entry, result); }));
     return;
   }
   if (entry->phase == Phase::kAccepted && !m_cancelling_stopped &&
@@ -87,9 +105,9 @@
     }
   };
   if (entry->phase == Phase::kCancelling) {
-    m_callers.Cancel(daemon, id, done);
+    m_callers.Cancel(daemon, id, Checked(number, "cancellation of " + id, done));
   } else {
-    m_callers.GetState(daemon, id, done);
+    m_callers.GetState(daemon, id, Checked(number, "query of " + id, done));
   }
 }
 
@@ -106,6 +124,36 @@
   }
 }
 
+void JobLoad::Probe() {
+  const std::size_t number = m_probes++ % m_daemons.size();
+  m_callers.GetState(m_daemons[number], "0000000000000000",
+                     Checked(number, "query of no job", [](const CallerResult&) {}));
+}
+
+EmulatedCallers::Callback JobLoad::Checked(std::size_t daemon, std::string call,
+                                           EmulatedCallers::Callback done) {
+  ++m_calls;
+  const TimePoint sent = Clock::now();
+  return [this, daemon, call = std::move(call), done = std::move(done), sent,
+          delayed = DelayedTime(sent)](const CallerResult& result) {
+    const TimePoint now = Clock::now();
+    const auto open = now - sent - (DelayedTime(now) - delayed);
+    if (result.closed && open > kLossSlack && sent > m_disrupted[daemon] + kDisruptionTime) {
+      m_unanswered.push_back(
+          fmt::format("whole request without an answer: {} at daemon-{}, closed after {} ms", call,
+                      daemon, std::chrono::duration_cast<Duration>(now - sent).count()));
+    }
+    done(result);
+  };
+}
+
+void JobLoad::RecordDisruption(std::size_t daemon) { m_disrupted[daemon] = Clock::now(); }
+
+Duration JobLoad::DelayedTime(TimePoint now) const {
+  const auto since = std::chrono::duration_cast<Duration>(now - m_last_tick);
+  return m_delayed + std::max(since - kUsualTick, Duration(0));
+}
+
 std::vector<std::string> JobLoad::UnresolvedJobs() const {
   std::vector<std::string> open;
   for (const auto& [id, entry] : m_jobs) {
@@ -117,7 +165,7 @@
 }
 
 std::vector<std::string> JobLoad::Violations() const {
-  std::vector<std::string> violations;
+  std::vector<std::string> violations = m_unanswered;
   for (const auto& [id, entry] : m_jobs) {
     if (entry.phase == Phase::kRefused && m_workers->started_jobs().contains(id)) {
       violations.push_back(fmt::format("{} was refused but ran", id));
--- a/soak/job_load.h
+++ b/soak/job_load.h
@@ -26,13 +26,19 @@
   /// Stops new cancellations; calls in flight and retries continue.
   void StopCancelling() { m_cancelling_stopped = true; }
 
+  /// Records that a daemon is being killed, paused or continued. Its callers may get no answer
+  /// then.
+  void RecordDisruption(std::size_t daemon);
+
   /// Returns jobs that were not refused and have not ended.
   std::vector<std::string> UnresolvedJobs() const;
-  /// Returns violated guarantees: jobs that ran although every submission was refused, and jobs
-  /// reported as failed although no task failed.
+  /// Returns violated guarantees: jobs that ran although every submission was refused, jobs
+  /// reported as failed although no task failed, and whole requests without an answer.
   std::vector<std::string> Violations() const;
   std::size_t jobs() const { return m_jobs.size(); }
   std::size_t accepted() const;
+  /// Returns the number of calls to daemons, all of which are checked for an answer.
+  std::size_t calls() const { return m_calls; }
 
  private:
   enum class Phase { kSubmitting, kRefused, kAccepted, kCancelling, kEnded };
@@ -47,12 +53,24 @@
 
   void Call(TimePoint now, Entry* entry);
   void OnSubmit(Entry* entry, const CallerResult& result);
+  /// Asks for a job that does not exist, so that each daemon has calls under way all the time.
+  void Probe();
+  EmulatedCallers::Callback Checked(std::size_t daemon, std::string call,
+                                    EmulatedCallers::Callback done);
+  /// Returns the total time in which this process was delayed and could not read responses.
+  Duration DelayedTime(TimePoint now) const;
 
   EmulatedCallers m_callers;
   SimulatedWorkers* m_workers;
   RandomSource* m_random;
   std::vector<Endpoint> m_daemons;
   std::map<std::string, Entry> m_jobs;
+  std::vector<TimePoint> m_disrupted;  ///< Last disruption of each daemon.
+  std::size_t m_probes = 0;
+  std::size_t m_calls = 0;
+  TimePoint m_last_tick = Clock::now();
+  Duration m_delayed{0};
+  std::vector<std::string> m_unanswered;
   bool m_cancelling_stopped = false;
 };
 
