Keep acting as the owner until a daemon accepts to take over

Cause: a stopping owner ended its authority before it asked the first daemon to take over, and never got it back, though every daemon that it asked was stopping too and refused. Leases weren't renewed and nothing was started until a daemon had restarted, though the owner's process ran on for seconds.

Change: when all daemons that were asked have refused, or the calls have not reached them, the owner acts again, because none of them can act on the call. After an accepted call, or one with an unknown outcome, it stays stepped down, as before. No message changed.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -61,6 +61,7 @@
     TimePoint last_call{};
     double cores = 0;
     int state_format = kSingleProgressFormat;
+    TimePoint ask_again_at{};  ///< Before that, it is not asked again to take over.
   };
 
   void OnOperatorItem(TimePoint now, const KvItem& item);
@@ -79,6 +80,7 @@
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
   void HandOver(TimePoint now);
+  void OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status);
   void AskPredecessor(TimePoint now);
   ConfigAge ConfigAgeAt(TimePoint now) const;
   void RecordNewestConfigVersion(TimePoint now, std::uint64_t version);
@@ -108,6 +110,7 @@
   bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
   TimePoint m_next_hand_over{};
+  int m_hand_overs_not_refused = 0;  ///< Calls after which a daemon may take over.
   std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and stopped acting.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -62,8 +62,10 @@
   /// Extends the authority after a transaction with the record's revision as a precondition
   /// succeeded. The transaction was sent at `sent`.
   void Confirm(TimePoint sent);
-  /// Ends the authority of this ownership permanently before it is handed over.
+  /// Ends the authority of this ownership before another daemon is asked to take over.
   void StepDown() { m_stepped_down = true; }
+  /// Restores the authority after every daemon that was asked to take over has refused.
+  void Resume() { m_stepped_down = false; }
   /// Ends the ownership because it has expired, or because the store or a worker shows that another
   /// daemon owns the schedule.
   void Lose(TimePoint now, std::string_view reason);
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -417,7 +417,10 @@
   if (!call->sender.empty()) {
     std::erase_if(m_peers,
                   [&](const auto& item) { return now - item.second.last_call > kMayTakeOver; });
-    m_peers[call->sender] = {now, call->cores, call->state_format};
+    Peer& peer = m_peers[call->sender];
+    peer.last_call = now;
+    peer.cores = call->cores;
+    peer.state_format = call->state_format;
   }
   RecordNewestConfigVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
@@ -531,15 +534,21 @@
   m_next_hand_over = now + kHandOverInterval;
   std::erase_if(m_peers,
                 [&](const auto& item) { return now - item.second.last_call > kRecentCall; });
-  const auto strongest = std::max_element(
-      m_peers.begin(), m_peers.end(),
-      [](const auto& a, const auto& b) { return a.second.cores < b.second.cores; });
+  auto strongest = m_peers.end();
+  for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+    const bool stronger = strongest == m_peers.end() || it->second.cores > strongest->second.cores;
+    if (now >= it->second.ask_again_at && stronger) {
+      strongest = it;
+    }
+  }
   if (strongest == m_peers.end()) {
+    m_next_hand_over = now;
     return;
   }
   // The successor may assume that this daemon grants no leases after this point. So this daemon
-  // sends no more orders, whether or not the successor claims the schedule.
+  // sends no more orders unless the successor refuses.
   m_ownership.StepDown();
+  ++m_hand_overs_not_refused;
   OwnerCall call;
   call.kind = OwnerCallKind::kTakeOver;
   call.sender = m_address;
@@ -547,13 +556,32 @@
   LogLine(LogLevel::kInfo, "hand_over").Field("to", strongest->first);
   m_owner_client.Call(strongest->first, call, kTakeOverTimeout,
                       [this, address = strongest->first](TimePoint at, const OwnerReply& reply) {
-                        if (reply.status != OwnerStatus::kOk) {
-                          m_peers.erase(address);
-                          m_next_hand_over = at;
-                        }
+                        OnHandOverReply(at, address, reply.status);
                       });
 }
 
+void JobService::OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status) {
+  if (status == OwnerStatus::kOk) {
+    return;
+  }
+  m_next_hand_over = now;
+  // While all daemons are being stopped, none takes over for some seconds. A daemon that refused,
+  // or that the call did not reach, never acts on it, so this one goes on as the owner.
+  const bool refused = status == OwnerStatus::kNotReady || status == OwnerStatus::kNotOwner;
+  if (refused && --m_hand_overs_not_refused == 0) {
+    m_ownership.Resume();
+  }
+  const auto peer = m_peers.find(address);
+  if (peer == m_peers.end()) {
+    return;
+  }
+  if (status == OwnerStatus::kNotReady) {
+    peer->second.ask_again_at = now + kHandOverInterval;
+  } else {
+    m_peers.erase(peer);
+  }
+}
+
 bool JobService::finished(TimePoint now) const {
   if (!m_stopping_since) {
     return false;
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -51,6 +51,28 @@
   }
 };
 
+/// Also decodes every registration as that of a worker in the queue's pool.
+class WorkerFormat : public SubmissionFormat {
+ public:
+  std::optional<WorkerInfo> DecodeWorker(const KvItem& item) const override {
+    WorkerInfo info;
+    info.id = item.key;
+    info.pool = "pool";
+    info.capacity = {8'000, 8'000, 0};
+    return info;
+  }
+};
+
+JobSettings SettingsOf(const std::string& node) {
+  JobSettings settings;
+  settings.node = node;
+  settings.caller_listen = FreeEndpoint();
+  settings.ready_listen = FreeEndpoint();
+  settings.daemon_listen = FreeEndpoint();
+  settings.metrics_listen = FreeEndpoint();
+  return settings;
+}
+
 /// A store that has a configuration.
 struct ConfiguredStore : FakeKeyValueStore {
   ConfiguredStore() { Put("op/config", "version 1"); }
@@ -63,7 +85,7 @@
       : m_base(event_base_new(), &event_base_free),
         m_http(m_base.get(), HttpClientLimits{}),
         m_random(1),
-        m_settings(Settings()),
+        m_settings(SettingsOf("entry-1")),
         m_service(m_base.get(), m_settings,
                   {&store, &m_workers, nullptr, &m_format, &m_http, &m_random}) {
     REQUIRE(m_service.Listen());
@@ -109,16 +131,6 @@
   ConfiguredStore store;
 
  private:
-  static JobSettings Settings() {
-    JobSettings settings;
-    settings.node = "entry-1";
-    settings.caller_listen = FreeEndpoint();
-    settings.ready_listen = FreeEndpoint();
-    settings.daemon_listen = FreeEndpoint();
-    settings.metrics_listen = FreeEndpoint();
-    return settings;
-  }
-
   std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
   HttpClient m_http;
   SeededRandom m_random;
@@ -129,6 +141,96 @@
   int m_caller = -1;
 };
 
+/// Keeps only the watch of the workers' registrations open.
+struct WorkerWatchStore : ConfiguredStore {
+  void Watch(std::string_view prefix, std::uint64_t revision, Duration wait,
+             ReadCallback done) override {
+    if (prefix == "servers/") {
+      ConfiguredStore::Watch(prefix, revision, wait, std::move(done));
+    }
+  }
+};
+
+/// An owner of the schedule and another daemon, which calls it. Both use one store.
+class HandOverFixture {
+ public:
+  /// @param peer_cores processing power of the other daemon's VM; that of the owner's VM is 1
+  explicit HandOverFixture(double peer_cores)
+      : m_base(event_base_new(), &event_base_free),
+        m_http(m_base.get(), HttpClientLimits{}),
+        m_random(1) {
+    m_owner = MakeService(SettingsOf("owner"), &m_link);
+    RunUntil([&] { return store.Value("duty/schedule").find("owner") != std::string::npos; });
+    JobSettings settings = SettingsOf("peer");
+    settings.cpu_share = peer_cores;
+    m_peer = MakeService(settings, &m_peer_link);
+    RunFor(Duration(800));  // The peer calls the owner.
+    REQUIRE(OwnerInStore() == "owner");
+  }
+
+  JobService& owner() { return *m_owner; }
+  JobService& peer() { return *m_peer; }
+
+  std::string OwnerInStore() const {
+    const auto record = DecodeOwnership(store.Value("duty/schedule"));
+    return record ? record->owner : std::string();
+  }
+
+  void RunFor(Duration time) {
+    const TimePoint end = Clock::now() + time;
+    RunUntil([&] { return Clock::now() >= end; });
+  }
+
+  /// Returns whether the owner sends orders to a worker that registers now.
+  bool OwnerSendsOrders() {
+    const std::size_t before = m_link.renewals.size();
+    store.Put("servers/worker", "registered");
+    KvReadReply reply;
+    reply.status = KvStatus::kOk;
+    reply.revision = store.revision();
+    reply.items.push_back({"servers/worker", "registered", store.revision(), false});
+    store.EndWatch(Clock::now(), reply);
+    RunFor(Duration(200));
+    return m_link.renewals.size() > before;
+  }
+
+  WorkerWatchStore store;
+
+ private:
+  std::unique_ptr<JobService> MakeService(const JobSettings& settings, KeepingLink* link) {
+    auto service = std::make_unique<JobService>(
+        m_base.get(), settings,
+        JobServiceParts{&store, link, nullptr, &m_format, &m_http, &m_random});
+    REQUIRE(service->Listen());
+    return service;
+  }
+
+  template <typename Condition>
+  void RunUntil(Condition condition) {
+    const TimePoint limit = Clock::now() + Duration(5'000);
+    while (!condition() && Clock::now() < limit) {
+      const Now now{Clock::now(), UnixMilliseconds()};
+      store.Deliver(now.time);
+      m_owner->Tick(now);
+      if (m_peer) {
+        m_peer->Tick(now);
+      }
+      event_base_loop(m_base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+      usleep(1'000);
+    }
+    REQUIRE(condition());
+  }
+
+  std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
+  HttpClient m_http;
+  SeededRandom m_random;
+  KeepingLink m_link;
+  KeepingLink m_peer_link;
+  WorkerFormat m_format;
+  std::unique_ptr<JobService> m_owner;
+  std::unique_ptr<JobService> m_peer;
+};
+
 }  // namespace
 
 // Guards against a whole request that gets no answer: the process ended in the turn of the event
@@ -165,4 +267,23 @@
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
+// Guards against a schedule without an owner while all daemons are being stopped: the owner stopped
+// acting seconds before its process ended, though all others had refused to take over.
+TEST_CASE("a stopping owner acts until another daemon takes over") {
+  HandOverFixture fixture(1);
+  fixture.peer().BeginShutdown(Clock::now());
+  fixture.owner().BeginShutdown(Clock::now());
+  fixture.RunFor(Duration(300));
+  CHECK(fixture.OwnerInStore() == "owner");
+  CHECK(fixture.OwnerSendsOrders());
+}
+
+// Guards against a schedule that stays with a daemon that ends, though another could take over.
+TEST_CASE("a stopping owner hands over to a daemon that runs on") {
+  HandOverFixture fixture(1);
+  fixture.owner().BeginShutdown(Clock::now());
+  fixture.RunFor(Duration(600));
+  CHECK(fixture.OwnerInStore() == "peer");
+}
+
 }  // namespace cranberryplank
