Don't hand over to a weak VM while the stopping owner can wait

Cause: while most daemons were stopping, the first one that accepted was on a weak VM (0.12 cores, 10 Mbit/s) that had just restarted. Reading the state of about 1,200 jobs takes it over 3 s. It was stopped itself before it had read it, so from 21.2 to 26.8 s the schedule had an owner that never was ready. The stopping owner on a strong VM had over 3 s left, and strong VMs came back in them.

Change: until 2 s before its process ends, a stopping owner asks only daemons whose VMs have at least half of its own processing power. After that it asks any daemon, as before. Until one accepts it acts as the owner. No message changed.

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -32,6 +32,10 @@
 constexpr Duration kLastWrites{300};
 constexpr Duration kTakeOverTimeout{300};
 constexpr Duration kHandOverInterval{500};
+/// Time at the end of a stop in which the owner hands over to a daemon on any VM. Before that, it
+/// waits for one whose VM has at least `kSuccessorShare` of its own processing power.
+constexpr Duration kHandOverToAny{2'000};
+constexpr double kSuccessorShare = 0.5;
 /// A daemon that called within this time can take over the schedule.
 constexpr Duration kRecentCall{2'500};
 constexpr Duration kPredecessorInterval{250};
@@ -534,10 +538,14 @@
   m_next_hand_over = now + kHandOverInterval;
   std::erase_if(m_peers,
                 [&](const auto& item) { return now - item.second.last_call > kRecentCall; });
+  // A weak VM takes seconds to read the state, in which nothing keeps running work alive.
+  const Duration time_to_act = m_settings.shutdown_grace - kGraceReserve - kHandOverToAny;
+  const bool waits = now - *m_stopping_since < time_to_act;
+  const double least_cores = waits ? kSuccessorShare * CoresOf(m_settings) : 0;
   auto strongest = m_peers.end();
   for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
     const bool stronger = strongest == m_peers.end() || it->second.cores > strongest->second.cores;
-    if (now >= it->second.ask_again_at && stronger) {
+    if (now >= it->second.ask_again_at && it->second.cores >= least_cores && stronger) {
       strongest = it;
     }
   }
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -286,4 +286,22 @@
   CHECK(fixture.OwnerInStore() == "peer");
 }
 
+// Guards against a schedule whose owner reads the state for seconds: the stopping owner handed over
+// to a weak VM, because all others were being stopped too.
+TEST_CASE("a stopping owner does not hand over to a weak VM while it can wait") {
+  HandOverFixture fixture(0.12);
+  fixture.owner().BeginShutdown(Clock::now());
+  fixture.RunFor(Duration(1'000));
+  CHECK(fixture.OwnerInStore() == "owner");
+  CHECK(fixture.OwnerSendsOrders());
+}
+
+// Guards against a schedule that stays with a daemon that ends, because only weak VMs run on.
+TEST_CASE("a stopping owner hands over to a weak VM before it ends") {
+  HandOverFixture fixture(0.12);
+  fixture.owner().BeginShutdown(Clock::now() - Duration(3'200));
+  fixture.RunFor(Duration(1'500));
+  CHECK(fixture.OwnerInStore() == "peer");
+}
+
 }  // namespace cranberryplank
