Give up tasks that crash the workers that start them

Cause: an unbounded retry. Runs that ended as failed were counted for each task; a run that was lost together with its worker was not, and its task was started again as soon as its lease had ended.

Change: - A run whose worker is not heard of 200 ms after its start is suspect. A later start of a worker on the same VM (the registration names the VM), or under the same id, proves that the worker crashed; a reply of the same incarnation disproves it. Workers that drain, or whose VM the owner takes down, don't count. - Suspect tasks of a step are started one after the other, on workers kept for them where no other run has just begun, so a crash hits few runs and shows its cause. A worker that outlives a start clears the task. - A task is given up, and its job fails, after two confirmed crashes if nothing else had just begun beside the last one, or after four in any case. The crashes are stored with the job's progress. - The record of an ended job is removed only by an explicit mark.

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -514,6 +514,8 @@
     m_metrics.SetTotal("cranberryplank_tasks_failed_total", counters.tasks_failed);
     m_metrics.SetTotal("cranberryplank_runs_lost_total", counters.runs_lost);
     m_metrics.SetTotal("cranberryplank_reborn_workers_total", counters.restarted_workers);
+    m_metrics.SetTotal("cranberryplank_worker_crashes_total", counters.worker_crashes);
+    m_metrics.SetTotal("cranberryplank_crashing_tasks_total", counters.crashing_tasks);
     m_metrics.SetTotal("cranberryplank_jobs_done_total", counters.jobs_done);
     m_metrics.SetTotal("cranberryplank_jobs_failed_total", counters.jobs_failed);
     m_metrics.SetTotal("cranberryplank_jobs_cancelled_total", counters.jobs_cancelled);
--- a/packages/jobs/include/cranberryplank/jobs/job_codec.h
+++ b/packages/jobs/include/cranberryplank/jobs/job_codec.h
@@ -27,6 +27,8 @@
   /// because a new owner receives again the ended runs that were stored but not acknowledged, and
   /// must not count them twice.
   std::map<TaskKey, std::set<int>> failures;
+  /// Runs of tasks that are not done whose worker crashed soon after their start.
+  std::map<TaskKey, std::set<int>> crashes;
 };
 
 /// Minimal record of a job that has ended; it replaces the spec.
--- a/packages/jobs/src/job_codec.cc
+++ b/packages/jobs/src/job_codec.cc
@@ -62,6 +62,23 @@
   return spec;
 }
 
+/// Encodes run numbers by task.
+json ToJson(const std::map<JobProgress::TaskKey, std::set<int>>& runs_of_tasks) {
+  json rows = json::array();
+  for (const auto& [key, runs] : runs_of_tasks) {
+    rows.push_back(json::array({key.first.first, key.first.second, key.second, runs}));
+  }
+  return rows;
+}
+
+std::map<JobProgress::TaskKey, std::set<int>> RunsOfTasks(const json& rows) {
+  std::map<JobProgress::TaskKey, std::set<int>> runs_of_tasks;
+  for (const json& row : rows) {
+    runs_of_tasks[{{row.at(0), row.at(1)}, row.at(2)}] = row.at(3).get<std::set<int>>();
+  }
+  return runs_of_tasks;
+}
+
 }  // namespace
 
 std::string EncodeJob(const JobSpec& spec) {
@@ -103,12 +120,9 @@
   for (const auto& [key, tasks] : progress.done) {
     done.push_back(json::array({key.first, key.second, tasks}));
   }
-  json failures = json::array();
-  for (const auto& [key, runs] : progress.failures) {
-    failures.push_back(json::array({key.first.first, key.first.second, key.second, runs}));
-  }
   return ToMessagePack(json::array({static_cast<int>(progress.state), progress.finished_unix_ms,
-                                    progress.done_occurrences, done, failures}));
+                                    progress.done_occurrences, done, ToJson(progress.failures),
+                                    ToJson(progress.crashes)}));
 }
 
 std::optional<JobProgress> DecodeProgress(std::string_view value) {
@@ -121,8 +135,10 @@
     for (const json& row : fields.at(3)) {
       progress.done[{row.at(0), row.at(1)}] = row.at(2).get<std::set<int>>();
     }
-    for (const json& row : fields.at(4)) {
-      progress.failures[{{row.at(0), row.at(1)}, row.at(2)}] = row.at(3).get<std::set<int>>();
+    progress.failures = RunsOfTasks(fields.at(4));
+    constexpr std::size_t kCrashesField = 5;  // Missing in entries of earlier versions.
+    if (fields.size() > kCrashesField) {
+      progress.crashes = RunsOfTasks(fields.at(kCrashesField));
     }
     return progress;
   } catch (const json::exception&) {
--- a/packages/jobs/tests/job_test.cc
+++ b/packages/jobs/tests/job_test.cc
@@ -1,8 +1,10 @@
 #include "cranberryplank/jobs/job.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "cranberryplank/jobs/job_codec.h"
+#include "cranberryplank/jobs/message_pack.h"
 
 namespace cranberryplank {
 
@@ -70,6 +72,28 @@
   CHECK(decoded->failures == progress.failures);
 }
 
+// Guards against a task that crashes its workers without end because each new owner of the schedule
+// begins to count anew.
+TEST_CASE("progress keeps the runs under which a worker crashed") {
+  JobProgress progress;
+  progress.crashes[{{0, 1}, 2}] = {1, 1'002};
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded);
+  CHECK(decoded->crashes == progress.crashes);
+  CHECK(decoded->failures.empty());
+}
+
+// Guards against jobs that are lost in an upgrade from a version that stored no crashes.
+TEST_CASE("progress of an earlier version without crashes is read") {
+  const std::string entry =
+      ToMessagePack(nlohmann::json::array({1, 0, nlohmann::json::array({3}),
+                                           nlohmann::json::array(), nlohmann::json::array()}));
+  const auto decoded = DecodeProgress(entry);
+  REQUIRE(decoded);
+  CHECK(decoded->done_occurrences == std::set<int>{3});
+  CHECK(decoded->crashes.empty());
+}
+
 TEST_CASE("task names are parsed") {
   const TaskId id{"5c0e7a21d94b36f8", 2, 1, 17};
   CHECK(id.Name() == "5c0e7a21d94b36f8.2.1.17");
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -20,6 +20,13 @@
 
 namespace cranberryplank {
 
+/// Time for which a suspect task waits for its step's other suspect tasks and for the workers that
+/// are usually kept for such tasks. Then another worker is kept. It is longer than the proof that a
+/// crash needs.
+constexpr Duration kTrialWait{5'000};
+/// The same for a long-running task, whose absence is noticed sooner.
+constexpr Duration kLongRunningTrialWait{500};
+
 /// One task of an occurrence of a job.
 struct JobTaskState {
   bool done = false;
@@ -30,6 +37,15 @@
   std::string failed_worker;  ///< Worker of the last run that failed.
   TimePoint retry_at{};       ///< The task is not started before this time.
   bool ready = false;         ///< For a long-running task, whether its start-up is complete.
+  /// Runs whose worker crashed soon after their start. Emptied once a run outlives that time.
+  std::set<int> crashed_runs;
+  std::set<int> unconfirmed_runs;  ///< The same, but the worker did not reply to the start.
+  bool worker_lost = false;  ///< Its worker fell silent soon after its start and may have crashed.
+
+  TimePoint trial_until{};  ///< While suspect, it waits until then for a worker that is kept.
+
+  /// Returns whether the task may be what crashes the workers that start it.
+  bool suspect() const { return worker_lost || !crashed_runs.empty() || !unconfirmed_runs.empty(); }
 };
 
 /// One step of an occurrence.
@@ -65,6 +81,7 @@
   bool stored = false;             ///< The record is in the store.
   bool progress_stored = false;    ///< The store may have an own entry of the job's progress.
   bool ended_record = false;       ///< The record has been replaced by that of an ended job.
+  bool outdated = false;           ///< Ended so long ago that its record is to be removed.
   bool started = false;            ///< A task has been started.
   bool over_share = false;  ///< Exceeded its customer's guaranteed jobs per second on arrival.
   int placed_runs = 0;
@@ -96,6 +113,7 @@
   JobTaskState* state() const;
   StepState* step_state() const;
 
+  friend bool operator==(const TaskRef& left, const TaskRef& right) = default;
   /// Orders by the jobs' serial numbers instead of addresses, so that test runs are reproducible.
   friend bool operator<(const TaskRef& left, const TaskRef& right) {
     return std::tuple(left.job->serial, left.occurrence, left.step, left.index) <
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -15,6 +15,7 @@
 
 #include "cranberryplank/scheduler/advice_cache.h"
 #include "cranberryplank/scheduler/cluster_config.h"
+#include "cranberryplank/scheduler/crash_ledger.h"
 #include "cranberryplank/scheduler/job_order.h"
 #include "cranberryplank/scheduler/job_table.h"
 #include "cranberryplank/scheduler/pool_planner.h"
@@ -77,6 +78,8 @@
   std::uint64_t ends_stored = 0;  ///< Ended runs whose changes are stored.
   std::uint64_t runs_lost = 0;
   std::uint64_t restarted_workers = 0;
+  std::uint64_t worker_crashes = 0;  ///< Counted once for each run that had just begun.
+  std::uint64_t crashing_tasks = 0;  ///< Given up because workers crashed under them.
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
   std::uint64_t jobs_cancelled = 0;
@@ -241,6 +244,30 @@
   void ResolveFailedStart(TimePoint now, Worker* worker, const TaskRef& task,
                           const StartOrder& order, CallOutcome outcome);
 
+  // Tasks that crash the workers that start them.
+  /// Records the runs that had just begun on a worker that fell silent or restarted.
+  void RecordLostRuns(TimePoint now, const Worker& worker);
+  void HandleCrashes(TimePoint now);
+  /// Counts a crash against a task, and gives the task up after several.
+  void CountCrash(TimePoint now, const SuspectRun& run);
+  /// Ends the suspicion of tasks whose worker was only unreachable.
+  void ClearUnproved(const Worker& worker);
+  void ClearSuspicion(TimePoint now, const TaskRef& task);
+  /// Ends the suspicion of tasks whose worker has outlived their start.
+  void ClearOutlived(TimePoint now, Worker* worker);
+  /// Returns whether the task must not be started as usual, and records that it waits.
+  bool WaitsForTrial(const JobTaskState& task, const StepSpec& spec, const QueueConfig& queue);
+  /// Starts at most one suspect task of a job at a time, on a worker that is kept for such tasks
+  /// and where no other run has just begun. So a crash hits few other runs, and its cause is known.
+  void PlaceSuspects(TimePoint now, const WaitingStep& waiting, PoolPass* pass);
+  /// Returns a kept worker on which the task can be started now, or nullptr.
+  Worker* FindTrialWorker(TimePoint now, const TaskRef& task, PoolPass* pass);
+  /// Keeps one more usable worker with room for the task for suspect tasks, if there is one.
+  static Worker* KeepTrialWorker(TimePoint now, const TaskRef& task, PoolPass* pass);
+  void StartTrial(TimePoint now, Worker* worker, const TaskRef& task);
+  /// Returns how long a worker with a run on trial may delay its reply to a lease renewal.
+  static Duration TrialRenewalWait();
+
   // Placement.
   void Schedule(TimePoint now);
   std::vector<WaitingStep> CollectWaiting(TimePoint now);
@@ -252,6 +279,9 @@
   bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                  std::string_view ticket);
   bool WithinCap(const Job& job, const Resources& more) const;
+  /// Returns whether no task of the step may still run on a worker that was not heard of since an
+  /// earlier owner.
+  bool MayPlace(TimePoint now, const WaitingStep& waiting) const;
   bool PoolReconciled(TimePoint now, std::string_view pool) const;
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
@@ -276,6 +306,8 @@
   TimePoint m_share_refilled{};
   std::map<std::string, ArrivalRate, std::less<>> m_arrivals;  ///< By pool.
   AdviceCache m_advice;
+  CrashLedger m_crashes;
+  bool m_suspects_wait = false;  ///< A suspect task may wait for a start.
   std::set<std::string> m_closed;
   /// Recorded by the earlier owner and not reconciled yet.
   std::map<std::string, RecordedWorker> m_unreconciled;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -19,6 +19,7 @@
   std::string host;
   std::uint16_t port = 0;
   std::string zone;
+  std::string vm;                   ///< VM that the worker runs on; empty if it reports none.
   std::string rack;                 ///< Empty if the worker reports none.
   std::vector<std::string> labels;  ///< The worker's kind and its rack.
   Resources capacity;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -91,9 +92,13 @@
   TimePoint lease_bound{};          ///< All runs there have ended by then, even without a reply.
   std::map<std::uint64_t, RenewalInFlight> renewals;
   TimePoint next_renewal{};
-  TimePoint last_list_sent{};  ///< Sending time of the newest renewal whose list was applied.
-  TimePoint last_removed{};    ///< When a run was last found to have ended.
-  TimePoint first_seen{};      ///< When this incarnation became known.
+  TimePoint last_list_sent{};    ///< Sending time of the newest renewal whose list was applied.
+  TimePoint last_removed{};      ///< When a run was last found to have ended.
+  TimePoint first_seen{};        ///< When this incarnation became known.
+  TimePoint last_heard{};        ///< When the worker last replied to an order.
+  bool kept_for_trials = false;  ///< Kept for suspect tasks in the last pass that had some.
+  bool has_drained = false;      ///< This incarnation announced its end.
+  std::optional<TaskRef> trial;  ///< Suspect task whose run began there a short while ago.
   int failed_renewals = 0;
   /// The newest list contained runs that are not counted in `used`.
   bool has_untracked_runs = false;
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -5,6 +5,19 @@
 
 namespace cranberryplank {
 
+namespace {
+
+/// Returns the state of a task that is named in stored progress, or nullptr if there is none.
+JobTaskState* TaskAt(Job* job, const JobProgress::TaskKey& key) {
+  const TaskRef task{job, key.first.first, key.first.second, key.second};
+  const bool valid = job->open.contains(task.occurrence) && task.step >= 0 && task.index >= 0 &&
+                     static_cast<std::size_t>(task.step) < job->spec.steps.size() &&
+                     task.index < task.spec().count;
+  return valid ? task.state() : nullptr;
+}
+
+}  // namespace
+
 bool OccurrenceState::AllDone() const {
   return std::all_of(steps.begin(), steps.end(), [](const StepState& step) {
     return step.done == static_cast<int>(step.tasks.size());
@@ -31,8 +44,14 @@
       for (std::size_t t = 0; t < tasks.size(); ++t) {
         if (tasks[t].done) {
           progress.done[key].insert(static_cast<int>(t));
-        } else if (!tasks[t].failed_runs.empty() && !spec.steps[i].long_running) {
-          progress.failures[{key, static_cast<int>(t)}] = tasks[t].failed_runs;
+          continue;
+        }
+        const JobProgress::TaskKey task{key, static_cast<int>(t)};
+        if (!tasks[t].failed_runs.empty() && !spec.steps[i].long_running) {
+          progress.failures[task] = tasks[t].failed_runs;
+        }
+        if (!tasks[t].crashed_runs.empty()) {
+          progress.crashes[task] = tasks[t].crashed_runs;
         }
       }
     }
@@ -114,12 +133,14 @@
     job->started = true;
   }
   for (const auto& [key, runs] : progress.failures) {
-    const TaskRef ref{raw, key.first.first, key.first.second, key.second};
-    const bool valid = job->open.contains(ref.occurrence) && ref.step >= 0 && ref.index >= 0 &&
-                       static_cast<std::size_t>(ref.step) < job->spec.steps.size() &&
-                       ref.index < job->spec.steps[static_cast<std::size_t>(ref.step)].count;
-    if (valid) {
-      ref.state()->failed_runs = runs;
+    if (JobTaskState* task = TaskAt(raw, key)) {
+      task->failed_runs = runs;
+    }
+  }
+  for (const auto& [key, runs] : progress.crashes) {
+    if (JobTaskState* task = TaskAt(raw, key)) {
+      task->crashed_runs = runs;
+      task->trial_until = now + kTrialWait;
     }
   }
   return raw;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -38,7 +38,7 @@
   change.job = job.spec.id;
   change.number = job.change;
   change.job_ended = IsFinal(job.state);
-  if (job.ended_record) {
+  if (job.outdated) {
     change.remove_record = true;
   } else if (IsFinal(job.state)) {
     change.record =
@@ -87,6 +87,7 @@
 void Scheduler::LoadJob(Now now, const std::string& id, const JobRecord& record,
                         const JobProgress& progress) {
   m_jobs.Load(now.time, now.unix_ms, id, record, progress);
+  m_suspects_wait = m_suspects_wait || !progress.crashes.empty();
 }
 
 void Scheduler::SetConfig(Now /*now*/, std::shared_ptr<const ClusterConfig> config) {
@@ -156,6 +157,11 @@
   const bool restarted = worker.info.started_unix_ms != 0 && info.started_unix_ms != 0 &&
                          worker.info.started_unix_ms != info.started_unix_ms;
   const std::int64_t known_start = worker.info.started_unix_ms;
+  if (drains) {
+    m_crashes.Forget(info.id);
+  }
+  m_crashes.AddStart(info);
+  worker.has_drained = worker.has_drained || info.draining;
   worker.info = info;
   worker.registered = true;
   if (added) {
@@ -298,6 +304,7 @@
   if (now.time - m_last_expiry >= kExpiryInterval) {
     m_last_expiry = now.time;
     ExpireWorkers(now.time);
+    HandleCrashes(now.time);
     MoveLongRunningOffDraining(now.time);
   }
   WatchRuns(now.time);
@@ -321,7 +328,7 @@
     }
   }
   for (Job* job : old) {
-    job->finished_unix_ms = 0;
+    job->outdated = true;
     m_jobs.MarkChanged(now.time, job);
   }
 }
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -7,35 +7,10 @@
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/scheduler/placement.h"
 #include "cranberryplank/scheduler/scheduler.h"
+#include "placement_pass.h"
 
 namespace cranberryplank {
 
-/// A step with waiting tasks and its position in the order.
-struct Scheduler::WaitingStep {
-  OrderKey key;
-  const QueueConfig* queue = nullptr;
-  TaskRef step;  ///< The index is not used.
-};
-
-/// State of a pool during one placement pass. It keeps a pass cheap when a pool is full and many
-/// steps wait.
-struct Scheduler::PoolPass {
-  std::vector<Worker*> usable;
-  std::vector<WorkerCandidate> candidates;  ///< Those of `usable`, with the starts of this pass.
-  std::optional<Resources> refused;         ///< A task of this size fitted on no worker.
-
-  bool IsFullFor(const StepSpec& step) const {
-    return usable.empty() || (refused && refused->FitsIn(step.Footprint()));
-  }
-
-  /// Records that a task fitted on no worker, if only its size was the reason.
-  void RecordRefused(const StepSpec& step, const QueueConfig& queue) {
-    if (step.max_per_vm == 0 && step.required_label.empty() && !queue.advice) {
-      refused = step.Footprint();
-    }
-  }
-};
-
 /// Workers on which the tasks of a step may be placed.
 struct Scheduler::StepPlaces {
   std::span<Worker* const> workers;
@@ -243,13 +218,30 @@
     return;
   }
   std::map<std::string_view, PoolPass> passes = UsableWorkersByPool();
+  const bool suspects_waited = std::exchange(m_suspects_wait, false);
   for (const WaitingStep& waiting : all_waiting) {
-    PlaceStep(now, waiting, &passes[waiting.queue->pool]);
+    PoolPass* pass = &passes[waiting.queue->pool];
+    if (suspects_waited) {
+      PlaceSuspects(now, waiting, pass);
+    }
+    PlaceStep(now, waiting, pass);
     if (m_starts_left <= 0) {
       m_schedule_needed = true;
+      m_suspects_wait = m_suspects_wait || suspects_waited;
       return;
     }
   }
+  for (const auto& [pool, pass] : passes) {
+    for (Worker* worker : pass.trial_workers) {
+      worker->kept_for_trials = pass.suspects_wait;
+    }
+  }
+}
+
+bool Scheduler::MayPlace(TimePoint now, const WaitingStep& waiting) const {
+  const Job& job = *waiting.step.job;
+  return !job.loaded_from_store ||
+         (PoolReconciled(now, job.spec.pool) && PoolReconciled(now, waiting.queue->pool));
 }
 
 bool Scheduler::PoolReconciled(TimePoint now, std::string_view pool) const {
@@ -267,7 +259,9 @@
     const bool trusted = worker.reconciled && worker.recorded && worker.clock.known &&
                          worker.failed_renewals == 0 && !worker.has_untracked_runs;
     if (trusted && worker.registered && !worker.info.draining && !m_closed.contains(id)) {
-      passes[worker.info.pool].usable.push_back(&worker);
+      PoolPass& pass = passes[worker.info.pool];
+      const bool for_trials = worker.trial || worker.kept_for_trials;
+      (for_trials ? pass.trial_workers : pass.usable).push_back(&worker);
       ++m_usable_workers;
     }
   }
@@ -288,11 +282,9 @@
 
 void Scheduler::PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass) {
   const TaskRef& step = waiting.step;
-  Job* job = step.job;
   const StepSpec& spec = step.spec();
   const QueueConfig& queue = *waiting.queue;
-  if (job->loaded_from_store &&
-      (!PoolReconciled(now, job->spec.pool) || !PoolReconciled(now, queue.pool))) {
+  if (!MayPlace(now, waiting)) {
     return;
   }
   if (pass->IsFullFor(spec)) {
@@ -349,7 +341,8 @@
   StartsLine line(now, step, m_config->version);
   for (task.index = 0; task.index < spec.count; ++task.index) {
     JobTaskState& state = tasks[static_cast<std::size_t>(task.index)];
-    if (state.done || state.placed > 0 || now < state.retry_at) {
+    if (state.done || state.placed > 0 || now < state.retry_at ||
+        WaitsForTrial(state, spec, *waiting.queue)) {
       continue;
     }
     if (m_starts_left <= 0 || !WithinCap(*step.job, spec.per_task)) {
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -60,6 +60,7 @@
 }
 
 void Scheduler::RetireWorker(TimePoint now, const std::string& id) {
+  m_crashes.Forget(id);
   Worker* worker = FindWorker(id);
   if (worker == nullptr) {
     return;
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -67,7 +67,8 @@
   });
   if (trusted && !resolves && !worker->has_untracked_runs &&
       worker->pending_acknowledgements.empty()) {
-    order.wait = m_settings.renewal_wait;
+    order.wait = worker->trial ? std::min(m_settings.renewal_wait, TrialRenewalWait())
+                               : m_settings.renewal_wait;
   }
   worker->renewals[order.call] = {now, order.fence, order.acknowledged};
   worker->acknowledged_sent = std::max(worker->acknowledged_sent, order.acknowledged);
@@ -104,6 +105,8 @@
         .Field("failed_holds", worker->failed_renewals);
   }
   worker->failed_renewals = 0;
+  worker->last_heard = now;
+  ClearUnproved(*worker);
   if (renewal.acknowledged <= worker->acknowledged) {
     worker->acknowledged_by_worker = std::max(worker->acknowledged_by_worker, renewal.acknowledged);
   }
@@ -124,6 +127,7 @@
     worker->last_list_sent = renewal.sent;
     ApplyList(now, worker, renewal, reply);
   }
+  ClearOutlived(now, worker);
   ReleaseAcknowledged(now, worker);
   worker->next_renewal = now + PauseAfterRenewal(*worker);
   m_schedule_needed = true;
@@ -171,7 +175,12 @@
 
 void Scheduler::BeginIncarnation(TimePoint now, Worker* worker, std::int64_t started_unix_ms) {
   const bool restarted = worker->info.started_unix_ms != 0 && worker->reconciled;
+  if (restarted) {
+    RecordLostRuns(now, *worker);
+  }
   worker->info.started_unix_ms = started_unix_ms;
+  m_crashes.AddStart(worker->info);
+  worker->has_drained = worker->info.draining;
   worker->first_seen = now;
   worker->last_ended_number = worker->acknowledged = 0;
   worker->acknowledged_sent = worker->acknowledged_by_worker = 0;
@@ -245,6 +254,9 @@
     if (is_placed) {
       RemoveRun(now, worker, task);
     }
+    if (end.kind == RunEndKind::kDone || end.kind == RunEndKind::kFailed) {
+      ClearSuspicion(now, task);
+    }
     if (end.kind == RunEndKind::kDone) {
       worker->failure_streak = 0;
       if (state != nullptr && !task.spec().long_running && !IsFinal(task.job->state)) {
@@ -426,6 +438,7 @@
     Worker& worker = it->second;
     const bool silent = worker.failed_renewals > 0 || !worker.reconciled;
     if (silent && now > worker.lease_bound && !worker.runs.empty()) {
+      RecordLostRuns(now, worker);
       LoseRuns(now, &worker, "the lease expired on an unresponsive worker");
       m_schedule_needed = true;
     }
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -60,6 +60,9 @@
   --task.job->placed_runs;
   worker->runs.erase(it);
   worker->last_removed = now;
+  if (worker->trial == task) {
+    worker->trial.reset();
+  }
   if (JobTaskState* state = task.state(); state != nullptr && !state->done) {
     state->ready = false;
     if (--state->placed == 0) {
@@ -224,6 +227,7 @@
   }
   PlacedRun& run = it->second;
   if (reply.outcome == CallOutcome::kOk) {
+    worker->last_heard = now;
     run.phase = RunPhase::kRunning;
     run.resolved_at = run.progressed_at = now;
     return;
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -220,4 +220,22 @@
   CHECK(fixture.link.starts.size() == 2);
 }
 
+// Guards against a start in place of a run that is being stopped and still uses the capacity.
+TEST_CASE("a run that is being stopped counts against a capacity that shrank") {
+  AcknowledgementFixture fixture;
+  fixture.ConfirmStart(1);
+  WorkerInfo info = fixture.scheduler.FindWorker("worker")->info;
+  info.capacity = {1'500, 8'000, 0};
+  fixture.scheduler.SetWorker(fixture.At(), info);
+  fixture.scheduler.Cancel(fixture.At(), "job", [](bool) {});
+  fixture.SubmitJob("next");
+  fixture.Tick();
+  fixture.Answer({{"job.0.0.0", 1, "", 0, 0}}, {});
+  fixture.Tick();
+  CHECK(fixture.link.starts.size() == 1);
+  fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kStopped, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.starts.size() == 2);
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -1,9 +1,12 @@
 #ifndef CRANBERRYPLANK_SCHEDULER_TESTS_SIMULATED_OWNER_H_
 #define CRANBERRYPLANK_SCHEDULER_TESTS_SIMULATED_OWNER_H_
 
+#include <fmt/format.h>
+
 #include <cstdlib>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,7 +51,9 @@
     m_confirmed = now;
     m_scheduler.SetConfig(Present(), TestConfig());
     for (const auto& [id, worker] : workers->workers()) {
-      m_scheduler.SetWorker(Present(), worker.info);
+      if (worker.registered) {
+        m_scheduler.SetWorker(Present(), worker.info);
+      }
     }
     for (const auto& [id, value] : store->records) {
       const auto progress = store->progress.find(id);
@@ -76,6 +81,15 @@
     }
   }
 
+  void SetRegistration(TimePoint now, const SimulatedWorkers::SimulatedWorker& worker) {
+    m_now = now;
+    if (worker.registered) {
+      m_scheduler.SetWorker(Present(), worker.info);
+    } else {
+      m_scheduler.RemoveWorker(Present(), worker.info.id);
+    }
+  }
+
   Scheduler& scheduler() { return m_scheduler; }
 
  private:
@@ -111,6 +125,89 @@
   TimePoint m_confirmed{};
 };
 
+/// Simulated workers in one pool, the store and the owners of the schedule.
+class SimulatedCluster {
+ public:
+  SimulatedCluster(std::uint64_t seed, int workers, const Resources& capacity) : m_workers(seed) {
+    m_workers.Advance(m_now);
+    for (int i = 0; i < workers; ++i) {
+      m_workers.AddWorker(fmt::format("worker{}", i), "pool", capacity, fmt::format("vm{}", i));
+    }
+    m_workers.OnRegistration([this](const SimulatedWorkers::SimulatedWorker& worker) {
+      for (const auto& owner : m_owners) {
+        owner->SetRegistration(m_now, worker);
+      }
+    });
+    ReplaceOwner();
+  }
+  SimulatedCluster(const SimulatedCluster&) = delete;
+  SimulatedCluster& operator=(const SimulatedCluster&) = delete;
+
+  SimulatedWorkers& workers() { return m_workers; }
+  Scheduler& scheduler() { return m_owners.back()->scheduler(); }
+  TimePoint now() const { return m_now; }
+
+  /// Adds an owner that takes over. Earlier owners tick until their authority expires.
+  void ReplaceOwner() { m_owners.push_back(std::make_unique<Owner>(m_now, &m_workers, &m_store)); }
+
+  void Cancel(const std::string& job) {
+    scheduler().Cancel({m_now, UnixMs()}, job, [](bool) {});
+  }
+
+  /// Submits a job whose tasks run for `time`.
+  void Submit(JobSpec spec, Duration time) {
+    m_workers.SetTask(spec.id, spec.steps.front().per_task, time, 0);
+    spec.accepted_unix_ms = UnixMs();
+    scheduler().Submit({m_now, UnixMs()}, spec, [](bool) {});
+  }
+
+  /// Advances by one step. Earlier owners skip a random step now and then.
+  void Step() {
+    m_now += Duration(10);
+    m_workers.Advance(m_now);
+    for (const auto& each : m_owners) {
+      if (each == m_owners.back() || m_workers.random().Below(20) != 0) {
+        each->Tick(m_now);
+      }
+    }
+  }
+  void Run(Duration time) {
+    for (const TimePoint end = m_now + time; m_now < end;) {
+      Step();
+    }
+  }
+  /// Advances until a worker runs the task, for at most 40 s.
+  /// @return the worker, or an empty string
+  std::string RunUntilStarted(const std::string& task) {
+    for (const TimePoint end = m_now + Duration(40'000); m_now < end; Step()) {
+      for (const auto& [id, worker] : m_workers.workers()) {
+        if (worker.runs.contains(task)) {
+          return id;
+        }
+      }
+    }
+    return {};
+  }
+
+  /// Returns whether the store has the job.
+  bool Accepted(const std::string& job) const { return m_store.records.contains(job); }
+  /// Returns the stored final state of an accepted job; nothing if it has not ended.
+  std::optional<JobState> EndOf(const std::string& job) const {
+    const auto record = DecodeJob(job, m_store.records.at(job));
+    return record->ended ? std::optional(record->ended->state) : std::nullopt;
+  }
+
+ private:
+  std::int64_t UnixMs() const {
+    return std::chrono::duration_cast<Duration>(m_now.time_since_epoch()).count();
+  }
+
+  SimulatedWorkers m_workers;
+  DurableState m_store;
+  TimePoint m_now{std::chrono::seconds(1'000)};
+  std::vector<std::unique_ptr<Owner>> m_owners;
+};
+
 /// Returns the number of seeds to simulate, which the environment can override.
 inline std::uint64_t SeedCount(std::uint64_t usual) {
   const char* text = std::getenv("CRANBERRYPLANK_SEEDS");
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -36,7 +36,9 @@
 
   struct SimulatedWorker {
     WorkerInfo info;
-    bool up = true;
+    bool refuses = false;  ///< Whether its VM refuses connections while it is not up.
+    bool up = true;        ///< False from a crash until the worker is back.
+    bool registered = true;
     bool reachable = true;
     std::uint64_t fence = 0;
     TimePoint started_at{};
@@ -49,8 +51,10 @@
 
   explicit SimulatedWorkers(std::uint64_t seed) : m_random(seed) {}
 
-  void AddWorker(const std::string& id, const std::string& pool, const Resources& capacity) {
+  void AddWorker(const std::string& id, const std::string& pool, const Resources& capacity,
+                 const std::string& vm = {}) {
     SimulatedWorker worker;
+    worker.info.vm = vm;
     worker.info.id = id;
     worker.info.pool = pool;
     worker.info.capacity = capacity;
@@ -64,6 +68,30 @@
     m_tasks[job] = {need, time, fail_share};
   }
 
+  /// Makes a task crash each worker that starts it, the given time after the start.
+  void SetDeadly(const std::string& task, Duration after_start = Duration(10)) {
+    m_deadly[task].after_start = after_start;
+  }
+  /// Returns how many workers have crashed while they ran the deadly task.
+  int Crashes(const std::string& task) const { return m_deadly.at(task).crashes; }
+
+  /// Sets the receiver of changed and removed registrations.
+  void OnRegistration(std::function<void(const SimulatedWorker&)> report) {
+    m_report_registration = std::move(report);
+  }
+  /// Sets the share of crashed workers that come back under a new id.
+  void SetNewIdShare(double share) { m_new_id_share = share; }
+
+  /// A start that was sent before a change of the capacity is held to the larger of both.
+  void SetCapacity(const std::string& id, const Resources& capacity) {
+    m_workers.at(id).info.capacity = capacity;
+    m_report_registration(m_workers.at(id));
+  }
+  void SetDraining(const std::string& id) {
+    m_workers.at(id).info.draining = true;
+    m_report_registration(m_workers.at(id));
+  }
+
   void SetFaults(const LinkFaults& faults) { m_faults = faults; }
   std::map<std::string, SimulatedWorker>& workers() { return m_workers; }
   const std::vector<std::string>& violations() const { return m_violations; }
@@ -83,6 +111,30 @@
     worker.info.started_unix_ms = ++m_incarnations;
   }
 
+  /// Simulates a crash of the worker, which is back on its VM after some seconds under its old id
+  /// or a new one.
+  void Crash(const std::string& id) {
+    SimulatedWorker& worker = m_workers.at(id);
+    for (const auto& [task, run] : worker.runs) {
+      if (const auto deadly = m_deadly.find(task); deadly != m_deadly.end()) {
+        ++deadly->second.crashes;
+      }
+    }
+    worker.runs.clear();
+    worker.up = false;
+    worker.refuses = m_random.Below(2) == 0;
+    const Duration back{3'000 + static_cast<Duration::rep>(m_random.Below(500))};
+    if (m_random.Fraction() >= m_new_id_share) {
+      At(m_now + back, [this, id] { ComeBack(id); });
+      return;
+    }
+    At(m_now + back, [this, id] { ComeBackUnderNewId(id); });
+    At(m_now + kRegistrationLifetime, [this, id] {
+      m_workers.at(id).registered = false;
+      m_report_registration(m_workers.at(id));
+    });
+  }
+
   /// Executes due deliveries and ends due tasks and expired leases.
   void Advance(TimePoint now) {
     m_now = now;
@@ -101,39 +153,51 @@
   /// @param no_answer reports that there is no reply
   void Deliver(const std::string& id, const std::function<std::function<void()>()>& execute,
                const std::function<void()>& no_answer, Duration timeout) {
-    // Orders that are late by seconds do not reach a later incarnation of the worker. Whether the
-    // platform's workers refuse them is an open question; docs/platform-design.md.
+    // Orders do not reach a later incarnation of the worker. Whether the platform's workers refuse
+    // those that are late by seconds is an open question; docs/platform-design.md.
     const std::int64_t started_at = m_workers.at(id).info.started_unix_ms;
-    const auto same_incarnation = [this, id, started_at] {
-      return m_workers.at(id).info.started_unix_ms == started_at;
+    const auto still_up = [this, id, started_at] {
+      const SimulatedWorker& worker = m_workers.at(id);
+      return worker.up && worker.info.started_unix_ms == started_at;
     };
     const bool reachable = m_workers.at(id).reachable;
     const double draw = m_random.Fraction();
     const TimePoint sent = m_now;
     const Duration latency{1 + static_cast<Duration::rep>(m_random.Below(4))};
-    if (!reachable || draw < m_faults.lost) {
-      At(sent + timeout, no_answer);
+    const auto silence = [this, id, sent, latency, timeout] {
+      const SimulatedWorker& worker = m_workers.at(id);
+      return worker.reachable && !worker.up && worker.refuses ? m_now + latency : sent + timeout;
+    };
+    if (!reachable || !still_up() || draw < m_faults.lost) {
+      At(silence(), no_answer);
       return;
     }
     if (draw < m_faults.lost + m_faults.answer_lost + m_faults.late) {
       const bool late = draw >= m_faults.lost + m_faults.answer_lost;
       const Duration delay{2'000 + static_cast<Duration::rep>(m_random.Below(10'000))};
-      At(sent + (late ? delay : latency), [late, same_incarnation, execute] {
-        if (!late || same_incarnation()) {
+      At(sent + (late ? delay : latency), [still_up, execute] {
+        if (still_up()) {
           execute();
         }
       });
       At(sent + timeout, no_answer);
       return;
     }
-    At(sent + latency, [this, execute, latency] { At(m_now + latency, execute()); });
+    At(sent + latency, [this, still_up, execute, no_answer, silence, latency] {
+      if (still_up()) {
+        At(m_now + latency, execute());
+      } else {
+        At(silence(), no_answer);
+      }
+    });
   }
 
   std::int64_t ClockMs(const SimulatedWorker& worker) const {
     return 1'000 + std::chrono::duration_cast<Duration>(m_now - worker.started_at).count();
   }
 
-  CallOutcome Start(const std::string& id, const StartOrder& order) {
+  /// @param capacity the worker's capacity when the order was sent
+  CallOutcome Start(const std::string& id, const StartOrder& order, const Resources& capacity) {
     SimulatedWorker& worker = m_workers.at(id);
     EndRuns(&worker);
     if (order.fence < worker.fence) {
@@ -153,7 +217,7 @@
     if (order.lease_until_ms <= ClockMs(worker)) {
       return CallOutcome::kLate;
     }
-    Begin(&worker, order);
+    Begin(&worker, order, capacity);
     return CallOutcome::kOk;
   }
 
@@ -214,13 +278,53 @@
     double fail_share = 0;
   };
 
+  struct DeadlyTask {
+    Duration after_start{0};
+    int crashes = 0;
+    int starts_after_third_crash = 0;
+  };
+
+  /// Time from a crash until the registration of the old id is removed.
+  static constexpr Duration kRegistrationLifetime{4'500};
+
+  void ComeBack(const std::string& id) {
+    Restart(id);
+    m_workers.at(id).up = true;
+    m_workers.at(id).info.draining = false;
+    m_report_registration(m_workers.at(id));
+  }
+
+  void ComeBackUnderNewId(const std::string& old_id) {
+    const WorkerInfo old = m_workers.at(old_id).info;
+    const std::string id = fmt::format("{}-{}", old.vm, m_incarnations);
+    AddWorker(id, old.pool, old.capacity, old.vm);
+    m_report_registration(m_workers.at(id));
+  }
+
+  /// Records the start of a deadly task and schedules the crash.
+  void BeginDeadly(const SimulatedWorker& worker, const StartOrder& order, DeadlyTask* deadly) {
+    const std::string task = order.task.Name();
+    if (deadly->crashes >= 3 && ++deadly->starts_after_third_crash == 3) {
+      Violate(fmt::format("{} was started three times more after three workers crashed under it",
+                          task));
+    }
+    At(m_now + deadly->after_start, [this, id = worker.info.id, task, run = order.run] {
+      const auto& runs = m_workers.at(id).runs;
+      if (const auto present = runs.find(task);
+          present != runs.end() && present->second.run == run) {
+        Crash(id);
+      }
+    });
+  }
+
   void At(TimePoint when, std::function<void()> action) {
     m_queue.emplace(when, std::move(action));
   }
 
   void Violate(const std::string& text) { m_violations.push_back(text); }
 
-  void Begin(SimulatedWorker* worker, const StartOrder& order) {
+  void Begin(SimulatedWorker* worker, const StartOrder& order,
+             const Resources& capacity_when_sent) {
     const std::string name = order.task.Name();
     const TaskKind& kind = m_tasks.at(order.task.job);
     ++m_starts;
@@ -230,7 +334,7 @@
     for (const auto& [task, run] : worker->runs) {
       used += run.need;
     }
-    if (!used.FitsIn(worker->info.capacity)) {
+    if (!used.FitsIn(worker->info.capacity) && !used.FitsIn(capacity_when_sent)) {
       Violate(fmt::format("capacity exceeded by {} on {}", name, worker->info.id));
     }
     for (const auto& [id, other] : m_workers) {
@@ -244,6 +348,9 @@
     }
     worker->runs[name] = {order.run, kind.need, m_now + kind.time,
                           m_random.Fraction() < kind.fail_share};
+    if (const auto deadly = m_deadly.find(name); deadly != m_deadly.end()) {
+      BeginDeadly(*worker, order, &deadly->second);
+    }
   }
 
   /// A step starts only after all tasks of the steps before it have succeeded. The steps of the
@@ -293,7 +400,10 @@
   std::int64_t m_incarnations = 1'000'000;
   LinkFaults m_faults;
   std::map<std::string, SimulatedWorker> m_workers;
+  std::function<void(const SimulatedWorker&)> m_report_registration;
+  double m_new_id_share = 0;
   std::map<std::string, TaskKind> m_tasks;
+  std::map<std::string, DeadlyTask> m_deadly;
   std::multimap<TimePoint, std::function<void()>> m_queue;
   std::set<std::string> m_acknowledged_done;
   std::set<std::string> m_unfinished;  ///< Tasks that were started and have not succeeded.
@@ -329,7 +439,10 @@
   void Start(const WorkerInfo& worker, const StartOrder& order) override {
     const std::string id = worker.id;
     Send(
-        id, [this, id, order] { return m_workers->Start(id, order); },
+        id,
+        [this, id, order, capacity = m_workers->workers().at(id).info.capacity] {
+          return m_workers->Start(id, order, capacity);
+        },
         [id, order](WorkerEvents* events, TimePoint now, const CallOutcome* outcome) {
           events->OnStart(now, id, order, {outcome ? *outcome : CallOutcome::kUnknown, 0});
         });
