Move the claim of the schedule into modules of its own

JobService decided on claims, read the cursor of a silent owner and sent the claim, beside six other jobs. claim_rules holds the decisions, which need no I/O: whether to claim, and the delay that lets stronger VMs claim first. schedule_claim reads the cursor and claims.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -12,6 +12,7 @@
 #include "cranberryplank/entry/job_settings.h"
 #include "cranberryplank/entry/owner_client.h"
 #include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/schedule_claim.h"
 #include "cranberryplank/entry/schedule_owner.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/vm_control.h"
@@ -71,10 +72,6 @@
   /// Returns whether all daemons that have called recently, and so may take over, read the progress
   /// log.
   bool AllReadProgressLog(TimePoint now) const;
-  void ConsiderClaim(TimePoint now);
-  /// Finds out whether an owner that does not answer still writes to the store.
-  void ReadCursorOfSilentOwner(TimePoint now, Duration silence);
-  Duration ClaimDelay() const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
@@ -97,17 +94,12 @@
   std::map<std::int64_t, UpkeepWave> m_waves;
   ScheduleOwnership m_ownership;
   OwnerClient m_owner_client;
+  ScheduleClaim m_claim;
   std::string m_followed_incarnation;  ///< Incarnation of the owner that `m_owner_client` pings.
   CallerGateway m_gateway;
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
   std::map<std::string, Peer> m_peers;  ///< Daemons that called, by address.
-  std::optional<TimePoint> m_claim_at;
-  std::optional<std::uint64_t> m_cursor_seen;  ///< Its revision, read while the owner is silent.
-  std::optional<TimePoint> m_owner_wrote_at;   ///< When the cursor was last seen to have changed.
-  bool m_reading_cursor = false;
-  TimePoint m_next_cursor_read{};
-  bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
   TimePoint m_next_hand_over{};
   int m_hand_overs_not_refused = 0;  ///< Calls after which a daemon may take over.
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -15,12 +15,6 @@
 constexpr Duration kConfigWatchWait{1'000};
 /// Part of the revocation bound reserved for processing a request in the daemon.
 constexpr Duration kRevocationMargin{400};
-constexpr Duration kClaimJitter{120};
-/// Claim delays of a VM without processing power. A VM as strong as the strongest one known, or
-/// with `kStrongVmCores` if none is known, claims without delay.
-constexpr Duration kWeakVmDelay{500};
-constexpr Duration kWeakVmFirstDelay{1'500};  ///< A starting fleet has no work to delay.
-constexpr double kStrongVmCores = 0.5;
 constexpr Duration kOwnWatchTime{600};
 constexpr Duration kRefreshInterval{500};
 constexpr Duration kCallerCheckInterval{500};
@@ -40,9 +34,6 @@
 /// A daemon that called within this time can take over the schedule.
 constexpr Duration kRecentCall{2'500};
 constexpr Duration kPredecessorInterval{250};
-/// An owner that has not answered for this long is watched by what it writes to the store.
-constexpr Duration kSilenceBeforeCursor{400};
-constexpr Duration kCursorReadInterval{200};
 /// Pings that the owner asks all other daemons together to send.
 constexpr int kPingsPerSecond = 200;
 /// Time in which a new owner is called by all other daemons.
@@ -82,6 +73,7 @@
                   [this](TimePoint now, const KvItem& item) { OnOperatorItem(now, item); }),
       m_ownership(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
       m_owner_client(parts.http, m_address, CoresOf(settings)),
+      m_claim(parts.store, &m_ownership, &m_owner_client, parts.random),
       m_gateway(parts.format, &m_metrics,
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
@@ -191,8 +183,7 @@
 
 void JobService::OnAcquired(TimePoint now) {
   m_owner_ended = false;
-  m_claim_at.reset();
-  m_asked_to_take_over = false;
+  m_claim.Reset();
   m_owner.reset();  // Its destructor would redirect the workers' replies away from the new owner.
   m_owner = std::make_unique<ScheduleOwner>(
       ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_ownership,
@@ -253,7 +244,9 @@
   m_operators.Tick(now.time);
   m_ownership.Tick(now.time);
   FollowOwner(now.time);
-  ConsiderClaim(now.time);
+  if (!m_stopping_since) {
+    m_claim.Tick(now.time, CoresOf(m_settings), m_operators.confirmed_at());
+  }
   if (m_owner && m_ownership.owned()) {
     AskPredecessor(now.time);
     m_owner->SetProgressInLog(now.time, AllReadProgressLog(now.time));
@@ -288,30 +281,6 @@
   }
 }
 
-void JobService::ReadCursorOfSilentOwner(TimePoint now, Duration silence) {
-  if (silence < kSilenceBeforeCursor) {
-    m_cursor_seen.reset();
-    m_owner_wrote_at.reset();
-    return;
-  }
-  if (m_reading_cursor || now < m_next_cursor_read) {
-    return;
-  }
-  m_reading_cursor = true;
-  m_next_cursor_read = now + kCursorReadInterval;
-  m_parts.store->Get(kCursorKey, [this, now](TimePoint, const KvReadReply& reply) {
-    m_reading_cursor = false;
-    if (reply.status != KvStatus::kOk || reply.items.empty()) {
-      return;
-    }
-    const std::uint64_t revision = reply.items.front().revision;
-    if (m_cursor_seen && *m_cursor_seen != revision) {
-      m_owner_wrote_at = now;
-    }
-    m_cursor_seen = revision;
-  });
-}
-
 bool JobService::AllReadProgressLog(TimePoint now) const {
   return now - m_ownership.record_changed_at() >= kFirstPings &&
          std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
@@ -346,51 +315,6 @@
   }
 }
 
-/// Returns a delay that lets daemons on stronger VMs claim first, because the owner does most of
-/// the work.
-Duration JobService::ClaimDelay() const {
-  const double known = m_owner_client.strongest_cores();
-  const double strongest = known > 0 ? known : kStrongVmCores;
-  const double missing = std::clamp(1 - CoresOf(m_settings) / strongest, 0.0, 1.0);
-  const Duration longest = m_ownership.record() ? kWeakVmDelay : kWeakVmFirstDelay;
-  return Duration(static_cast<Duration::rep>(missing * static_cast<double>(longest.count())));
-}
-
-void JobService::ConsiderClaim(TimePoint now) {
-  if (m_ownership.owned() || !m_ownership.known() || m_stopping_since) {
-    return;
-  }
-  ClaimInput input;
-  input.owner_known = m_ownership.record().has_value();
-  input.own_stale_record = m_ownership.is_own_stale_record();
-  input.denies_ownership = m_owner_client.denies_ownership();
-  input.refused = m_owner_client.refused();
-  input.owner_store_unreachable = m_owner_client.owner_store_unreachable();
-  input.silence = m_owner_client.silence(now);
-  ReadCursorOfSilentOwner(now, input.silence);
-  if (m_owner_wrote_at) {
-    input.since_write = std::chrono::duration_cast<Duration>(now - *m_owner_wrote_at);
-  }
-  input.known_for = std::chrono::duration_cast<Duration>(now - m_ownership.record_changed_at());
-  const TimePoint answered = std::max(m_ownership.store_answered(), m_operators.confirmed_at());
-  input.store_age = std::chrono::duration_cast<Duration>(now - answered);
-  if (!m_asked_to_take_over && !ShouldClaim(input)) {
-    m_claim_at.reset();
-    return;
-  }
-  if (!m_claim_at) {
-    const auto jitter = m_asked_to_take_over || input.own_stale_record
-                            ? 0
-                            : m_parts.random->Below(kClaimJitter.count());
-    m_claim_at = now + ClaimDelay() + Duration(static_cast<Duration::rep>(jitter));
-  }
-  if (now >= *m_claim_at) {
-    m_claim_at.reset();
-    m_asked_to_take_over = false;
-    m_ownership.Claim(now);
-  }
-}
-
 void JobService::CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
   const TimePoint now = Clock::now();
   if (m_ownership.owned() && m_owner) {
@@ -449,7 +373,7 @@
   if (call->kind == OwnerCallKind::kTakeOver) {
     reply.status = m_stopping_since || !m_config ? OwnerStatus::kNotReady : OwnerStatus::kOk;
     if (reply.status == OwnerStatus::kOk) {
-      m_asked_to_take_over = true;
+      m_claim.RequestTakeOver();
       m_stopped_owner = call->incarnation;
       m_ownership.Read(now);
     }
--- a/packages/entry/src/schedule_ownership.cc
+++ b/packages/entry/src/schedule_ownership.cc
@@ -15,17 +15,6 @@
 constexpr Duration kReadRetry{150};
 /// An owner reads the record when no transaction has confirmed its ownership for this long.
 constexpr Duration kConfirmInterval{700};
-/// Time without an answer to a ping after which an owner counts as failed.
-constexpr Duration kSilenceBound{1'000};
-/// The same for an owner that still writes to the store: it is busy, or this daemon cannot reach
-/// it.
-constexpr Duration kSilenceBoundWhileWriting{3'000};
-/// A busy owner writes more often than this.
-constexpr Duration kRecentWrite{700};
-/// Time that a new owner has to start before its silence counts.
-constexpr Duration kFirstAnswerBound{1'800};
-/// A daemon claims only if the store has answered it within this time.
-constexpr Duration kMaxStoreAge{1'500};
 
 }  // namespace
 
@@ -47,22 +36,6 @@
   }
 }
 
-bool ShouldClaim(const ClaimInput& input) {
-  if (input.store_age > kMaxStoreAge) {
-    return false;
-  }
-  if (!input.owner_known || input.own_stale_record || input.denies_ownership || input.refused) {
-    return true;
-  }
-  if (input.known_for < kFirstAnswerBound) {
-    return false;
-  }
-  if (input.owner_store_unreachable || input.silence > kSilenceBoundWhileWriting) {
-    return true;
-  }
-  return input.silence > kSilenceBound && input.since_write > kRecentWrite;
-}
-
 ScheduleOwnership::ScheduleOwnership(KeyValueStore* store, std::string key, OwnershipRecord self)
     : m_store(store), m_key(std::move(key)), m_self(std::move(self)) {}
 
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -170,35 +170,6 @@
   CHECK(fixture.store.Value(JobKey("a")) == newest);
 }
 
-TEST_CASE("a daemon claims only if the owner is silent or cannot reach the store") {
-  ClaimInput input;
-  input.owner_known = true;
-  input.known_for = Duration(60'000);
-  input.silence = Duration(200);
-  CHECK_FALSE(ShouldClaim(input));
-  input.silence = Duration(1'200);
-  CHECK(ShouldClaim(input));
-  // Guards against taking a busy owner for a failed one. Daemons that had not heard a saturated
-  // owner for a second claimed twice, and tasks that had ended were started again.
-  input.since_write = Duration(150);
-  CHECK_FALSE(ShouldClaim(input));
-  input.silence = Duration(3'500);
-  CHECK(ShouldClaim(input));
-  input.silence = Duration(1'200);
-  input.since_write = Duration(900);
-  CHECK(ShouldClaim(input));
-  // Guards against claims by a daemon that cannot reach the store itself.
-  input.store_age = Duration(5'000);
-  CHECK_FALSE(ShouldClaim(input));
-  input.store_age = Duration(0);
-  input.silence = Duration(0);
-  input.owner_store_unreachable = true;
-  CHECK(ShouldClaim(input));
-  // Guards against daemons that take over from a new owner before it has started.
-  input.known_for = Duration(500);
-  CHECK_FALSE(ShouldClaim(input));
-}
-
 // Guards against accepting a withdrawn key at a daemon that cannot receive the withdrawal.
 TEST_CASE("keys are refused while the configuration may be out of date") {
   ClusterConfig config;
