Move the hand-over of a stopping owner into modules of its own

daemon_peers knows the daemons that have called, and chooses the successor. stop_timing holds the decisions of a stop, which need no I/O: when callers must have their responses, which successor is strong enough, and when the process may end. schedule_hand_over asks the successors.

No behaviour changes.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -9,10 +9,12 @@
 #include "cranberryplank/daemon/api_server.h"
 #include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/entry/caller_gateway.h"
+#include "cranberryplank/entry/daemon_peers.h"
 #include "cranberryplank/entry/job_settings.h"
 #include "cranberryplank/entry/owner_client.h"
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/schedule_claim.h"
+#include "cranberryplank/entry/schedule_hand_over.h"
 #include "cranberryplank/entry/schedule_owner.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/vm_control.h"
@@ -57,14 +59,6 @@
   bool owner() const { return m_owner != nullptr; }
 
  private:
-  /// A daemon that has called this one.
-  struct Peer {
-    TimePoint last_call{};
-    double cores = 0;
-    int state_format = kSingleProgressFormat;
-    TimePoint ask_again_at{};  ///< Before that, it is not asked again to take over.
-  };
-
   void OnOperatorItem(TimePoint now, const KvItem& item);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
@@ -76,8 +70,6 @@
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
-  void HandOver(TimePoint now);
-  void OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status);
   void AskPredecessor(TimePoint now);
   ConfigAge ConfigAgeAt(TimePoint now) const;
   void RecordNewestConfigVersion(TimePoint now, std::uint64_t version);
@@ -94,15 +86,14 @@
   std::map<std::int64_t, UpkeepWave> m_waves;
   ScheduleOwnership m_ownership;
   OwnerClient m_owner_client;
+  DaemonPeers m_peers;
   ScheduleClaim m_claim;
+  ScheduleHandOver m_hand_over;
   std::string m_followed_incarnation;  ///< Incarnation of the owner that `m_owner_client` pings.
   CallerGateway m_gateway;
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
-  std::map<std::string, Peer> m_peers;  ///< Daemons that called, by address.
   std::optional<TimePoint> m_stopping_since;
-  TimePoint m_next_hand_over{};
-  int m_hand_overs_not_refused = 0;  ///< Calls after which a daemon may take over.
   std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and stopped acting.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -7,6 +7,7 @@
 
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/http_status.h"
+#include "stop_timing.h"
 
 namespace cranberryplank {
 
@@ -18,28 +19,10 @@
 constexpr Duration kOwnWatchTime{600};
 constexpr Duration kRefreshInterval{500};
 constexpr Duration kCallerCheckInterval{500};
-/// Time that the platform takes to detect that a daemon is not ready.
-constexpr Duration kUnreadyTime{2'400};
-/// Part of the grace period that remains when the process ends.
-constexpr Duration kGraceReserve{900};
-/// Time before the end of the process in which the last responses are written. The end is delayed
-/// by at most this time if some are not yet written.
-constexpr Duration kLastWrites{300};
 constexpr Duration kTakeOverTimeout{300};
-constexpr Duration kHandOverInterval{500};
-/// Time at the end of a stop in which the owner hands over to a daemon on any VM. Before that, it
-/// waits for one whose VM has at least `kSuccessorShare` of its own processing power.
-constexpr Duration kHandOverToAny{2'000};
-constexpr double kSuccessorShare = 0.5;
-/// A daemon that called within this time can take over the schedule.
-constexpr Duration kRecentCall{2'500};
 constexpr Duration kPredecessorInterval{250};
-/// Pings that the owner asks all other daemons together to send.
-constexpr int kPingsPerSecond = 200;
 /// Time in which a new owner is called by all other daemons.
 constexpr Duration kFirstPings{1'500};
-/// A daemon that has not called for this long is forgotten.
-constexpr Duration kMayTakeOver{10'000};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
 constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
@@ -74,6 +57,7 @@
       m_ownership(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
       m_owner_client(parts.http, m_address, CoresOf(settings)),
       m_claim(parts.store, &m_ownership, &m_owner_client, parts.random),
+      m_hand_over(&m_ownership, &m_owner_client, &m_peers, m_address),
       m_gateway(parts.format, &m_metrics,
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
@@ -257,8 +241,10 @@
     }
   }
   m_gateway.Tick(now.time);
-  if (m_stopping_since && m_ownership.owned() && now.time >= m_next_hand_over) {
-    HandOver(now.time);
+  if (m_stopping_since) {
+    const auto elapsed = std::chrono::duration_cast<Duration>(now.time - *m_stopping_since);
+    m_hand_over.Tick(now.time,
+                     LeastSuccessorCores(elapsed, m_settings.shutdown_grace, CoresOf(m_settings)));
   }
   if (now.time - m_callers_checked >= kCallerCheckInterval) {
     m_callers_checked = now.time;
@@ -282,10 +268,7 @@
 }
 
 bool JobService::AllReadProgressLog(TimePoint now) const {
-  return now - m_ownership.record_changed_at() >= kFirstPings &&
-         std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
-           return item.second.state_format >= kProgressLogFormat;
-         });
+  return now - m_ownership.record_changed_at() >= kFirstPings && m_peers.AllReadProgressLog();
 }
 
 ConfigAge JobService::ConfigAgeAt(TimePoint now) const {
@@ -344,25 +327,16 @@
     return;
   }
   if (!call->sender.empty()) {
-    std::erase_if(m_peers,
-                  [&](const auto& item) { return now - item.second.last_call > kMayTakeOver; });
-    Peer& peer = m_peers[call->sender];
-    peer.last_call = now;
-    peer.cores = call->cores;
-    peer.state_format = call->state_format;
+    m_peers.RecordCall(now, *call);
   }
   RecordNewestConfigVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
     reply.config_version = m_config ? m_config->version : 0;
     reply.epoch = m_ownership.revision();
     reply.incarnation = m_ownership.incarnation();
-    reply.strongest_cores = CoresOf(m_settings);
-    for (const auto& [address, peer] : m_peers) {
-      const bool recent = at - peer.last_call <= kRecentCall;
-      reply.strongest_cores = std::max(reply.strongest_cores, recent ? peer.cores : 0);
-    }
+    reply.strongest_cores = m_peers.StrongestCores(at, CoresOf(m_settings));
     const bool writes_fail = m_owner && m_owner->ready() && m_owner->store_failing(at);
-    reply.ping_interval_ms = static_cast<std::int64_t>(m_peers.size()) * 1'000 / kPingsPerSecond;
+    reply.ping_interval_ms = m_peers.PingIntervalMs();
     reply.store_reached = !writes_fail && at - m_ownership.store_answered() < kStoreSilence;
     ApiResponse encoded;
     encoded.content_type = "application/octet-stream";
@@ -455,78 +429,23 @@
     return;
   }
   m_stopping_since = now;
-  m_gateway.Close(now + m_settings.shutdown_grace - kGraceReserve - kLastWrites);
+  m_gateway.Close(now + AnswerTime(m_settings.shutdown_grace));
   LogLine(LogLevel::kInfo, "stopping")
       .Field("owner", m_ownership.owned())
       .Field("open_requests", m_gateway.open_requests());
 }
 
-void JobService::HandOver(TimePoint now) {
-  m_next_hand_over = now + kHandOverInterval;
-  std::erase_if(m_peers,
-                [&](const auto& item) { return now - item.second.last_call > kRecentCall; });
-  // A weak VM takes seconds to read the state, in which nothing keeps running work alive.
-  const Duration time_to_act = m_settings.shutdown_grace - kGraceReserve - kHandOverToAny;
-  const bool waits = now - *m_stopping_since < time_to_act;
-  const double least_cores = waits ? kSuccessorShare * CoresOf(m_settings) : 0;
-  auto strongest = m_peers.end();
-  for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-    const bool stronger = strongest == m_peers.end() || it->second.cores > strongest->second.cores;
-    if (now >= it->second.ask_again_at && it->second.cores >= least_cores && stronger) {
-      strongest = it;
-    }
-  }
-  if (strongest == m_peers.end()) {
-    m_next_hand_over = now;
-    return;
-  }
-  // The successor may assume that this daemon grants no leases after this point. So this daemon
-  // sends no more orders unless the successor refuses.
-  m_ownership.StepDown();
-  ++m_hand_overs_not_refused;
-  OwnerCall call;
-  call.kind = OwnerCallKind::kTakeOver;
-  call.sender = m_address;
-  call.incarnation = m_ownership.incarnation();
-  LogLine(LogLevel::kInfo, "hand_over").Field("to", strongest->first);
-  m_owner_client.Call(strongest->first, call, kTakeOverTimeout,
-                      [this, address = strongest->first](TimePoint at, const OwnerReply& reply) {
-                        OnHandOverReply(at, address, reply.status);
-                      });
-}
-
-void JobService::OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status) {
-  if (status == OwnerStatus::kOk) {
-    return;
-  }
-  m_next_hand_over = now;
-  // While all daemons are being stopped, none takes over for some seconds. A daemon that refused,
-  // or that the call did not reach, never acts on it, so this one goes on as the owner.
-  const bool refused = status == OwnerStatus::kNotReady || status == OwnerStatus::kNotOwner;
-  if (refused && --m_hand_overs_not_refused == 0) {
-    m_ownership.Resume();
-  }
-  const auto peer = m_peers.find(address);
-  if (peer == m_peers.end()) {
-    return;
-  }
-  if (status == OwnerStatus::kNotReady) {
-    peer->second.ask_again_at = now + kHandOverInterval;
-  } else {
-    m_peers.erase(peer);
-  }
-}
-
 bool JobService::finished(TimePoint now) const {
   if (!m_stopping_since) {
     return false;
   }
-  const auto elapsed = now - *m_stopping_since;
+  StopState state;
+  state.elapsed = std::chrono::duration_cast<Duration>(now - *m_stopping_since);
+  state.grace = m_settings.shutdown_grace;
+  state.owner = m_ownership.owned();
   // A response that was given is written in a later turn of the event loop.
-  const bool answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
-  const Duration end = m_settings.shutdown_grace - kGraceReserve;
-  return (answered && ((elapsed >= kUnreadyTime && !m_ownership.owned()) || elapsed >= end)) ||
-         elapsed >= end + kLastWrites;
+  state.answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
+  return MayEnd(state);
 }
 
 }  // namespace cranberryplank
