Move what operators write to the store into operator_items

The module watches the configuration and the upkeep waves, tells their users of changes, and knows how old the configuration may be. JobService passes changes on to the owner.

No behaviour changes.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -11,6 +11,7 @@
 #include "cranberryplank/entry/caller_gateway.h"
 #include "cranberryplank/entry/daemon_peers.h"
 #include "cranberryplank/entry/job_settings.h"
+#include "cranberryplank/entry/operator_items.h"
 #include "cranberryplank/entry/owner_client.h"
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/schedule_claim.h"
@@ -18,7 +19,6 @@
 #include "cranberryplank/entry/schedule_owner.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/vm_control.h"
-#include "cranberryplank/entry/watched_prefix.h"
 #include "cranberryplank/model/random.h"
 
 struct event_base;
@@ -59,7 +59,8 @@
   bool owner() const { return m_owner != nullptr; }
 
  private:
-  void OnOperatorItem(TimePoint now, const KvItem& item);
+  void OnConfig(TimePoint now);
+  void OnWave(TimePoint now, const UpkeepWave& wave);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
   void FollowOwner(TimePoint now);
@@ -71,8 +72,6 @@
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
   void AskPredecessor(TimePoint now);
-  ConfigAge ConfigAgeAt(TimePoint now) const;
-  void RecordNewestConfigVersion(TimePoint now, std::uint64_t version);
   SchedulerSettings SchedulerSettingsOf() const;
   VmFleetSettings FleetSettingsOf() const;
 
@@ -81,9 +80,7 @@
   std::string m_address;  ///< Address for calls between daemons.
   std::string m_last_reason;
   Metrics m_metrics;
-  WatchedPrefix m_operators;
-  std::shared_ptr<const ClusterConfig> m_config;
-  std::map<std::int64_t, UpkeepWave> m_waves;
+  OperatorItems m_operators;
   ScheduleOwnership m_ownership;
   OwnerClient m_owner_client;
   DaemonPeers m_peers;
@@ -97,9 +94,6 @@
   std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and stopped acting.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
-  std::uint64_t m_newest_config = 0;        ///< Newest version reported by another daemon.
-  std::optional<TimePoint> m_behind_since;  ///< Since when `m_config` is known to be outdated.
-  TimePoint m_last_refresh{};
   TimePoint m_callers_checked{};
   ApiServer m_caller_server;
   ApiServer m_ready_server;
--- /dev/null
+++ b/packages/entry/include/cranberryplank/entry/operator_items.h
@@ -0,0 +1,63 @@
+#ifndef CRANBERRYPLANK_ENTRY_OPERATOR_ITEMS_H_
+#define CRANBERRYPLANK_ENTRY_OPERATOR_ITEMS_H_
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "cranberryplank/entry/caller_gateway.h"
+#include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/watched_prefix.h"
+
+namespace cranberryplank {
+
+/// The configuration and the upkeep waves that operators write to the store, as known to this
+/// daemon.
+class OperatorItems {
+ public:
+  OperatorItems(KeyValueStore* store, const PlatformFormat* format);
+
+  void Start(TimePoint now) { m_watch.Start(now); }
+  /// Must be called regularly.
+  void Tick(TimePoint now) { m_watch.Tick(now); }
+  /// Records the version of the configuration that another daemon has, and reads the configuration
+  /// again if this daemon's stays behind it.
+  void RecordNewestVersion(TimePoint now, std::uint64_t version);
+
+  /// The configuration; nullptr if none is known yet.
+  const std::shared_ptr<const ClusterConfig>& config() const { return m_config; }
+  /// Version of the configuration; 0 if none is known yet.
+  std::uint64_t config_version() const { return m_config ? m_config->version : 0; }
+  /// Upkeep waves, by number.
+  const std::map<std::int64_t, UpkeepWave>& waves() const { return m_waves; }
+  /// Sending time of the newest call that the store answered.
+  TimePoint confirmed_at() const { return m_watch.confirmed_at(); }
+  /// @param revocation_bound a withdrawn key must not be accepted for longer
+  ConfigAge ConfigAgeAt(TimePoint now, Duration revocation_bound) const;
+
+  /// Emitted when a newer configuration is known.
+  sigc::signal<void, TimePoint>& signal_config() { return m_config_changed; }
+  /// Emitted when an upkeep wave is known or changed.
+  sigc::signal<void, TimePoint, const UpkeepWave&>& signal_wave() { return m_wave_changed; }
+
+ private:
+  void OnItem(TimePoint now, const KvItem& item);
+  void OnConfig(TimePoint now, const KvItem& item);
+
+  const PlatformFormat* m_format;
+  WatchedPrefix m_watch;
+  std::shared_ptr<const ClusterConfig> m_config;
+  std::map<std::int64_t, UpkeepWave> m_waves;
+  std::uint64_t m_newest_config = 0;        ///< Newest version reported by another daemon.
+  std::optional<TimePoint> m_behind_since;  ///< Since when `m_config` is known to be outdated.
+  TimePoint m_last_refresh{};
+  sigc::signal<void, TimePoint> m_config_changed;
+  sigc::signal<void, TimePoint, const UpkeepWave&> m_wave_changed;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_ENTRY_OPERATOR_ITEMS_H_
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -13,11 +13,6 @@
 
 namespace {
 
-constexpr Duration kConfigWatchWait{1'000};
-/// Part of the revocation bound reserved for processing a request in the daemon.
-constexpr Duration kRevocationMargin{400};
-constexpr Duration kOwnWatchTime{600};
-constexpr Duration kRefreshInterval{500};
 constexpr Duration kCallerCheckInterval{500};
 constexpr Duration kTakeOverTimeout{300};
 constexpr Duration kPredecessorInterval{250};
@@ -52,8 +47,7 @@
     : m_settings(settings),
       m_parts(parts),
       m_address(AddressText(settings.daemon_listen)),
-      m_operators(parts.store, std::string(parts.format->OperatorPrefix()), kConfigWatchWait,
-                  [this](TimePoint now, const KvItem& item) { OnOperatorItem(now, item); }),
+      m_operators(parts.store, parts.format),
       m_ownership(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
       m_owner_client(parts.http, m_address, CoresOf(settings)),
       m_claim(parts.store, &m_ownership, &m_owner_client, parts.random),
@@ -62,11 +56,12 @@
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
                 }),
-      m_caller_server(
-          base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
-          [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
-            m_gateway.Handle({now, UnixMilliseconds()}, m_config.get(), ConfigAgeAt(now), exchange);
-          }),
+      m_caller_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
+                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                        m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
+                                         m_operators.ConfigAgeAt(now, m_settings.revocation_bound),
+                                         exchange);
+                      }),
       m_ready_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kDaemonIdle},
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
@@ -81,6 +76,8 @@
                        }) {
   m_ownership.signal_acquired().connect(sigc::mem_fun(*this, &JobService::OnAcquired));
   m_ownership.signal_lost().connect(sigc::mem_fun(*this, &JobService::OnLost));
+  m_operators.signal_config().connect(sigc::mem_fun(*this, &JobService::OnConfig));
+  m_operators.signal_wave().connect(sigc::mem_fun(*this, &JobService::OnWave));
   const TimePoint now = Clock::now();
   m_operators.Start(now);
   m_ownership.Read(now);
@@ -129,39 +126,15 @@
   }
 }
 
-void JobService::OnOperatorItem(TimePoint now, const KvItem& item) {
-  if (m_parts.format->IsConfigKey(item.key)) {
-    const auto config = item.deleted ? std::nullopt : m_parts.format->DecodeConfig(item);
-    if (!config) {
-      LogLine(LogLevel::kError, "unreadable_config").Field("revision", item.revision);
-      return;
-    }
-    if (m_config && config->version <= m_config->version) {
-      return;
-    }
-    m_config = std::make_shared<const ClusterConfig>(*config);
-    m_behind_since.reset();
-    LogLine(LogLevel::kInfo, "config")
-        .Field("version", m_config->version)
-        .Field("revision", item.revision)
-        .Field("queues", m_config->queues.size())
-        .Field("customers", m_config->customers.size());
-    if (m_owner) {
-      m_owner->SetConfig({now, UnixMilliseconds()}, m_config);
-    }
-    return;
-  }
-  if (!m_parts.format->IsWaveKey(item.key) || item.deleted) {
-    return;
-  }
-  const auto wave = m_parts.format->DecodeWave(item);
-  if (!wave) {
-    LogLine(LogLevel::kError, "unreadable_wave").Field("key", item.key);
-    return;
+void JobService::OnConfig(TimePoint now) {
+  if (m_owner) {
+    m_owner->SetConfig({now, UnixMilliseconds()}, m_operators.config());
   }
-  m_waves[wave->number] = *wave;
+}
+
+void JobService::OnWave(TimePoint now, const UpkeepWave& wave) {
   if (m_owner) {
-    m_owner->SetWave(now, *wave);
+    m_owner->SetWave(now, wave);
   }
 }
 
@@ -174,11 +147,11 @@
                          m_parts.machines},
       SchedulerSettingsOf(), FleetSettingsOf());
   const Now at{now, UnixMilliseconds()};
-  for (const auto& [number, wave] : m_waves) {
+  for (const auto& [number, wave] : m_operators.waves()) {
     m_owner->SetWave(now, wave);
   }
-  if (m_config) {
-    m_owner->SetConfig(at, m_config);
+  if (m_operators.config()) {
+    m_owner->SetConfig(at, m_operators.config());
   }
   m_owner->Begin(at);
   m_predecessor_asked = now;
@@ -198,7 +171,7 @@
   m_predecessor_asked = now;
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
-  ping.config_version = m_config ? m_config->version : 0;
+  ping.config_version = m_operators.config_version();
   const OwnershipRecord predecessor = *m_ownership.predecessor();
   m_owner_client.Call(predecessor.address, ping, kTakeOverTimeout,
                       [this, predecessor](TimePoint at, const OwnerReply& reply) {
@@ -260,8 +233,8 @@
     m_followed_incarnation = incarnation;
     m_owner_client.SetOwner(now, incarnation.empty() ? std::string() : record->address);
   }
-  m_owner_client.Tick(now, m_config ? m_config->version : 0);
-  RecordNewestConfigVersion(now, m_owner_client.owner_config_version());
+  m_owner_client.Tick(now, m_operators.config_version());
+  m_operators.RecordNewestVersion(now, m_owner_client.owner_config_version());
   if (!incarnation.empty() && m_owner_client.denies_ownership()) {
     m_ownership.Read(now);
   }
@@ -271,33 +244,6 @@
   return now - m_ownership.record_changed_at() >= kFirstPings && m_peers.AllReadProgressLog();
 }
 
-ConfigAge JobService::ConfigAgeAt(TimePoint now) const {
-  ConfigAge age;
-  age.age = std::chrono::duration_cast<Duration>(now - m_operators.confirmed_at());
-  age.max_age = m_settings.revocation_bound - kRevocationMargin;
-  age.newer_exists = m_config && m_newest_config > m_config->version;
-  return age;
-}
-
-void JobService::RecordNewestConfigVersion(TimePoint now, std::uint64_t version) {
-  if (!m_config || version <= m_config->version) {
-    return;
-  }
-  m_newest_config = std::max(m_newest_config, version);
-  if (!m_behind_since) {
-    m_behind_since = now;
-    LogLine(LogLevel::kInfo, "config_behind")
-        .Field("known", m_config->version)
-        .Field("newer", version);
-  }
-  // This daemon's own watch usually delivers the new version soon; a large configuration takes
-  // longer on a slow link.
-  if (now - *m_behind_since >= kOwnWatchTime && now - m_last_refresh >= kRefreshInterval) {
-    m_last_refresh = now;
-    m_operators.Refresh(now);
-  }
-}
-
 void JobService::CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
   const TimePoint now = Clock::now();
   if (m_ownership.owned() && m_owner) {
@@ -329,9 +275,9 @@
   if (!call->sender.empty()) {
     m_peers.RecordCall(now, *call);
   }
-  RecordNewestConfigVersion(now, call->config_version);
+  m_operators.RecordNewestVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
-    reply.config_version = m_config ? m_config->version : 0;
+    reply.config_version = m_operators.config_version();
     reply.epoch = m_ownership.revision();
     reply.incarnation = m_ownership.incarnation();
     reply.strongest_cores = m_peers.StrongestCores(at, CoresOf(m_settings));
@@ -345,7 +291,8 @@
   };
   OwnerReply reply;
   if (call->kind == OwnerCallKind::kTakeOver) {
-    reply.status = m_stopping_since || !m_config ? OwnerStatus::kNotReady : OwnerStatus::kOk;
+    reply.status =
+        m_stopping_since || !m_operators.config() ? OwnerStatus::kNotReady : OwnerStatus::kOk;
     if (reply.status == OwnerStatus::kOk) {
       m_claim.RequestTakeOver();
       m_stopped_owner = call->incarnation;
@@ -377,15 +324,15 @@
   const bool fresh = now - m_operators.confirmed_at() < m_settings.revocation_bound;
   ApiResponse response;
   response.body = "{}";
-  response.status =
-      m_config && fresh && !m_stopping_since ? http_status::kOk : http_status::kUnavailable;
+  response.status = m_operators.config() && fresh && !m_stopping_since ? http_status::kOk
+                                                                       : http_status::kUnavailable;
   exchange->Reply(response);
 }
 
 void JobService::HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
   m_metrics.SetGauge("cranberryplank_owner", m_ownership.owned() ? 1 : 0);
   m_metrics.SetGauge("cranberryplank_config_version",
-                     m_config ? static_cast<double>(m_config->version) : 0);
+                     static_cast<double>(m_operators.config_version()));
   m_metrics.SetGauge("cranberryplank_config_age_seconds",
                      std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
   m_metrics.SetGauge("cranberryplank_open_requests",
