--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -7,6 +7,7 @@
 
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/http_status.h"
+#include "owner_metrics.h"
 #include "stop_timing.h"
 
 namespace cranberryplank {
@@ -338,32 +339,7 @@
   m_metrics.SetGauge("cranberryplank_open_requests",
                      static_cast<double>(m_gateway.open_requests()));
   if (m_owner && m_owner->ready()) {
-    if (const VmFleet* fleet = m_owner->fleet()) {
-      m_metrics.SetTotal("cranberryplank_vm_moves_total", fleet->moves());
-      m_metrics.SetTotal("cranberryplank_vm_upkeeps_total", fleet->upkeeps());
-    }
-    const OwnerLoadReport& load = m_owner->load().last_report();
-    m_metrics.SetGauge("cranberryplank_owner_longest_turn_seconds",
-                       std::chrono::duration<double>(load.longest_turn).count());
-    m_metrics.SetGauge("cranberryplank_oldest_unstored_change_seconds",
-                       std::chrono::duration<double>(load.oldest_unstored).count());
-    m_metrics.SetGauge("cranberryplank_starts_per_pass", load.fewest_starts);
-    const SchedulerCounters& counters = m_owner->scheduler()->counters();
-    m_metrics.SetTotal("cranberryplank_task_starts_total", counters.starts);
-    m_metrics.SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
-    m_metrics.SetTotal("cranberryplank_uncertain_starts_total", counters.uncertain_starts);
-    m_metrics.SetTotal("cranberryplank_task_stops_total", counters.stops);
-    m_metrics.SetTotal("cranberryplank_holds_total", counters.renewals);
-    m_metrics.SetTotal("cranberryplank_failed_holds_total", counters.failed_renewals);
-    m_metrics.SetTotal("cranberryplank_tasks_done_total", counters.tasks_done);
-    m_metrics.SetTotal("cranberryplank_tasks_failed_total", counters.tasks_failed);
-    m_metrics.SetTotal("cranberryplank_runs_lost_total", counters.runs_lost);
-    m_metrics.SetTotal("cranberryplank_reborn_workers_total", counters.restarted_workers);
-    m_metrics.SetTotal("cranberryplank_worker_crashes_total", counters.worker_crashes);
-    m_metrics.SetTotal("cranberryplank_crashing_tasks_total", counters.crashing_tasks);
-    m_metrics.SetTotal("cranberryplank_jobs_done_total", counters.jobs_done);
-    m_metrics.SetTotal("cranberryplank_jobs_failed_total", counters.jobs_failed);
-    m_metrics.SetTotal("cranberryplank_jobs_cancelled_total", counters.jobs_cancelled);
+    RecordOwnerMetrics(m_owner.get(), &m_metrics);
   }
   ApiResponse response;
   response.content_type = "text/plain; version=0.0.4";
