Move the list of VMs into vm_list

The fleet read the platform's list of VMs beside planning and sending orders.

No behaviour changes.

--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -14,6 +14,7 @@
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/state_writer.h"
 #include "cranberryplank/entry/vm_control.h"
+#include "cranberryplank/entry/vm_list.h"
 #include "cranberryplank/scheduler/scheduler.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
 
@@ -80,9 +81,6 @@
     bool stored = true;  ///< Whether the progress in the store is up to date.
   };
 
-  void ReadList();
-  void OnPage(TimePoint now, const VmPage& page);
-  void FinishList(TimePoint now);
   void PlanWaves(TimePoint now, std::span<const JobPoolLoad> loads);
   void PlanPoolMoves(TimePoint now, std::vector<JobPoolLoad> loads);
   void Advance(TimePoint now);
@@ -104,14 +102,7 @@
   VmFleetParts m_parts;
   VmFleetSettings m_settings;
   TimePoint m_started_at;
-  std::map<std::string, ListedVm> m_vms;
-  std::map<std::string, ListedVm> m_listing;
-  std::map<std::string, TimePoint> m_missing_since;
-  bool m_listed = false;
-  bool m_list_in_flight = false;
-  TimePoint m_list_sent{};     ///< When the list in `m_vms` was requested.
-  TimePoint m_listing_sent{};  ///< When the list in `m_listing` was requested.
-  TimePoint m_next_list{};
+  VmList m_list;
   std::map<std::string, Operation> m_operations;  ///< By VM.
   std::map<std::int64_t, Wave> m_waves;
   std::uint64_t m_last_token = 0;
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -14,14 +14,10 @@
 
 namespace {
 
-constexpr Duration kListInterval{1'000};
-constexpr Duration kListRetry{400};
 constexpr Duration kPlanInterval{100};
 /// A large wave on many VMs is too much work for each iteration of the event loop.
 constexpr Duration kAdvanceInterval{50};
 constexpr Duration kOrderRetry{300};
-/// A VM that is missing from the list for this long counts as removed.
-constexpr Duration kMissingBound{3'000};
 /// Short tasks on a VM to be taken down for upkeep are stopped after this time.
 constexpr Duration kVacateBound{3'500};
 constexpr Duration kMoveVacateBound{2'500};
@@ -56,6 +52,7 @@
     : m_parts(parts),
       m_settings(settings),
       m_started_at(begun),
+      m_list(parts.machines, begun),
       m_last_token(parts.ownership->revision() * kTokensPerEpoch) {}
 
 void VmFleet::SetWave(TimePoint now, const UpkeepWave& request) {
@@ -69,7 +66,7 @@
         .Field("within_ms", request.within.count())
         .Field("at_once", request.max_at_once);
   }
-  m_next_list = now;
+  m_list.ReadAt(now);
 }
 
 void VmFleet::LoadWaveProgress(std::int64_t wave, const std::set<std::string>& begun) {
@@ -83,12 +80,8 @@
 }
 
 void VmFleet::Tick(TimePoint now) {
-  if (!m_list_in_flight && now >= m_next_list) {
-    m_listing.clear();
-    m_listing_sent = now;
-    ReadList();
-  }
-  if (!m_listed) {
+  m_list.Tick(now);
+  if (!m_list.listed()) {
     return;
   }
   if (now >= m_next_plan) {
@@ -104,65 +97,15 @@
   }
 }
 
-void VmFleet::ReadList() {
-  m_list_in_flight = true;
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.machines->List({}, [this, lifetime](TimePoint at, const VmPage& reply) {
-    if (!lifetime.expired()) {
-      OnPage(at, reply);
-    }
-  });
-}
-
-void VmFleet::OnPage(TimePoint now, const VmPage& page) {
-  if (!page.answered) {
-    m_list_in_flight = false;
-    m_next_list = now + kListRetry;
-    return;
-  }
-  for (const ListedVm& vm : page.vms) {
-    m_listing[vm.id] = vm;
-  }
-  if (page.next.empty()) {
-    m_list_in_flight = false;
-    FinishList(now);
-    return;
-  }
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.machines->List(page.next, [this, lifetime](TimePoint at, const VmPage& reply) {
-    if (!lifetime.expired()) {
-      OnPage(at, reply);
-    }
-  });
-}
-
-void VmFleet::FinishList(TimePoint now) {
-  m_next_list = now + kListInterval;
-  for (const auto& [id, vm] : m_vms) {
-    if (!m_listing.contains(id)) {
-      m_missing_since.try_emplace(id, now);
-    }
-  }
-  for (const auto& [id, vm] : m_listing) {
-    m_missing_since.erase(id);
-  }
-  m_vms = std::move(m_listing);
-  m_list_sent = m_listing_sent;
-  m_listing.clear();
-  if (!m_listed) {
-    LogLine(LogLevel::kInfo, "vm_list").Field("vms", m_vms.size());
-  }
-  m_listed = true;
-}
-
 int VmFleet::AwayForWave(std::int64_t wave) const {
   const auto ordered = std::count_if(
       m_operations.begin(), m_operations.end(),
       [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; });
   // Orders of an earlier owner may be executed late and show only in the list.
-  const auto listed = std::count_if(m_vms.begin(), m_vms.end(), [&](const auto& item) {
-    return item.second.state == ListedVmState::kInUpkeep && !m_operations.contains(item.first);
-  });
+  const auto listed =
+      std::count_if(m_list.vms().begin(), m_list.vms().end(), [&](const auto& item) {
+        return item.second.state == ListedVmState::kInUpkeep && !m_operations.contains(item.first);
+      });
   return static_cast<int>(ordered + listed);
 }
 
@@ -174,15 +117,15 @@
   for (const JobPoolLoad& load : loads) {
     pressure[load.pool] = load.backlog_core_s;
   }
-  for (const auto& [id, vm] : m_vms) {
+  for (const auto& [id, vm] : m_list.vms()) {
     ++sizes[vm.pool];
     unavailable[vm.pool] += m_operations.contains(id) ? 1 : 0;
   }
   std::vector<UpkeepCandidate> candidates;
   for (const std::string& id : wave.request.vms) {
-    const auto vm = m_vms.find(id);
+    const auto vm = m_list.vms().find(id);
     const bool open = !wave.begun.contains(id) && !wave.given_up.contains(id);
-    if (vm == m_vms.end() || !open || m_operations.contains(id)) {
+    if (vm == m_list.vms().end() || !open || m_operations.contains(id)) {
       continue;
     }
     const ClusterConfig* config = m_parts.scheduler->config();
@@ -232,7 +175,7 @@
       Operation operation;
       operation.upkeep = true;
       operation.wave = number;
-      operation.worker = m_vms.at(vm).worker;
+      operation.worker = m_list.vms().at(vm).worker;
       operation.since = now;
       m_operations.emplace(vm, operation);
       LogLine(LogLevel::kInfo, "vacate")
@@ -249,10 +192,7 @@
         if (wave->begun.contains(vm) || wave->given_up.contains(vm)) {
           return true;
         }
-        const auto missing = m_missing_since.find(vm);
-        return !m_vms.contains(vm) &&
-               (missing == m_missing_since.end() ? now - m_started_at >= kMissingBound
-                                                 : now - missing->second >= kMissingBound);
+        return m_list.IsRemoved(now, vm);
       });
   const bool report = (!wave->running_reported && !done) || (done && !wave->done_reported);
   if ((report || !wave->stored) && !m_storing) {
@@ -288,7 +228,7 @@
 
 std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
   std::map<std::string, std::vector<std::string>> movable;
-  for (const auto& [id, vm] : m_vms) {
+  for (const auto& [id, vm] : m_list.vms()) {
     const ClusterConfig* config = m_parts.scheduler->config();
     const bool standby = config->IsStandby(vm.pool);
     if (m_operations.contains(id) || (vm.state != ListedVmState::kUp && !standby)) {
@@ -313,7 +253,7 @@
   }
   std::size_t under_way = 0;
   std::map<std::string, int> sizes;
-  for (const auto& [id, vm] : m_vms) {
+  for (const auto& [id, vm] : m_list.vms()) {
     const auto operation = m_operations.find(id);
     if (operation != m_operations.end()) {
       // A VM that is vacated for upkeep, or in it, runs nothing for a while, so the pool needs
@@ -346,12 +286,12 @@
   }
   for (const PoolMove& move : PlanMoves(loads, counts)) {
     std::vector<std::string>& vms = movable[move.from];
-    if (vms.empty() || under_way >= m_vms.size() / kMovingDivisor) {
+    if (vms.empty() || under_way >= m_list.vms().size() / kMovingDivisor) {
       continue;
     }
     const std::string vm = vms.back();
     vms.pop_back();
-    const std::string worker = m_vms.at(vm).worker;
+    const std::string worker = m_list.vms().at(vm).worker;
     const bool to_standby = m_parts.scheduler->config()->IsStandby(move.to);
     const Worker* known = m_parts.scheduler->FindWorker(worker);
     if (to_standby && (known == nullptr || now - known->last_used() < kIdleBeforeStandby)) {
@@ -408,11 +348,12 @@
     AdvanceOne(now, vm, &operation);
     const bool gave_up =
         operation.phase == Phase::kVacating && now - operation.since > kVacateGiveUp;
-    const auto listed = m_vms.find(vm);
+    const auto listed = m_list.vms().find(vm);
     // A VM counts as away until a list that was read about then or later shows it out of upkeep.
-    const bool back = operation.phase == Phase::kAway && now >= operation.away_until &&
-                      m_list_sent >= operation.away_until - kAwayMargin &&
-                      (listed == m_vms.end() || listed->second.state != ListedVmState::kInUpkeep);
+    const bool back =
+        operation.phase == Phase::kAway && now >= operation.away_until &&
+        m_list.sent() >= operation.away_until - kAwayMargin &&
+        (listed == m_list.vms().end() || listed->second.state != ListedVmState::kInUpkeep);
     if (gave_up || back) {
       ended.push_back(vm);
     }
@@ -484,17 +425,14 @@
       operation.away_until =
           now + (operation.upkeep ? m_settings.upkeep_time : m_settings.move_time) + kAwayMargin;
       m_parts.scheduler->RetireWorker(now, operation.worker);
-      m_next_list = std::min(m_next_list, operation.away_until);
+      m_list.ReadAt(std::min(m_list.next_read(), operation.away_until));
       if (operation.upkeep) {
         ++m_upkeeps;
         wave->second.begun.insert(vm);
         wave->second.stored = false;
       } else {
         ++m_moves;
-        if (const auto listed = m_vms.find(vm); listed != m_vms.end()) {
-          listed->second.pool = operation.pool;
-          listed->second.state = ListedVmState::kMoving;
-        }
+        m_list.SetMoving(vm, operation.pool);
       }
       return;
     case VmOrderOutcome::kNotDue:
@@ -511,7 +449,7 @@
     case VmOrderOutcome::kRefused:
       if (!operation.uncertain) {
         m_operations.erase(it);
-        m_next_list = now;
+        m_list.ReadAt(now);
         return;
       }
       operation.retry_at = now + kOrderRetry;
