--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -13,6 +13,7 @@
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/state_writer.h"
+#include "cranberryplank/entry/upkeep_waves.h"
 #include "cranberryplank/entry/vm_control.h"
 #include "cranberryplank/entry/vm_list.h"
 #include "cranberryplank/scheduler/scheduler.h"
@@ -71,16 +72,6 @@
     std::uint64_t token = 0;
   };
 
-  struct Wave {
-    UpkeepWave request;
-    TimePoint seen{};
-    std::set<std::string> begun;
-    std::set<std::string> given_up;  ///< VMs that the platform reports as not part of the wave.
-    bool running_reported = false;
-    bool done_reported = false;
-    bool stored = true;  ///< Whether the progress in the store is up to date.
-  };
-
   void PlanWaves(TimePoint now, std::span<const JobPoolLoad> loads);
   void PlanPoolMoves(TimePoint now, std::vector<JobPoolLoad> loads);
   void Advance(TimePoint now);
@@ -92,21 +83,17 @@
   bool MayOrder(TimePoint now) const;
   bool MayTakeDown(TimePoint now, const std::string& worker) const;
   int AwayForWave(std::int64_t wave) const;
-  std::vector<UpkeepCandidate> CandidatesOf(const Wave& wave,
+  std::vector<UpkeepCandidate> CandidatesOf(const WaveProgress& wave,
                                             std::span<const JobPoolLoad> loads) const;
-  void UpdateWave(TimePoint now, Wave* wave);
-  void StoreWave(Wave* wave, bool done);
-  void OnWaveStored(std::int64_t number, bool done, std::size_t begun);
   std::map<std::string, std::vector<std::string>> MovableVms() const;
 
   VmFleetParts m_parts;
   VmFleetSettings m_settings;
   TimePoint m_started_at;
   VmList m_list;
+  UpkeepWaves m_waves;
   std::map<std::string, Operation> m_operations;  ///< By VM.
-  std::map<std::int64_t, Wave> m_waves;
   std::uint64_t m_last_token = 0;
-  bool m_storing = false;
   TimePoint m_next_plan{};
   TimePoint m_next_advance{};
   TimePoint m_next_log{};
@@ -115,11 +102,6 @@
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
 };
 
-/// Key prefix and value format of the progress of a wave.
-constexpr std::string_view kWavePrefix = "wave/";
-std::string EncodeWaveProgress(const std::set<std::string>& begun);
-std::set<std::string> DecodeWaveProgress(std::string_view value);
-
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_ENTRY_VM_FLEET_H_
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -1,9 +1,6 @@
 #include "cranberryplank/entry/vm_fleet.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "cranberryplank/model/log.h"
@@ -34,43 +31,21 @@
 
 }  // namespace
 
-std::string EncodeWaveProgress(const std::set<std::string>& begun) {
-  return nlohmann::json(begun).dump();
-}
-
-std::set<std::string> DecodeWaveProgress(std::string_view value) {
-  const auto rows = nlohmann::json::parse(value, nullptr, false);
-  try {
-    return rows.get<std::set<std::string>>();
-  } catch (const nlohmann::json::exception& error) {
-    LogLine(LogLevel::kError, "unreadable_wave_progress").Field("reason", error.what());
-    return {};
-  }
-}
-
 VmFleet::VmFleet(const VmFleetParts& parts, const VmFleetSettings& settings, TimePoint begun)
     : m_parts(parts),
       m_settings(settings),
       m_started_at(begun),
       m_list(parts.machines, begun),
+      m_waves(parts.writer, parts.format),
       m_last_token(parts.ownership->revision() * kTokensPerEpoch) {}
 
 void VmFleet::SetWave(TimePoint now, const UpkeepWave& request) {
-  auto [it, added] = m_waves.try_emplace(request.number);
-  it->second.request = request;
-  if (added || it->second.seen == TimePoint{}) {
-    it->second.seen = now;
-    LogLine(LogLevel::kInfo, "wave")
-        .Field("wave", request.number)
-        .Field("vms", request.vms.size())
-        .Field("within_ms", request.within.count())
-        .Field("at_once", request.max_at_once);
-  }
+  m_waves.Set(now, request);
   m_list.ReadAt(now);
 }
 
 void VmFleet::LoadWaveProgress(std::int64_t wave, const std::set<std::string>& begun) {
-  m_waves[wave].begun.insert(begun.begin(), begun.end());
+  m_waves.LoadProgress(wave, begun);
 }
 
 bool VmFleet::MayOrder(TimePoint now) const {
@@ -109,7 +84,7 @@
   return static_cast<int>(ordered + listed);
 }
 
-std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave,
+std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const WaveProgress& wave,
                                                    std::span<const JobPoolLoad> loads) const {
   std::map<std::string, double> pressure;
   std::map<std::string, int> sizes;
@@ -124,8 +99,7 @@
   std::vector<UpkeepCandidate> candidates;
   for (const std::string& id : wave.request.vms) {
     const auto vm = m_list.vms().find(id);
-    const bool open = !wave.begun.contains(id) && !wave.given_up.contains(id);
-    if (vm == m_list.vms().end() || !open || m_operations.contains(id)) {
+    if (vm == m_list.vms().end() || wave.IsSettled(id) || m_operations.contains(id)) {
       continue;
     }
     const ClusterConfig* config = m_parts.scheduler->config();
@@ -154,11 +128,11 @@
 }
 
 void VmFleet::PlanWaves(TimePoint now, std::span<const JobPoolLoad> loads) {
-  for (auto& [number, wave] : m_waves) {
+  for (const auto& [number, wave] : m_waves.all()) {
     if (wave.request.vms.empty()) {
       continue;
     }
-    UpdateWave(now, &wave);
+    m_waves.Update(now, m_list, wave);
     if (!MayOrder(now) || wave.done_reported) {
       continue;
     }
@@ -186,46 +160,6 @@
   }
 }
 
-void VmFleet::UpdateWave(TimePoint now, Wave* wave) {
-  const bool done =
-      std::all_of(wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
-        if (wave->begun.contains(vm) || wave->given_up.contains(vm)) {
-          return true;
-        }
-        return m_list.IsRemoved(now, vm);
-      });
-  const bool report = (!wave->running_reported && !done) || (done && !wave->done_reported);
-  if ((report || !wave->stored) && !m_storing) {
-    StoreWave(wave, done);
-  }
-}
-
-void VmFleet::StoreWave(Wave* wave, bool done) {
-  const std::int64_t number = wave->request.number;
-  m_storing = true;
-  const std::size_t stored = wave->begun.size();
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.writer->Put({m_parts.format->EncodeWaveStatus(number, done),
-                       {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave->begun)}},
-                      [this, lifetime, number, done, stored]() {
-                        if (!lifetime.expired()) {
-                          OnWaveStored(number, done, stored);
-                        }
-                      });
-}
-
-void VmFleet::OnWaveStored(std::int64_t number, bool done, std::size_t begun) {
-  m_storing = false;
-  Wave& wave = m_waves.at(number);
-  wave.running_reported = true;
-  wave.done_reported = done;
-  wave.stored = begun == wave.begun.size();
-  LogLine(LogLevel::kInfo, "wave_status")
-      .Field("wave", number)
-      .Field("begun", begun)
-      .Field("done", done);
-}
-
 std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
   std::map<std::string, std::vector<std::string>> movable;
   for (const auto& [id, vm] : m_list.vms()) {
@@ -418,7 +352,6 @@
       .Field("pool", operation.pool)
       .Field("token", token)
       .Field("outcome", static_cast<int>(outcome));
-  const auto wave = m_waves.find(operation.wave);
   switch (outcome) {
     case VmOrderOutcome::kDone:
       operation.phase = Phase::kAway;
@@ -428,8 +361,7 @@
       m_list.ReadAt(std::min(m_list.next_read(), operation.away_until));
       if (operation.upkeep) {
         ++m_upkeeps;
-        wave->second.begun.insert(vm);
-        wave->second.stored = false;
+        m_waves.RecordBegun(operation.wave, vm);
       } else {
         ++m_moves;
         m_list.SetMoving(vm, operation.pool);
@@ -437,7 +369,7 @@
       return;
     case VmOrderOutcome::kNotDue:
       if (operation.upkeep) {
-        wave->second.given_up.insert(vm);
+        m_waves.GiveUp(operation.wave, vm);
       }
       m_operations.erase(it);
       return;
