--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -16,6 +16,7 @@
 #include "cranberryplank/entry/upkeep_waves.h"
 #include "cranberryplank/entry/vm_control.h"
 #include "cranberryplank/entry/vm_list.h"
+#include "cranberryplank/entry/vm_operation.h"
 #include "cranberryplank/scheduler/scheduler.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
 
@@ -56,33 +57,16 @@
   std::uint64_t upkeeps() const { return m_upkeeps; }
 
  private:
-  enum class Phase { kVacating, kOrdering, kAway };
-
-  struct Operation {
-    bool upkeep = false;
-    std::int64_t wave = 0;
-    std::string pool;  ///< Target of a move.
-    std::string worker;
-    Phase phase = Phase::kVacating;
-    TimePoint since{};
-    TimePoint retry_at{};
-    TimePoint away_until{};
-    bool in_flight = false;
-    bool uncertain = false;  ///< An order got no answer. It is retried until it gets one.
-    std::uint64_t token = 0;
-  };
-
   void PlanWaves(TimePoint now, std::span<const JobPoolLoad> loads);
   void PlanPoolMoves(TimePoint now, std::vector<JobPoolLoad> loads);
   void Advance(TimePoint now);
-  void AdvanceOne(TimePoint now, const std::string& vm, Operation* operation);
-  void SendOrder(TimePoint now, const std::string& vm, Operation* operation);
+  void AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation);
+  void SendOrder(TimePoint now, const std::string& vm, VmOperation* operation);
   void OnOrder(TimePoint now, const std::string& vm, std::uint64_t token, VmOrderOutcome outcome);
   void LogPools(TimePoint now, std::span<const JobPoolLoad> loads);
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
   bool MayTakeDown(TimePoint now, const std::string& worker) const;
-  int AwayForWave(std::int64_t wave) const;
   std::vector<UpkeepCandidate> CandidatesOf(const WaveProgress& wave,
                                             std::span<const JobPoolLoad> loads) const;
   std::map<std::string, std::vector<std::string>> MovableVms() const;
@@ -92,7 +76,7 @@
   TimePoint m_started_at;
   VmList m_list;
   UpkeepWaves m_waves;
-  std::map<std::string, Operation> m_operations;  ///< By VM.
+  VmOperations m_operations;
   std::uint64_t m_last_token = 0;
   TimePoint m_next_plan{};
   TimePoint m_next_advance{};
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -15,13 +15,6 @@
 /// A large wave on many VMs is too much work for each iteration of the event loop.
 constexpr Duration kAdvanceInterval{50};
 constexpr Duration kOrderRetry{300};
-/// Short tasks on a VM to be taken down for upkeep are stopped after this time.
-constexpr Duration kVacateBound{3'500};
-constexpr Duration kMoveVacateBound{2'500};
-/// Vacating a VM is abandoned after this time. It may be tried again later.
-constexpr Duration kVacateGiveUp{12'000};
-/// Added to the expected duration of an operation, during which the VM counts as away.
-constexpr Duration kAwayMargin{400};
 constexpr std::uint64_t kTokensPerEpoch = 65'536;
 /// Time without runs after which a VM may be moved to a standby pool.
 constexpr Duration kIdleBeforeStandby{600};
@@ -72,18 +65,6 @@
   }
 }
 
-int VmFleet::AwayForWave(std::int64_t wave) const {
-  const auto ordered = std::count_if(
-      m_operations.begin(), m_operations.end(),
-      [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; });
-  // Orders of an earlier owner may be executed late and show only in the list.
-  const auto listed =
-      std::count_if(m_list.vms().begin(), m_list.vms().end(), [&](const auto& item) {
-        return item.second.state == ListedVmState::kInUpkeep && !m_operations.contains(item.first);
-      });
-  return static_cast<int>(ordered + listed);
-}
-
 std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const WaveProgress& wave,
                                                    std::span<const JobPoolLoad> loads) const {
   std::map<std::string, double> pressure;
@@ -138,7 +119,7 @@
     }
     UpkeepWaveState view;
     view.max_at_once = wave.request.max_at_once;
-    view.unavailable = AwayForWave(number);
+    view.unavailable = AwayForWave(number, m_operations, m_list.vms());
     if (view.unavailable >= view.max_at_once) {
       continue;
     }
@@ -146,7 +127,7 @@
     const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, loads);
     view.remaining = static_cast<int>(candidates.size());
     for (const std::string& vm : ChooseUpkeep(view, candidates)) {
-      Operation operation;
+      VmOperation operation;
       operation.upkeep = true;
       operation.wave = number;
       operation.worker = m_list.vms().at(vm).worker;
@@ -185,26 +166,11 @@
   if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
     return;
   }
-  std::size_t under_way = 0;
-  std::map<std::string, int> sizes;
-  for (const auto& [id, vm] : m_list.vms()) {
-    const auto operation = m_operations.find(id);
-    if (operation != m_operations.end()) {
-      // A VM that is vacated for upkeep, or in it, runs nothing for a while, so the pool needs
-      // another one instead.
-      if (!operation->second.upkeep) {
-        ++sizes[operation->second.pool];
-        ++under_way;
-      }
-    } else if (vm.state == ListedVmState::kInUpkeep) {
-      continue;  // An earlier owner ordered it.
-    } else if (vm.state != ListedVmState::kDown ||
-               m_parts.scheduler->config()->IsStandby(vm.pool)) {
-      ++sizes[vm.pool];
-    }
-  }
+  PoolSizes sizes = CountPoolSizes(m_list.vms(), m_operations, [this](const std::string& pool) {
+    return m_parts.scheduler->config()->IsStandby(pool);
+  });
   for (JobPoolLoad& load : loads) {
-    load.vms = sizes[load.pool];
+    load.vms = sizes.vms[load.pool];
     if (load.vm_cores <= 0) {
       load.vm_cores = 1;
       for (const JobPoolLoad& other : loads) {
@@ -220,7 +186,7 @@
   }
   for (const PoolMove& move : PlanMoves(loads, counts)) {
     std::vector<std::string>& vms = movable[move.from];
-    if (vms.empty() || under_way >= m_list.vms().size() / kMovingDivisor) {
+    if (vms.empty() || sizes.moving >= m_list.vms().size() / kMovingDivisor) {
       continue;
     }
     const std::string vm = vms.back();
@@ -231,8 +197,8 @@
     if (to_standby && (known == nullptr || now - known->last_used() < kIdleBeforeStandby)) {
       continue;
     }
-    ++under_way;
-    Operation operation;
+    ++sizes.moving;
+    VmOperation operation;
     operation.pool = move.to;
     operation.worker = worker;
     operation.since = now;
@@ -280,15 +246,9 @@
   std::vector<std::string> ended;
   for (auto& [vm, operation] : m_operations) {
     AdvanceOne(now, vm, &operation);
-    const bool gave_up =
-        operation.phase == Phase::kVacating && now - operation.since > kVacateGiveUp;
     const auto listed = m_list.vms().find(vm);
-    // A VM counts as away until a list that was read about then or later shows it out of upkeep.
-    const bool back =
-        operation.phase == Phase::kAway && now >= operation.away_until &&
-        m_list.sent() >= operation.away_until - kAwayMargin &&
-        (listed == m_list.vms().end() || listed->second.state != ListedVmState::kInUpkeep);
-    if (gave_up || back) {
+    if (HasEnded(operation, now, m_list.sent(),
+                 listed == m_list.vms().end() ? nullptr : &listed->second)) {
       ended.push_back(vm);
     }
   }
@@ -297,26 +257,26 @@
   }
 }
 
-void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, Operation* operation) {
-  if (operation->phase == Phase::kVacating) {
+void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation) {
+  if (operation->phase == VmOperation::Phase::kVacating) {
     if (!MayTakeDown(now, operation->worker)) {
-      const Duration bound = operation->upkeep ? kVacateBound : kMoveVacateBound;
-      m_parts.scheduler->VacateWorker(now, operation->worker, now - operation->since > bound);
+      m_parts.scheduler->VacateWorker(now, operation->worker,
+                                      now - operation->since > VacateBound(*operation));
       return;
     }
-    operation->phase = Phase::kOrdering;
+    operation->phase = VmOperation::Phase::kOrdering;
   }
-  if (operation->phase == Phase::kOrdering && !operation->in_flight && now >= operation->retry_at &&
-      MayOrder(now)) {
+  if (operation->phase == VmOperation::Phase::kOrdering && !operation->in_flight &&
+      now >= operation->retry_at && MayOrder(now)) {
     if (!MayTakeDown(now, operation->worker)) {
-      operation->phase = Phase::kVacating;
+      operation->phase = VmOperation::Phase::kVacating;
       return;
     }
     SendOrder(now, vm, operation);
   }
 }
 
-void VmFleet::SendOrder(TimePoint now, const std::string& vm, Operation* operation) {
+void VmFleet::SendOrder(TimePoint now, const std::string& vm, VmOperation* operation) {
   if (operation->token == 0) {
     operation->token = ++m_last_token;
   }
@@ -344,7 +304,7 @@
   if (it == m_operations.end() || it->second.token != token) {
     return;
   }
-  Operation& operation = it->second;
+  VmOperation& operation = it->second;
   operation.in_flight = false;
   LogLine(LogLevel::kInfo, "vm_order")
       .Field("vm", vm)
@@ -354,9 +314,9 @@
       .Field("outcome", static_cast<int>(outcome));
   switch (outcome) {
     case VmOrderOutcome::kDone:
-      operation.phase = Phase::kAway;
+      operation.phase = VmOperation::Phase::kAway;
       operation.away_until =
-          now + (operation.upkeep ? m_settings.upkeep_time : m_settings.move_time) + kAwayMargin;
+          AwayUntil(now, operation.upkeep ? m_settings.upkeep_time : m_settings.move_time);
       m_parts.scheduler->RetireWorker(now, operation.worker);
       m_list.ReadAt(std::min(m_list.next_read(), operation.away_until));
       if (operation.upkeep) {
