--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -184,19 +184,42 @@
     }
   }
 
-  void Submit(const std::string& id, int tasks) {
+  /// Runs steps in each of which all workers reply.
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      Step();
+      ReplyToRenewals();
+    }
+  }
+
+  /// Submits a job with one step.
+  void SubmitStep(const std::string& id, StepSpec step) {
     JobSpec spec;
     spec.id = id;
     spec.queue = "queue";
     spec.pool = "pool";
-    StepSpec step;
-    step.count = tasks;
-    step.per_task = {10, 1, 0};
     step.estimate_ms = 500;
     spec.steps.push_back(step);
     scheduler.Submit(At(), spec, [](bool) {});
   }
 
+  void Submit(const std::string& id, int tasks) {
+    StepSpec step;
+    step.count = tasks;
+    step.per_task = {10, 1, 0};
+    SubmitStep(id, step);
+  }
+
+  /// Submits a job of long-running tasks, of which each needs a VM of its own.
+  void SubmitLongRunning(int tasks) {
+    StepSpec step;
+    step.count = tasks;
+    step.per_task = {1'000, 100, 0};
+    step.long_running = true;
+    step.max_per_vm = 1;
+    SubmitStep("lasting", step);
+  }
+
   /// Runs a job with one task until its end is listed. @return the worker of the run
   std::string RunTask() {
     Submit("job", 1);
