Read and answer requests that arrive in the last turn of a stopping daemon

Callers got no answer to a whole request if the process ended in the turn of the event loop that accepted its connection, or in the turn that read a request that evhttp refuses itself (a method that is not allowed, for example). The end waited only for requests that the handler had seen; the connection was reset.

Once the process may end, it now stops accepting callers' connections and lets the event loop run another turn, and ends if no request is open then. The latest end stays as it was.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -52,7 +52,9 @@
   void SetSettings(Now now, const JobSettings& settings);
   /// Begins a graceful shutdown.
   void BeginShutdown(TimePoint now);
-  bool finished(TimePoint now) const;
+  /// Returns whether the process may end. Before it does so for the first time, it accepts no more
+  /// connections of callers, and the event loop must run another turn.
+  bool finished(TimePoint now);
   /// Returns the number of callers' requests whose response is not yet written completely.
   std::size_t open_requests() const { return m_caller_server.open_requests(); }
   /// Returns whether this daemon owns the schedule, so that its loop has frequent work.
@@ -91,7 +93,8 @@
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
   std::optional<TimePoint> m_stopping_since;
-  std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and stopped acting.
+  bool m_ended_accepting = false;  ///< Connections of callers, before the end of the process.
+  std::string m_stopped_owner;     ///< Incarnation of an owner that handed over and stopped acting.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
   TimePoint m_callers_checked{};
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -358,7 +358,7 @@
       .Field("open_requests", m_gateway.open_requests());
 }
 
-bool JobService::finished(TimePoint now) const {
+bool JobService::finished(TimePoint now) {
   if (!m_stopping_since) {
     return false;
   }
@@ -368,7 +368,15 @@
   state.owner = m_ownership.owned();
   // A response that was given is written in a later turn of the event loop.
   state.answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
-  return MayEnd(state);
+  if (!MayEnd(state)) {
+    return false;
+  }
+  // A connection that was accepted in this turn of the event loop is read in a later one.
+  const bool accepts = !std::exchange(m_ended_accepting, true);
+  if (accepts) {
+    m_caller_server.StopAccepting();
+  }
+  return !accepts || MustEnd(state);
 }
 
 }  // namespace cranberryplank
--- a/packages/entry/src/stop_timing.cc
+++ b/packages/entry/src/stop_timing.cc
@@ -19,10 +19,13 @@
 }  // namespace
 
 bool MayEnd(const StopState& state) {
-  const Duration end = state.grace - kGraceReserve;
-  return (state.answered &&
-          ((state.elapsed >= kUnreadyTime && !state.owner) || state.elapsed >= end)) ||
-         state.elapsed >= end + kLastWrites;
+  const bool time_is_over = state.elapsed >= state.grace - kGraceReserve;
+  const bool handed_over = state.elapsed >= kUnreadyTime && !state.owner;
+  return (state.answered && (handed_over || time_is_over)) || MustEnd(state);
+}
+
+bool MustEnd(const StopState& state) {
+  return state.elapsed >= state.grace - kGraceReserve + kLastWrites;
 }
 
 Duration AnswerTime(Duration grace) { return grace - kGraceReserve - kLastWrites; }
--- a/packages/entry/src/stop_timing.h
+++ b/packages/entry/src/stop_timing.h
@@ -15,6 +15,8 @@
 
 /// Returns whether the process may end.
 bool MayEnd(const StopState& state);
+/// Returns whether the process must end, even if requests have no response.
+bool MustEnd(const StopState& state);
 
 /// Returns the time after the begin of a stop by which callers' requests must have a response.
 /// @param grace longest time that a stop may take
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -100,8 +100,8 @@
   ShutdownFixture(const ShutdownFixture&) = delete;
   ShutdownFixture& operator=(const ShutdownFixture&) = delete;
 
-  void SendRequest() {
-    const std::string text = "POST /job HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+  void SendRequest(const std::string& method = "POST") {
+    const std::string text = method + " /job HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
     REQUIRE(send(m_caller, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
   }
 
@@ -284,6 +284,40 @@
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
+// Guards against a whole request that gets no answer: the process ended in the turn of the event
+// loop that accepted its connection, before the next turn read it.
+TEST_CASE("a stopping daemon answers a request whose connection was accepted last") {
+  ShutdownFixture fixture;
+  const TimePoint stopped = Clock::now();
+  fixture.service().BeginShutdown(stopped);
+  fixture.SendRequest();
+  fixture.RunOneTurn();
+  REQUIRE(fixture.service().open_requests() == 0);  // The connection is accepted, but not read.
+  const TimePoint later = stopped + Duration(3'000);
+  while (!fixture.service().finished(later) && Clock::now() < stopped + Duration(5'000)) {
+    fixture.RunOneTurn();
+  }
+  CHECK(fixture.service().finished(later));
+  CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
+}
+
+// Guards against a whole request that gets no answer: evhttp refuses a method itself, so the daemon
+// does not count the request as open, and ended before the refusal was written.
+TEST_CASE("a stopping daemon writes the response to a request that its HTTP server refuses") {
+  ShutdownFixture fixture;
+  const TimePoint stopped = Clock::now();
+  fixture.service().BeginShutdown(stopped);
+  fixture.SendRequest("PATCH");
+  fixture.RunOneTurn();  // Accepts the connection.
+  fixture.RunOneTurn();  // Reads the request.
+  const TimePoint later = stopped + Duration(3'000);
+  while (!fixture.service().finished(later) && Clock::now() < stopped + Duration(5'000)) {
+    fixture.RunOneTurn();
+  }
+  CHECK(fixture.service().finished(later));
+  CHECK(fixture.Received().find("HTTP/1.1 501") == 0);
+}
+
 // Guards against a schedule without an owner while all daemons are being stopped: the owner stopped
 // acting seconds before its process ended, though all others had refused to take over.
 TEST_CASE("a stopping owner acts until another daemon takes over") {
--- a/packages/entry/tests/stop_timing_test.cc
+++ b/packages/entry/tests/stop_timing_test.cc
@@ -29,6 +29,8 @@
   CHECK(AnswerTime(kGrace) == Duration(4'800));
   CHECK_FALSE(MayEnd({Duration(5'399), kGrace, true, false}));
   CHECK(MayEnd({Duration(5'400), kGrace, true, false}));
+  CHECK_FALSE(MustEnd({Duration(5'399), kGrace, true, false}));
+  CHECK(MustEnd({Duration(5'400), kGrace, true, false}));
 }
 
 // Guards against a hand-over to a weak VM while a strong one may still come, and against one that
