--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -9,13 +9,16 @@
 #include "cranberryplank/daemon/api_server.h"
 #include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/entry/caller_gateway.h"
+#include "cranberryplank/entry/daemon_peers.h"
 #include "cranberryplank/entry/job_settings.h"
+#include "cranberryplank/entry/operator_items.h"
 #include "cranberryplank/entry/owner_client.h"
 #include "cranberryplank/entry/platform_format.h"
+#include "cranberryplank/entry/schedule_claim.h"
+#include "cranberryplank/entry/schedule_hand_over.h"
 #include "cranberryplank/entry/schedule_owner.h"
 #include "cranberryplank/entry/schedule_ownership.h"
 #include "cranberryplank/entry/vm_control.h"
-#include "cranberryplank/entry/watched_prefix.h"
 #include "cranberryplank/model/random.h"
 
 struct event_base;
@@ -49,41 +52,28 @@
   void SetSettings(Now now, const JobSettings& settings);
   /// Begins a graceful shutdown.
   void BeginShutdown(TimePoint now);
-  bool finished(TimePoint now) const;
+  /// Returns whether the process may end. Before it does so for the first time, it accepts no more
+  /// connections of callers, and the event loop must run another turn.
+  bool finished(TimePoint now);
   /// Returns the number of callers' requests whose response is not yet written completely.
   std::size_t open_requests() const { return m_caller_server.open_requests(); }
   /// Returns whether this daemon owns the schedule, so that its loop has frequent work.
   bool owner() const { return m_owner != nullptr; }
 
  private:
-  /// A daemon that has called this one.
-  struct Peer {
-    TimePoint last_call{};
-    double cores = 0;
-    int state_format = kSingleProgressFormat;
-    TimePoint ask_again_at{};  ///< Before that, it is not asked again to take over.
-  };
-
-  void OnOperatorItem(TimePoint now, const KvItem& item);
+  void OnConfig(TimePoint now);
+  void OnWave(TimePoint now, const UpkeepWave& wave);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
   void FollowOwner(TimePoint now);
   /// Returns whether all daemons that have called recently, and so may take over, read the progress
   /// log.
   bool AllReadProgressLog(TimePoint now) const;
-  void ConsiderClaim(TimePoint now);
-  /// Finds out whether an owner that does not answer still writes to the store.
-  void ReadCursorOfSilentOwner(TimePoint now, Duration silence);
-  Duration ClaimDelay() const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
-  void HandOver(TimePoint now);
-  void OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status);
   void AskPredecessor(TimePoint now);
-  ConfigAge ConfigAgeAt(TimePoint now) const;
-  void RecordNewestConfigVersion(TimePoint now, std::uint64_t version);
   SchedulerSettings SchedulerSettingsOf() const;
   VmFleetSettings FleetSettingsOf() const;
 
@@ -92,31 +82,21 @@
   std::string m_address;  ///< Address for calls between daemons.
   std::string m_last_reason;
   Metrics m_metrics;
-  WatchedPrefix m_operators;
-  std::shared_ptr<const ClusterConfig> m_config;
-  std::map<std::int64_t, UpkeepWave> m_waves;
+  OperatorItems m_operators;
   ScheduleOwnership m_ownership;
   OwnerClient m_owner_client;
+  DaemonPeers m_peers;
+  ScheduleClaim m_claim;
+  ScheduleHandOver m_hand_over;
   std::string m_followed_incarnation;  ///< Incarnation of the owner that `m_owner_client` pings.
   CallerGateway m_gateway;
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
-  std::map<std::string, Peer> m_peers;  ///< Daemons that called, by address.
-  std::optional<TimePoint> m_claim_at;
-  std::optional<std::uint64_t> m_cursor_seen;  ///< Its revision, read while the owner is silent.
-  std::optional<TimePoint> m_owner_wrote_at;   ///< When the cursor was last seen to have changed.
-  bool m_reading_cursor = false;
-  TimePoint m_next_cursor_read{};
-  bool m_asked_to_take_over = false;
   std::optional<TimePoint> m_stopping_since;
-  TimePoint m_next_hand_over{};
-  int m_hand_overs_not_refused = 0;  ///< Calls after which a daemon may take over.
-  std::string m_stopped_owner;  ///< Incarnation of an owner that handed over and stopped acting.
+  bool m_ended_accepting = false;  ///< Connections of callers, before the end of the process.
+  std::string m_stopped_owner;     ///< Incarnation of an owner that handed over and stopped acting.
   bool m_predecessor_ended = false;
   TimePoint m_predecessor_asked{};
-  std::uint64_t m_newest_config = 0;        ///< Newest version reported by another daemon.
-  std::optional<TimePoint> m_behind_since;  ///< Since when `m_config` is known to be outdated.
-  TimePoint m_last_refresh{};
   TimePoint m_callers_checked{};
   ApiServer m_caller_server;
   ApiServer m_ready_server;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -7,48 +7,18 @@
 
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/http_status.h"
+#include "owner_metrics.h"
+#include "stop_timing.h"
 
 namespace cranberryplank {
 
 namespace {
 
-constexpr Duration kConfigWatchWait{1'000};
-/// Part of the revocation bound reserved for processing a request in the daemon.
-constexpr Duration kRevocationMargin{400};
-constexpr Duration kClaimJitter{120};
-/// Claim delays of a VM without processing power. A VM as strong as the strongest one known, or
-/// with `kStrongVmCores` if none is known, claims without delay.
-constexpr Duration kWeakVmDelay{500};
-constexpr Duration kWeakVmFirstDelay{1'500};  ///< A starting fleet has no work to delay.
-constexpr double kStrongVmCores = 0.5;
-constexpr Duration kOwnWatchTime{600};
-constexpr Duration kRefreshInterval{500};
 constexpr Duration kCallerCheckInterval{500};
-/// Time that the platform takes to detect that a daemon is not ready.
-constexpr Duration kUnreadyTime{2'400};
-/// Part of the grace period that remains when the process ends.
-constexpr Duration kGraceReserve{900};
-/// Time before the end of the process in which the last responses are written. The end is delayed
-/// by at most this time if some are not yet written.
-constexpr Duration kLastWrites{300};
 constexpr Duration kTakeOverTimeout{300};
-constexpr Duration kHandOverInterval{500};
-/// Time at the end of a stop in which the owner hands over to a daemon on any VM. Before that, it
-/// waits for one whose VM has at least `kSuccessorShare` of its own processing power.
-constexpr Duration kHandOverToAny{2'000};
-constexpr double kSuccessorShare = 0.5;
-/// A daemon that called within this time can take over the schedule.
-constexpr Duration kRecentCall{2'500};
 constexpr Duration kPredecessorInterval{250};
-/// An owner that has not answered for this long is watched by what it writes to the store.
-constexpr Duration kSilenceBeforeCursor{400};
-constexpr Duration kCursorReadInterval{200};
-/// Pings that the owner asks all other daemons together to send.
-constexpr int kPingsPerSecond = 200;
 /// Time in which a new owner is called by all other daemons.
 constexpr Duration kFirstPings{1'500};
-/// A daemon that has not called for this long is forgotten.
-constexpr Duration kMayTakeOver{10'000};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
 constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
@@ -78,19 +48,21 @@
     : m_settings(settings),
       m_parts(parts),
       m_address(AddressText(settings.daemon_listen)),
-      m_operators(parts.store, std::string(parts.format->OperatorPrefix()), kConfigWatchWait,
-                  [this](TimePoint now, const KvItem& item) { OnOperatorItem(now, item); }),
+      m_operators(parts.store, parts.format),
       m_ownership(parts.store, "duty/schedule", SelfRecord(settings, m_address, parts.random)),
       m_owner_client(parts.http, m_address, CoresOf(settings)),
+      m_claim(parts.store, &m_ownership, &m_owner_client, parts.random),
+      m_hand_over(&m_ownership, &m_owner_client, &m_peers, m_address),
       m_gateway(parts.format, &m_metrics,
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
                 }),
-      m_caller_server(
-          base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
-          [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
-            m_gateway.Handle({now, UnixMilliseconds()}, m_config.get(), ConfigAgeAt(now), exchange);
-          }),
+      m_caller_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kCallerIdle},
+                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+                        m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
+                                         m_operators.ConfigAgeAt(now, m_settings.revocation_bound),
+                                         exchange);
+                      }),
       m_ready_server(base, {kMaxBodyBytes, kMaxHeaderBytes, kDaemonIdle},
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
@@ -105,6 +77,8 @@
                        }) {
   m_ownership.signal_acquired().connect(sigc::mem_fun(*this, &JobService::OnAcquired));
   m_ownership.signal_lost().connect(sigc::mem_fun(*this, &JobService::OnLost));
+  m_operators.signal_config().connect(sigc::mem_fun(*this, &JobService::OnConfig));
+  m_operators.signal_wave().connect(sigc::mem_fun(*this, &JobService::OnWave));
   const TimePoint now = Clock::now();
   m_operators.Start(now);
   m_ownership.Read(now);
@@ -153,57 +127,32 @@
   }
 }
 
-void JobService::OnOperatorItem(TimePoint now, const KvItem& item) {
-  if (m_parts.format->IsConfigKey(item.key)) {
-    const auto config = item.deleted ? std::nullopt : m_parts.format->DecodeConfig(item);
-    if (!config) {
-      LogLine(LogLevel::kError, "unreadable_config").Field("revision", item.revision);
-      return;
-    }
-    if (m_config && config->version <= m_config->version) {
-      return;
-    }
-    m_config = std::make_shared<const ClusterConfig>(*config);
-    m_behind_since.reset();
-    LogLine(LogLevel::kInfo, "config")
-        .Field("version", m_config->version)
-        .Field("revision", item.revision)
-        .Field("queues", m_config->queues.size())
-        .Field("customers", m_config->customers.size());
-    if (m_owner) {
-      m_owner->SetConfig({now, UnixMilliseconds()}, m_config);
-    }
-    return;
-  }
-  if (!m_parts.format->IsWaveKey(item.key) || item.deleted) {
-    return;
-  }
-  const auto wave = m_parts.format->DecodeWave(item);
-  if (!wave) {
-    LogLine(LogLevel::kError, "unreadable_wave").Field("key", item.key);
-    return;
+void JobService::OnConfig(TimePoint now) {
+  if (m_owner) {
+    m_owner->SetConfig({now, UnixMilliseconds()}, m_operators.config());
   }
-  m_waves[wave->number] = *wave;
+}
+
+void JobService::OnWave(TimePoint now, const UpkeepWave& wave) {
   if (m_owner) {
-    m_owner->SetWave(now, *wave);
+    m_owner->SetWave(now, wave);
   }
 }
 
 void JobService::OnAcquired(TimePoint now) {
   m_owner_ended = false;
-  m_claim_at.reset();
-  m_asked_to_take_over = false;
+  m_claim.Reset();
   m_owner.reset();  // Its destructor would redirect the workers' replies away from the new owner.
   m_owner = std::make_unique<ScheduleOwner>(
       ScheduleOwnerParts{m_parts.store, m_parts.workers, m_parts.format, &m_ownership,
                          m_parts.machines},
       SchedulerSettingsOf(), FleetSettingsOf());
   const Now at{now, UnixMilliseconds()};
-  for (const auto& [number, wave] : m_waves) {
+  for (const auto& [number, wave] : m_operators.waves()) {
     m_owner->SetWave(now, wave);
   }
-  if (m_config) {
-    m_owner->SetConfig(at, m_config);
+  if (m_operators.config()) {
+    m_owner->SetConfig(at, m_operators.config());
   }
   m_owner->Begin(at);
   m_predecessor_asked = now;
@@ -223,7 +172,7 @@
   m_predecessor_asked = now;
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
-  ping.config_version = m_config ? m_config->version : 0;
+  ping.config_version = m_operators.config_version();
   const OwnershipRecord predecessor = *m_ownership.predecessor();
   m_owner_client.Call(predecessor.address, ping, kTakeOverTimeout,
                       [this, predecessor](TimePoint at, const OwnerReply& reply) {
@@ -253,7 +202,9 @@
   m_operators.Tick(now.time);
   m_ownership.Tick(now.time);
   FollowOwner(now.time);
-  ConsiderClaim(now.time);
+  if (!m_stopping_since) {
+    m_claim.Tick(now.time, CoresOf(m_settings), m_operators.confirmed_at());
+  }
   if (m_owner && m_ownership.owned()) {
     AskPredecessor(now.time);
     m_owner->SetProgressInLog(now.time, AllReadProgressLog(now.time));
@@ -264,8 +215,10 @@
     }
   }
   m_gateway.Tick(now.time);
-  if (m_stopping_since && m_ownership.owned() && now.time >= m_next_hand_over) {
-    HandOver(now.time);
+  if (m_stopping_since) {
+    const auto elapsed = std::chrono::duration_cast<Duration>(now.time - *m_stopping_since);
+    m_hand_over.Tick(now.time,
+                     LeastSuccessorCores(elapsed, m_settings.shutdown_grace, CoresOf(m_settings)));
   }
   if (now.time - m_callers_checked >= kCallerCheckInterval) {
     m_callers_checked = now.time;
@@ -281,114 +234,15 @@
     m_followed_incarnation = incarnation;
     m_owner_client.SetOwner(now, incarnation.empty() ? std::string() : record->address);
   }
-  m_owner_client.Tick(now, m_config ? m_config->version : 0);
-  RecordNewestConfigVersion(now, m_owner_client.owner_config_version());
+  m_owner_client.Tick(now, m_operators.config_version());
+  m_operators.RecordNewestVersion(now, m_owner_client.owner_config_version());
   if (!incarnation.empty() && m_owner_client.denies_ownership()) {
     m_ownership.Read(now);
   }
 }
 
-void JobService::ReadCursorOfSilentOwner(TimePoint now, Duration silence) {
-  if (silence < kSilenceBeforeCursor) {
-    m_cursor_seen.reset();
-    m_owner_wrote_at.reset();
-    return;
-  }
-  if (m_reading_cursor || now < m_next_cursor_read) {
-    return;
-  }
-  m_reading_cursor = true;
-  m_next_cursor_read = now + kCursorReadInterval;
-  m_parts.store->Get(kCursorKey, [this, now](TimePoint, const KvReadReply& reply) {
-    m_reading_cursor = false;
-    if (reply.status != KvStatus::kOk || reply.items.empty()) {
-      return;
-    }
-    const std::uint64_t revision = reply.items.front().revision;
-    if (m_cursor_seen && *m_cursor_seen != revision) {
-      m_owner_wrote_at = now;
-    }
-    m_cursor_seen = revision;
-  });
-}
-
 bool JobService::AllReadProgressLog(TimePoint now) const {
-  return now - m_ownership.record_changed_at() >= kFirstPings &&
-         std::all_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
-           return item.second.state_format >= kProgressLogFormat;
-         });
-}
-
-ConfigAge JobService::ConfigAgeAt(TimePoint now) const {
-  ConfigAge age;
-  age.age = std::chrono::duration_cast<Duration>(now - m_operators.confirmed_at());
-  age.max_age = m_settings.revocation_bound - kRevocationMargin;
-  age.newer_exists = m_config && m_newest_config > m_config->version;
-  return age;
-}
-
-void JobService::RecordNewestConfigVersion(TimePoint now, std::uint64_t version) {
-  if (!m_config || version <= m_config->version) {
-    return;
-  }
-  m_newest_config = std::max(m_newest_config, version);
-  if (!m_behind_since) {
-    m_behind_since = now;
-    LogLine(LogLevel::kInfo, "config_behind")
-        .Field("known", m_config->version)
-        .Field("newer", version);
-  }
-  // This daemon's own watch usually delivers the new version soon; a large configuration takes
-  // longer on a slow link.
-  if (now - *m_behind_since >= kOwnWatchTime && now - m_last_refresh >= kRefreshInterval) {
-    m_last_refresh = now;
-    m_operators.Refresh(now);
-  }
-}
-
-/// Returns a delay that lets daemons on stronger VMs claim first, because the owner does most of
-/// the work.
-Duration JobService::ClaimDelay() const {
-  const double known = m_owner_client.strongest_cores();
-  const double strongest = known > 0 ? known : kStrongVmCores;
-  const double missing = std::clamp(1 - CoresOf(m_settings) / strongest, 0.0, 1.0);
-  const Duration longest = m_ownership.record() ? kWeakVmDelay : kWeakVmFirstDelay;
-  return Duration(static_cast<Duration::rep>(missing * static_cast<double>(longest.count())));
-}
-
-void JobService::ConsiderClaim(TimePoint now) {
-  if (m_ownership.owned() || !m_ownership.known() || m_stopping_since) {
-    return;
-  }
-  ClaimInput input;
-  input.owner_known = m_ownership.record().has_value();
-  input.own_stale_record = m_ownership.is_own_stale_record();
-  input.denies_ownership = m_owner_client.denies_ownership();
-  input.refused = m_owner_client.refused();
-  input.owner_store_unreachable = m_owner_client.owner_store_unreachable();
-  input.silence = m_owner_client.silence(now);
-  ReadCursorOfSilentOwner(now, input.silence);
-  if (m_owner_wrote_at) {
-    input.since_write = std::chrono::duration_cast<Duration>(now - *m_owner_wrote_at);
-  }
-  input.known_for = std::chrono::duration_cast<Duration>(now - m_ownership.record_changed_at());
-  const TimePoint answered = std::max(m_ownership.store_answered(), m_operators.confirmed_at());
-  input.store_age = std::chrono::duration_cast<Duration>(now - answered);
-  if (!m_asked_to_take_over && !ShouldClaim(input)) {
-    m_claim_at.reset();
-    return;
-  }
-  if (!m_claim_at) {
-    const auto jitter = m_asked_to_take_over || input.own_stale_record
-                            ? 0
-                            : m_parts.random->Below(kClaimJitter.count());
-    m_claim_at = now + ClaimDelay() + Duration(static_cast<Duration::rep>(jitter));
-  }
-  if (now >= *m_claim_at) {
-    m_claim_at.reset();
-    m_asked_to_take_over = false;
-    m_ownership.Claim(now);
-  }
+  return now - m_ownership.record_changed_at() >= kFirstPings && m_peers.AllReadProgressLog();
 }
 
 void JobService::CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
@@ -420,25 +274,16 @@
     return;
   }
   if (!call->sender.empty()) {
-    std::erase_if(m_peers,
-                  [&](const auto& item) { return now - item.second.last_call > kMayTakeOver; });
-    Peer& peer = m_peers[call->sender];
-    peer.last_call = now;
-    peer.cores = call->cores;
-    peer.state_format = call->state_format;
+    m_peers.RecordCall(now, *call);
   }
-  RecordNewestConfigVersion(now, call->config_version);
+  m_operators.RecordNewestVersion(now, call->config_version);
   const auto answer = [this, exchange](TimePoint at, OwnerReply reply) {
-    reply.config_version = m_config ? m_config->version : 0;
+    reply.config_version = m_operators.config_version();
     reply.epoch = m_ownership.revision();
     reply.incarnation = m_ownership.incarnation();
-    reply.strongest_cores = CoresOf(m_settings);
-    for (const auto& [address, peer] : m_peers) {
-      const bool recent = at - peer.last_call <= kRecentCall;
-      reply.strongest_cores = std::max(reply.strongest_cores, recent ? peer.cores : 0);
-    }
+    reply.strongest_cores = m_peers.StrongestCores(at, CoresOf(m_settings));
     const bool writes_fail = m_owner && m_owner->ready() && m_owner->store_failing(at);
-    reply.ping_interval_ms = static_cast<std::int64_t>(m_peers.size()) * 1'000 / kPingsPerSecond;
+    reply.ping_interval_ms = m_peers.PingIntervalMs();
     reply.store_reached = !writes_fail && at - m_ownership.store_answered() < kStoreSilence;
     ApiResponse encoded;
     encoded.content_type = "application/octet-stream";
@@ -447,9 +292,10 @@
   };
   OwnerReply reply;
   if (call->kind == OwnerCallKind::kTakeOver) {
-    reply.status = m_stopping_since || !m_config ? OwnerStatus::kNotReady : OwnerStatus::kOk;
+    reply.status =
+        m_stopping_since || !m_operators.config() ? OwnerStatus::kNotReady : OwnerStatus::kOk;
     if (reply.status == OwnerStatus::kOk) {
-      m_asked_to_take_over = true;
+      m_claim.RequestTakeOver();
       m_stopped_owner = call->incarnation;
       m_ownership.Read(now);
     }
@@ -479,46 +325,21 @@
   const bool fresh = now - m_operators.confirmed_at() < m_settings.revocation_bound;
   ApiResponse response;
   response.body = "{}";
-  response.status =
-      m_config && fresh && !m_stopping_since ? http_status::kOk : http_status::kUnavailable;
+  response.status = m_operators.config() && fresh && !m_stopping_since ? http_status::kOk
+                                                                       : http_status::kUnavailable;
   exchange->Reply(response);
 }
 
 void JobService::HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
   m_metrics.SetGauge("cranberryplank_owner", m_ownership.owned() ? 1 : 0);
   m_metrics.SetGauge("cranberryplank_config_version",
-                     m_config ? static_cast<double>(m_config->version) : 0);
+                     static_cast<double>(m_operators.config_version()));
   m_metrics.SetGauge("cranberryplank_config_age_seconds",
                      std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
   m_metrics.SetGauge("cranberryplank_open_requests",
                      static_cast<double>(m_gateway.open_requests()));
   if (m_owner && m_owner->ready()) {
-    if (const VmFleet* fleet = m_owner->fleet()) {
-      m_metrics.SetTotal("cranberryplank_vm_moves_total", fleet->moves());
-      m_metrics.SetTotal("cranberryplank_vm_upkeeps_total", fleet->upkeeps());
-    }
-    const OwnerLoadReport& load = m_owner->load().last_report();
-    m_metrics.SetGauge("cranberryplank_owner_longest_turn_seconds",
-                       std::chrono::duration<double>(load.longest_turn).count());
-    m_metrics.SetGauge("cranberryplank_oldest_unstored_change_seconds",
-                       std::chrono::duration<double>(load.oldest_unstored).count());
-    m_metrics.SetGauge("cranberryplank_starts_per_pass", load.fewest_starts);
-    const SchedulerCounters& counters = m_owner->scheduler()->counters();
-    m_metrics.SetTotal("cranberryplank_task_starts_total", counters.starts);
-    m_metrics.SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
-    m_metrics.SetTotal("cranberryplank_uncertain_starts_total", counters.uncertain_starts);
-    m_metrics.SetTotal("cranberryplank_task_stops_total", counters.stops);
-    m_metrics.SetTotal("cranberryplank_holds_total", counters.renewals);
-    m_metrics.SetTotal("cranberryplank_failed_holds_total", counters.failed_renewals);
-    m_metrics.SetTotal("cranberryplank_tasks_done_total", counters.tasks_done);
-    m_metrics.SetTotal("cranberryplank_tasks_failed_total", counters.tasks_failed);
-    m_metrics.SetTotal("cranberryplank_runs_lost_total", counters.runs_lost);
-    m_metrics.SetTotal("cranberryplank_reborn_workers_total", counters.restarted_workers);
-    m_metrics.SetTotal("cranberryplank_worker_crashes_total", counters.worker_crashes);
-    m_metrics.SetTotal("cranberryplank_crashing_tasks_total", counters.crashing_tasks);
-    m_metrics.SetTotal("cranberryplank_jobs_done_total", counters.jobs_done);
-    m_metrics.SetTotal("cranberryplank_jobs_failed_total", counters.jobs_failed);
-    m_metrics.SetTotal("cranberryplank_jobs_cancelled_total", counters.jobs_cancelled);
+    RecordOwnerMetrics(m_owner.get(), &m_metrics);
   }
   ApiResponse response;
   response.content_type = "text/plain; version=0.0.4";
@@ -531,78 +352,31 @@
     return;
   }
   m_stopping_since = now;
-  m_gateway.Close(now + m_settings.shutdown_grace - kGraceReserve - kLastWrites);
+  m_gateway.Close(now + AnswerTime(m_settings.shutdown_grace));
   LogLine(LogLevel::kInfo, "stopping")
       .Field("owner", m_ownership.owned())
       .Field("open_requests", m_gateway.open_requests());
 }
 
-void JobService::HandOver(TimePoint now) {
-  m_next_hand_over = now + kHandOverInterval;
-  std::erase_if(m_peers,
-                [&](const auto& item) { return now - item.second.last_call > kRecentCall; });
-  // A weak VM takes seconds to read the state, in which nothing keeps running work alive.
-  const Duration time_to_act = m_settings.shutdown_grace - kGraceReserve - kHandOverToAny;
-  const bool waits = now - *m_stopping_since < time_to_act;
-  const double least_cores = waits ? kSuccessorShare * CoresOf(m_settings) : 0;
-  auto strongest = m_peers.end();
-  for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-    const bool stronger = strongest == m_peers.end() || it->second.cores > strongest->second.cores;
-    if (now >= it->second.ask_again_at && it->second.cores >= least_cores && stronger) {
-      strongest = it;
-    }
-  }
-  if (strongest == m_peers.end()) {
-    m_next_hand_over = now;
-    return;
-  }
-  // The successor may assume that this daemon grants no leases after this point. So this daemon
-  // sends no more orders unless the successor refuses.
-  m_ownership.StepDown();
-  ++m_hand_overs_not_refused;
-  OwnerCall call;
-  call.kind = OwnerCallKind::kTakeOver;
-  call.sender = m_address;
-  call.incarnation = m_ownership.incarnation();
-  LogLine(LogLevel::kInfo, "hand_over").Field("to", strongest->first);
-  m_owner_client.Call(strongest->first, call, kTakeOverTimeout,
-                      [this, address = strongest->first](TimePoint at, const OwnerReply& reply) {
-                        OnHandOverReply(at, address, reply.status);
-                      });
-}
-
-void JobService::OnHandOverReply(TimePoint now, const std::string& address, OwnerStatus status) {
-  if (status == OwnerStatus::kOk) {
-    return;
-  }
-  m_next_hand_over = now;
-  // While all daemons are being stopped, none takes over for some seconds. A daemon that refused,
-  // or that the call did not reach, never acts on it, so this one goes on as the owner.
-  const bool refused = status == OwnerStatus::kNotReady || status == OwnerStatus::kNotOwner;
-  if (refused && --m_hand_overs_not_refused == 0) {
-    m_ownership.Resume();
-  }
-  const auto peer = m_peers.find(address);
-  if (peer == m_peers.end()) {
-    return;
-  }
-  if (status == OwnerStatus::kNotReady) {
-    peer->second.ask_again_at = now + kHandOverInterval;
-  } else {
-    m_peers.erase(peer);
-  }
-}
-
-bool JobService::finished(TimePoint now) const {
+bool JobService::finished(TimePoint now) {
   if (!m_stopping_since) {
     return false;
   }
-  const auto elapsed = now - *m_stopping_since;
+  StopState state;
+  state.elapsed = std::chrono::duration_cast<Duration>(now - *m_stopping_since);
+  state.grace = m_settings.shutdown_grace;
+  state.owner = m_ownership.owned();
   // A response that was given is written in a later turn of the event loop.
-  const bool answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
-  const Duration end = m_settings.shutdown_grace - kGraceReserve;
-  return (answered && ((elapsed >= kUnreadyTime && !m_ownership.owned()) || elapsed >= end)) ||
-         elapsed >= end + kLastWrites;
+  state.answered = m_caller_server.open_requests() + m_daemon_server.open_requests() == 0;
+  if (!MayEnd(state)) {
+    return false;
+  }
+  // A connection that was accepted in this turn of the event loop is read in a later one.
+  const bool accepts = !std::exchange(m_ended_accepting, true);
+  if (accepts) {
+    m_caller_server.StopAccepting();
+  }
+  return !accepts || MustEnd(state);
 }
 
 }  // namespace cranberryplank
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -1,9 +1,6 @@
 #include "cranberryplank/entry/vm_fleet.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "cranberryplank/model/log.h"
@@ -14,21 +11,10 @@
 
 namespace {
 
-constexpr Duration kListInterval{1'000};
-constexpr Duration kListRetry{400};
 constexpr Duration kPlanInterval{100};
 /// A large wave on many VMs is too much work for each iteration of the event loop.
 constexpr Duration kAdvanceInterval{50};
 constexpr Duration kOrderRetry{300};
-/// A VM that is missing from the list for this long counts as removed.
-constexpr Duration kMissingBound{3'000};
-/// Short tasks on a VM to be taken down for upkeep are stopped after this time.
-constexpr Duration kVacateBound{3'500};
-constexpr Duration kMoveVacateBound{2'500};
-/// Vacating a VM is abandoned after this time. It may be tried again later.
-constexpr Duration kVacateGiveUp{12'000};
-/// Added to the expected duration of an operation, during which the VM counts as away.
-constexpr Duration kAwayMargin{400};
 constexpr std::uint64_t kTokensPerEpoch = 65'536;
 /// Time without runs after which a VM may be moved to a standby pool.
 constexpr Duration kIdleBeforeStandby{600};
@@ -38,42 +24,21 @@
 
 }  // namespace
 
-std::string EncodeWaveProgress(const std::set<std::string>& begun) {
-  return nlohmann::json(begun).dump();
-}
-
-std::set<std::string> DecodeWaveProgress(std::string_view value) {
-  const auto rows = nlohmann::json::parse(value, nullptr, false);
-  try {
-    return rows.get<std::set<std::string>>();
-  } catch (const nlohmann::json::exception& error) {
-    LogLine(LogLevel::kError, "unreadable_wave_progress").Field("reason", error.what());
-    return {};
-  }
-}
-
 VmFleet::VmFleet(const VmFleetParts& parts, const VmFleetSettings& settings, TimePoint begun)
     : m_parts(parts),
       m_settings(settings),
       m_started_at(begun),
+      m_list(parts.machines, begun),
+      m_waves(parts.writer, parts.format),
       m_last_token(parts.ownership->revision() * kTokensPerEpoch) {}
 
 void VmFleet::SetWave(TimePoint now, const UpkeepWave& request) {
-  auto [it, added] = m_waves.try_emplace(request.number);
-  it->second.request = request;
-  if (added || it->second.seen == TimePoint{}) {
-    it->second.seen = now;
-    LogLine(LogLevel::kInfo, "wave")
-        .Field("wave", request.number)
-        .Field("vms", request.vms.size())
-        .Field("within_ms", request.within.count())
-        .Field("at_once", request.max_at_once);
-  }
-  m_next_list = now;
+  m_waves.Set(now, request);
+  m_list.ReadAt(now);
 }
 
 void VmFleet::LoadWaveProgress(std::int64_t wave, const std::set<std::string>& begun) {
-  m_waves[wave].begun.insert(begun.begin(), begun.end());
+  m_waves.LoadProgress(wave, begun);
 }
 
 bool VmFleet::MayOrder(TimePoint now) const {
@@ -83,12 +48,8 @@
 }
 
 void VmFleet::Tick(TimePoint now) {
-  if (!m_list_in_flight && now >= m_next_list) {
-    m_listing.clear();
-    m_listing_sent = now;
-    ReadList();
-  }
-  if (!m_listed) {
+  m_list.Tick(now);
+  if (!m_list.listed()) {
     return;
   }
   if (now >= m_next_plan) {
@@ -104,69 +65,7 @@
   }
 }
 
-void VmFleet::ReadList() {
-  m_list_in_flight = true;
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.machines->List({}, [this, lifetime](TimePoint at, const VmPage& reply) {
-    if (!lifetime.expired()) {
-      OnPage(at, reply);
-    }
-  });
-}
-
-void VmFleet::OnPage(TimePoint now, const VmPage& page) {
-  if (!page.answered) {
-    m_list_in_flight = false;
-    m_next_list = now + kListRetry;
-    return;
-  }
-  for (const ListedVm& vm : page.vms) {
-    m_listing[vm.id] = vm;
-  }
-  if (page.next.empty()) {
-    m_list_in_flight = false;
-    FinishList(now);
-    return;
-  }
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.machines->List(page.next, [this, lifetime](TimePoint at, const VmPage& reply) {
-    if (!lifetime.expired()) {
-      OnPage(at, reply);
-    }
-  });
-}
-
-void VmFleet::FinishList(TimePoint now) {
-  m_next_list = now + kListInterval;
-  for (const auto& [id, vm] : m_vms) {
-    if (!m_listing.contains(id)) {
-      m_missing_since.try_emplace(id, now);
-    }
-  }
-  for (const auto& [id, vm] : m_listing) {
-    m_missing_since.erase(id);
-  }
-  m_vms = std::move(m_listing);
-  m_list_sent = m_listing_sent;
-  m_listing.clear();
-  if (!m_listed) {
-    LogLine(LogLevel::kInfo, "vm_list").Field("vms", m_vms.size());
-  }
-  m_listed = true;
-}
-
-int VmFleet::AwayForWave(std::int64_t wave) const {
-  const auto ordered = std::count_if(
-      m_operations.begin(), m_operations.end(),
-      [&](const auto& item) { return item.second.upkeep && item.second.wave == wave; });
-  // Orders of an earlier owner may be executed late and show only in the list.
-  const auto listed = std::count_if(m_vms.begin(), m_vms.end(), [&](const auto& item) {
-    return item.second.state == ListedVmState::kInUpkeep && !m_operations.contains(item.first);
-  });
-  return static_cast<int>(ordered + listed);
-}
-
-std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const Wave& wave,
+std::vector<UpkeepCandidate> VmFleet::CandidatesOf(const WaveProgress& wave,
                                                    std::span<const JobPoolLoad> loads) const {
   std::map<std::string, double> pressure;
   std::map<std::string, int> sizes;
@@ -174,15 +73,14 @@
   for (const JobPoolLoad& load : loads) {
     pressure[load.pool] = load.backlog_core_s;
   }
-  for (const auto& [id, vm] : m_vms) {
+  for (const auto& [id, vm] : m_list.vms()) {
     ++sizes[vm.pool];
     unavailable[vm.pool] += m_operations.contains(id) ? 1 : 0;
   }
   std::vector<UpkeepCandidate> candidates;
   for (const std::string& id : wave.request.vms) {
-    const auto vm = m_vms.find(id);
-    const bool open = !wave.begun.contains(id) && !wave.given_up.contains(id);
-    if (vm == m_vms.end() || !open || m_operations.contains(id)) {
+    const auto vm = m_list.vms().find(id);
+    if (vm == m_list.vms().end() || wave.IsSettled(id) || m_operations.contains(id)) {
       continue;
     }
     const ClusterConfig* config = m_parts.scheduler->config();
@@ -211,17 +109,17 @@
 }
 
 void VmFleet::PlanWaves(TimePoint now, std::span<const JobPoolLoad> loads) {
-  for (auto& [number, wave] : m_waves) {
+  for (const auto& [number, wave] : m_waves.all()) {
     if (wave.request.vms.empty()) {
       continue;
     }
-    UpdateWave(now, &wave);
+    m_waves.Update(now, m_list, wave);
     if (!MayOrder(now) || wave.done_reported) {
       continue;
     }
     UpkeepWaveState view;
     view.max_at_once = wave.request.max_at_once;
-    view.unavailable = AwayForWave(number);
+    view.unavailable = AwayForWave(number, m_operations, m_list.vms());
     if (view.unavailable >= view.max_at_once) {
       continue;
     }
@@ -229,10 +127,10 @@
     const std::vector<UpkeepCandidate> candidates = CandidatesOf(wave, loads);
     view.remaining = static_cast<int>(candidates.size());
     for (const std::string& vm : ChooseUpkeep(view, candidates)) {
-      Operation operation;
+      VmOperation operation;
       operation.upkeep = true;
       operation.wave = number;
-      operation.worker = m_vms.at(vm).worker;
+      operation.worker = m_list.vms().at(vm).worker;
       operation.since = now;
       m_operations.emplace(vm, operation);
       LogLine(LogLevel::kInfo, "vacate")
@@ -243,52 +141,9 @@
   }
 }
 
-void VmFleet::UpdateWave(TimePoint now, Wave* wave) {
-  const bool done =
-      std::all_of(wave->request.vms.begin(), wave->request.vms.end(), [&](const std::string& vm) {
-        if (wave->begun.contains(vm) || wave->given_up.contains(vm)) {
-          return true;
-        }
-        const auto missing = m_missing_since.find(vm);
-        return !m_vms.contains(vm) &&
-               (missing == m_missing_since.end() ? now - m_started_at >= kMissingBound
-                                                 : now - missing->second >= kMissingBound);
-      });
-  const bool report = (!wave->running_reported && !done) || (done && !wave->done_reported);
-  if ((report || !wave->stored) && !m_storing) {
-    StoreWave(wave, done);
-  }
-}
-
-void VmFleet::StoreWave(Wave* wave, bool done) {
-  const std::int64_t number = wave->request.number;
-  m_storing = true;
-  const std::size_t stored = wave->begun.size();
-  const std::weak_ptr<int> lifetime = m_lifetime;
-  m_parts.writer->Put({m_parts.format->EncodeWaveStatus(number, done),
-                       {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave->begun)}},
-                      [this, lifetime, number, done, stored]() {
-                        if (!lifetime.expired()) {
-                          OnWaveStored(number, done, stored);
-                        }
-                      });
-}
-
-void VmFleet::OnWaveStored(std::int64_t number, bool done, std::size_t begun) {
-  m_storing = false;
-  Wave& wave = m_waves.at(number);
-  wave.running_reported = true;
-  wave.done_reported = done;
-  wave.stored = begun == wave.begun.size();
-  LogLine(LogLevel::kInfo, "wave_status")
-      .Field("wave", number)
-      .Field("begun", begun)
-      .Field("done", done);
-}
-
 std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
   std::map<std::string, std::vector<std::string>> movable;
-  for (const auto& [id, vm] : m_vms) {
+  for (const auto& [id, vm] : m_list.vms()) {
     const ClusterConfig* config = m_parts.scheduler->config();
     const bool standby = config->IsStandby(vm.pool);
     if (m_operations.contains(id) || (vm.state != ListedVmState::kUp && !standby)) {
@@ -311,26 +166,11 @@
   if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
     return;
   }
-  std::size_t under_way = 0;
-  std::map<std::string, int> sizes;
-  for (const auto& [id, vm] : m_vms) {
-    const auto operation = m_operations.find(id);
-    if (operation != m_operations.end()) {
-      // A VM that is vacated for upkeep, or in it, runs nothing for a while, so the pool needs
-      // another one instead.
-      if (!operation->second.upkeep) {
-        ++sizes[operation->second.pool];
-        ++under_way;
-      }
-    } else if (vm.state == ListedVmState::kInUpkeep) {
-      continue;  // An earlier owner ordered it.
-    } else if (vm.state != ListedVmState::kDown ||
-               m_parts.scheduler->config()->IsStandby(vm.pool)) {
-      ++sizes[vm.pool];
-    }
-  }
+  PoolSizes sizes = CountPoolSizes(m_list.vms(), m_operations, [this](const std::string& pool) {
+    return m_parts.scheduler->config()->IsStandby(pool);
+  });
   for (JobPoolLoad& load : loads) {
-    load.vms = sizes[load.pool];
+    load.vms = sizes.vms[load.pool];
     if (load.vm_cores <= 0) {
       load.vm_cores = 1;
       for (const JobPoolLoad& other : loads) {
@@ -346,19 +186,19 @@
   }
   for (const PoolMove& move : PlanMoves(loads, counts)) {
     std::vector<std::string>& vms = movable[move.from];
-    if (vms.empty() || under_way >= m_vms.size() / kMovingDivisor) {
+    if (vms.empty() || sizes.moving >= m_list.vms().size() / kMovingDivisor) {
       continue;
     }
     const std::string vm = vms.back();
     vms.pop_back();
-    const std::string worker = m_vms.at(vm).worker;
+    const std::string worker = m_list.vms().at(vm).worker;
     const bool to_standby = m_parts.scheduler->config()->IsStandby(move.to);
     const Worker* known = m_parts.scheduler->FindWorker(worker);
     if (to_standby && (known == nullptr || now - known->last_used() < kIdleBeforeStandby)) {
       continue;
     }
-    ++under_way;
-    Operation operation;
+    ++sizes.moving;
+    VmOperation operation;
     operation.pool = move.to;
     operation.worker = worker;
     operation.since = now;
@@ -406,14 +246,9 @@
   std::vector<std::string> ended;
   for (auto& [vm, operation] : m_operations) {
     AdvanceOne(now, vm, &operation);
-    const bool gave_up =
-        operation.phase == Phase::kVacating && now - operation.since > kVacateGiveUp;
-    const auto listed = m_vms.find(vm);
-    // A VM counts as away until a list that was read about then or later shows it out of upkeep.
-    const bool back = operation.phase == Phase::kAway && now >= operation.away_until &&
-                      m_list_sent >= operation.away_until - kAwayMargin &&
-                      (listed == m_vms.end() || listed->second.state != ListedVmState::kInUpkeep);
-    if (gave_up || back) {
+    const auto listed = m_list.vms().find(vm);
+    if (HasEnded(operation, now, m_list.sent(),
+                 listed == m_list.vms().end() ? nullptr : &listed->second)) {
       ended.push_back(vm);
     }
   }
@@ -422,26 +257,26 @@
   }
 }
 
-void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, Operation* operation) {
-  if (operation->phase == Phase::kVacating) {
+void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation) {
+  if (operation->phase == VmOperation::Phase::kVacating) {
     if (!MayTakeDown(now, operation->worker)) {
-      const Duration bound = operation->upkeep ? kVacateBound : kMoveVacateBound;
-      m_parts.scheduler->VacateWorker(now, operation->worker, now - operation->since > bound);
+      m_parts.scheduler->VacateWorker(now, operation->worker,
+                                      now - operation->since > VacateBound(*operation));
       return;
     }
-    operation->phase = Phase::kOrdering;
+    operation->phase = VmOperation::Phase::kOrdering;
   }
-  if (operation->phase == Phase::kOrdering && !operation->in_flight && now >= operation->retry_at &&
-      MayOrder(now)) {
+  if (operation->phase == VmOperation::Phase::kOrdering && !operation->in_flight &&
+      now >= operation->retry_at && MayOrder(now)) {
     if (!MayTakeDown(now, operation->worker)) {
-      operation->phase = Phase::kVacating;
+      operation->phase = VmOperation::Phase::kVacating;
       return;
     }
     SendOrder(now, vm, operation);
   }
 }
 
-void VmFleet::SendOrder(TimePoint now, const std::string& vm, Operation* operation) {
+void VmFleet::SendOrder(TimePoint now, const std::string& vm, VmOperation* operation) {
   if (operation->token == 0) {
     operation->token = ++m_last_token;
   }
@@ -469,7 +304,7 @@
   if (it == m_operations.end() || it->second.token != token) {
     return;
   }
-  Operation& operation = it->second;
+  VmOperation& operation = it->second;
   operation.in_flight = false;
   LogLine(LogLevel::kInfo, "vm_order")
       .Field("vm", vm)
@@ -477,29 +312,24 @@
       .Field("pool", operation.pool)
       .Field("token", token)
       .Field("outcome", static_cast<int>(outcome));
-  const auto wave = m_waves.find(operation.wave);
   switch (outcome) {
     case VmOrderOutcome::kDone:
-      operation.phase = Phase::kAway;
+      operation.phase = VmOperation::Phase::kAway;
       operation.away_until =
-          now + (operation.upkeep ? m_settings.upkeep_time : m_settings.move_time) + kAwayMargin;
+          AwayUntil(now, operation.upkeep ? m_settings.upkeep_time : m_settings.move_time);
       m_parts.scheduler->RetireWorker(now, operation.worker);
-      m_next_list = std::min(m_next_list, operation.away_until);
+      m_list.ReadAt(std::min(m_list.next_read(), operation.away_until));
       if (operation.upkeep) {
         ++m_upkeeps;
-        wave->second.begun.insert(vm);
-        wave->second.stored = false;
+        m_waves.RecordBegun(operation.wave, vm);
       } else {
         ++m_moves;
-        if (const auto listed = m_vms.find(vm); listed != m_vms.end()) {
-          listed->second.pool = operation.pool;
-          listed->second.state = ListedVmState::kMoving;
-        }
+        m_list.SetMoving(vm, operation.pool);
       }
       return;
     case VmOrderOutcome::kNotDue:
       if (operation.upkeep) {
-        wave->second.given_up.insert(vm);
+        m_waves.GiveUp(operation.wave, vm);
       }
       m_operations.erase(it);
       return;
@@ -511,7 +341,7 @@
     case VmOrderOutcome::kRefused:
       if (!operation.uncertain) {
         m_operations.erase(it);
-        m_next_list = now;
+        m_list.ReadAt(now);
         return;
       }
       operation.retry_at = now + kOrderRetry;
