Acknowledge ended runs only if no other call to the worker is unanswered

Cause: a lease renewal is sent besides the regular one when a start got no reply or a suspect task is started. It carried the acknowledgement of the earlier incarnation's ends again, although the regular renewal that carried it was unanswered, or although the start without a reply was the first sign of the restart. A restarted worker numbers its ends from 1 again, so it forgot its first ends.

Change: a renewal acknowledges only if no other renewal is unanswered and no start is unresolved. The regular renewals are sent one at a time, so no call is added.

Evidence: both new cases of acknowledgement_test.cc failed before (acknowledged 1 instead of 0) and pass now. The test's Answer has a new optional argument, the start of the replying incarnation.

--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -55,16 +55,19 @@
   order.not_after = m_authority;
   order.fence = worker->fence;
   const bool trusted = worker->reconciled && worker->clock.known && worker->failed_renewals == 0;
+  const bool resolves = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
+    return item.second.phase == RunPhase::kUncertain;
+  });
   // A restarted worker numbers its ended runs from 1 again, so an old acknowledgement could hide
-  // new ended runs. It is therefore not sent again once confirmed, nor after a failed renewal.
-  order.acknowledged =
-      trusted && worker->acknowledged > worker->acknowledged_by_worker ? worker->acknowledged : 0;
+  // new ended runs. It is therefore not sent again once confirmed, nor after or beside a call
+  // without a reply, which may be the first sign of a restart.
+  const bool acknowledges = trusted && !resolves && worker->renewals.empty();
+  order.acknowledged = acknowledges && worker->acknowledged > worker->acknowledged_by_worker
+                           ? worker->acknowledged
+                           : 0;
   if (trusted && !worker->runs.empty()) {
     order.lease_until_ms = GrantLease(now, worker);
   }
-  const bool resolves = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
-    return item.second.phase == RunPhase::kUncertain;
-  });
   if (trusted && !resolves && !worker->has_untracked_runs &&
       worker->pending_acknowledgements.empty()) {
     order.wait = worker->trial ? std::min(m_settings.renewal_wait, TrialRenewalWait())
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -88,13 +88,16 @@
   }
 
   /// Replies to the newest lease renewal of the worker.
-  void Answer(std::vector<ListedRun> running, std::vector<EndedRun> ended) {
+  /// @param started_unix_ms start of the incarnation that replies; 0 if not given
+  void Answer(std::vector<ListedRun> running, std::vector<EndedRun> ended,
+              std::int64_t started_unix_ms = 0) {
     const auto newest =
         std::find(link.renewed_workers.rbegin(), link.renewed_workers.rend(), "worker");
     LeaseRenewalReply reply;
     reply.call = (link.renewals.rbegin() + (newest - link.renewed_workers.rbegin()))->call;
     reply.outcome = CallOutcome::kOk;
     reply.clock_ms = clock_ms;
+    reply.started_unix_ms = started_unix_ms;
     reply.running = std::move(running);
     reply.ended = std::move(ended);
     now += Duration(5);
@@ -168,6 +171,53 @@
   CHECK(fixture.link.renewals.back().acknowledged == 1);
 }
 
+// Guards against an acknowledgement that hides an end nobody has seen: the worker restarted at once
+// under its id while a renewal was unanswered, a start sent before that was known ran and ended in
+// the new incarnation, and the renewal that was to resolve another start forgot that end.
+TEST_CASE("nothing is acknowledged while another renewal is unanswered") {
+  AcknowledgementFixture fixture;
+  fixture.ConfirmStart(1);
+  fixture.Tick();
+  fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}}, 1);
+  fixture.SubmitJob("unseen");
+  fixture.SubmitJob("unanswered");
+  fixture.Tick();
+  REQUIRE(fixture.link.starts.size() == 3);
+  fixture.Store();
+  const std::size_t renewals = fixture.link.renewals.size();
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[1], {CallOutcome::kOk, 0});
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[2],
+                            {CallOutcome::kUnknown, 0});
+  REQUIRE(fixture.link.renewals.size() == renewals + 1);
+  CHECK(fixture.link.renewals.back().acknowledged == 0);
+
+  const TaskId ended = fixture.link.starts[1].task;
+  fixture.Answer({}, {{1, ended.Name(), fixture.link.starts[1].run, RunEndKind::kDone, ""}}, 2);
+  CHECK(fixture.scheduler.counters().tasks_done == 2);
+}
+
+// Guards against an acknowledgement beside a start without a reply, which may have been executed by
+// a later incarnation of the worker.
+TEST_CASE("after a start without a reply nothing is acknowledged until the worker replies") {
+  AcknowledgementFixture fixture;
+  fixture.ConfirmStart(1);
+  fixture.Tick();
+  fixture.SubmitJob("other");
+  fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
+  fixture.Tick();
+  REQUIRE(fixture.link.starts.size() == 2);
+  fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
+  fixture.Store();
+  const std::size_t renewals = fixture.link.renewals.size();
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back(),
+                            {CallOutcome::kUnknown, 0});
+  REQUIRE(fixture.link.renewals.size() == renewals + 1);
+  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
+  fixture.Tick();
+  CHECK(fixture.link.renewals.back().acknowledged == 1);
+}
+
 // Guards against an owner that spends its processor time on idle workers: with 3,003 workers only
 // 54% of the requests were served. Also guards against a lease that expires during the pause of an
 // idle worker.
