--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -195,7 +195,9 @@
   switch (m_random.Below(3)) {
     case 0:
       Log(now, fmt::format("{} crashes", id));
-      m_worker_servers.Restart(id);
+      if (!m_worker_servers.Restart(id)) {
+        Log(now, fmt::format("{} cannot listen again", id));
+      }
       return;
     case 1: {
       const Duration time{300 + m_random.Below(7'000)};
