--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -1,7 +1,6 @@
 #ifndef CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
 #define CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
