Print the answer and the slots when a process test's request fails in a store outage

On this failure the test, and stop_in_store_outage, now print the status or curl's exit status, the answer, the slots that each daemon recorded, its counters, and its last log lines on the clerks' queue. The condition is the same: status 200.

--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -49,13 +49,32 @@
   ! grep -h invariant_violated "$CLUSTER_DIR"/entry-*.log || fail "an invariant was violated"
 }
 
-# try_request DAEMON: sends one request with the clerks' key and prints the HTTP status.
+# try_request DAEMON: sends one request with the clerks' key, prints the HTTP status and keeps the
+# answer.
 try_request() {
-  curl -s -m 10 -o /dev/null -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
+  curl -s -m 10 -o "$CLUSTER_DIR/answer.json" -w '%{http_code}' -X POST -d '{"run_ms":1,"reply":"x"}' \
     -H "Authorization: Bearer $(cluster_key clerks)" \
     "http://$(cluster_api "$1")/v1/queues/counter-requests/requests"
 }
 
+# served_in_outage DAEMON: fails unless the daemon serves a request, and then prints the answer and
+# which slots each daemon recorded as its own, also one that has ended.
+served_in_outage() {
+  local status
+  status=$(try_request "$1") || status="none, curl exit status $?"
+  [ "$status" = 200 ] && return
+  echo "status of the request to entry-$1: $status, $(cat "$CLUSTER_DIR/answer.json" 2>/dev/null)"
+  grep -H 'event=swap' "$CLUSTER_DIR"/entry-*.log || echo "no slots recorded"
+  local i
+  for i in 1 2 3; do
+    echo "entry-$i:"
+    curl -s -m 2 "http://$(cluster_api "$i")/metrics" |
+      grep -E '^cranberryplank_(fresh|requests_total|requests_waiting|tasks)' || echo "no metrics"
+    grep 'queue=counter-requests' "$CLUSTER_DIR/entry-$i.log" | tail -n 5 || true
+  done
+  fail "a request was not served during the outage"
+}
+
 # removed: succeeds if entry-3 is no longer registered.
 removed() {
   local status
@@ -179,7 +198,7 @@
     end_daemon 3
     cluster_remove_vm entry-3
     sleep 8
-    [ "$(try_request 1)" = 200 ] || fail "a request was not served during the outage"
+    served_in_outage 1
     cluster_signal store CONT
     end_load 1200 15
     cluster_wait 30 removed || fail "entry-3 is still registered"
@@ -192,7 +211,7 @@
     cluster_signal store STOP
     sleep 1
     cluster_end entry-3 30 || fail "entry-3 did not stop"
-    [ "$(try_request 1)" = 200 ] || fail "a request was not served during the outage"
+    served_in_outage 1
     cluster_signal store CONT
     end_load 1200
     ;;
