Claim slots of teams that have none first, so that a store outage leaves no team without any

The surviving daemons refused every request of one team with 503, not_run, "deadline passed while waiting", until the store was back.

Cause: a daemon that has started reads the 32 ledger documents in turn, 8 a second, and documents of no team were as urgent as those of a team of which it holds no slot. A daemon that lost a swap also waited in that turn for its next read. Until about 4 s after the start, a team could be without slots on some or all daemons. A store outage froze that state: requests of the team waited in vain, or, with all slots on the killed daemon, had no holder left to be forwarded to. In a steady state every daemon holds an even share, so no minimum for survivors is needed.

Change: shards of teams of which this daemon holds no slot although some are free use the rate limits right after those on which requests wait, and are read at the same interval. The limits on reads and writes are the same. A daemon that may not claim, or hands over, has no such shards.

Ruled out: a late claim of changed limits by daemons other than the acting one (a test of that passed on the code before, 2 s after the change).

--- a/packages/control/include/cranberryplank/control/slot_ledger.h
+++ b/packages/control/include/cranberryplank/control/slot_ledger.h
@@ -27,7 +27,9 @@
   double writes_per_second = 4;
   double reads_per_second = 8;
   Duration store_retry{500};
-  Duration poll_wanted{500};    ///< Read interval of a shard with a team whose requests wait here.
+  /// Read interval of a shard with a team whose requests wait here, or of which this daemon holds
+  /// no slot although some are free.
+  Duration poll_wanted{500};
   Duration poll_excess{1'000};  ///< Read interval of a shard with a team above its limit.
   Duration poll_idle{20'000};   ///< Read interval of any other shard.
   /// Time for which a peer must lack slots before slots move to it.
@@ -112,13 +114,16 @@
     bool fencing = false;  ///< The write that will set `fenced` is being sent or in flight.
     std::optional<TimePoint> read_at;
     std::optional<TimePoint> limits_differ_since;
-    bool dirty = true;    ///< An input of the plan has changed.
-    bool wanted = false;  ///< Requests of a team without a free slot wait here.
-    bool excess = false;  ///< More slots of a team are held than its limit allows.
+    bool dirty = true;         ///< An input of the plan has changed.
+    bool wanted = false;       ///< Requests of a team without a free slot wait here.
+    bool lacks_slots = false;  ///< This daemon holds no slot of a team that has free slots.
+    bool excess = false;       ///< More slots of a team are held than its limit allows.
     std::optional<TimePoint> planned;
     std::optional<TimePoint> updated;
     std::vector<std::pair<std::string, int>> limits;  ///< Upper limits of its teams, from the head.
   };
+  /// Order in which shards use the rate limits.
+  enum class Priority { kWanted, kLacksSlots, kAtRest };
   struct PeerDemand {
     TimePoint received_at;
     std::map<std::string, TeamDemand, std::less<>> teams;
@@ -161,6 +166,8 @@
   void PlanTeam(TimePoint now, const std::string& team, bool fenced, LedgerTeam* entry);
   void LogPlan(TimePoint now, int number, const LedgerShard& before, const LedgerShard& after);
   void AdvanceShard(TimePoint now, int number);
+  bool LacksSlots(const Shard& shard) const;
+  static Priority PriorityOf(const Shard& shard);
   Duration PollInterval(const Shard& shard) const;
   Duration LongestLease() const;
   bool MayClaimSlots(TimePoint now) const;
--- a/packages/control/src/slot_ledger.cc
+++ b/packages/control/src/slot_ledger.cc
@@ -202,6 +202,7 @@
     }
     shard.updated = now;
     shard.wanted = shard.excess = false;
+    shard.lacks_slots = MayClaimSlots(now) && LacksSlots(shard);
     for (const auto& [team, entry] : shard.ledger.teams) {
       UpdateTeam(now, team, entry, peers_wait.contains(team));
       const TeamState& state = StateOf(team);
@@ -209,12 +210,12 @@
       shard.excess = shard.excess || entry.TotalHeld() > entry.limit;
     }
   }
-  // Shards with waiting requests come first. The others are served in round-robin order, so that
-  // the rate limit starves none of them.
-  for (const bool wanted : {true, false}) {
+  // Shards of equal priority are served in round-robin order, so that the rate limit starves none
+  // of them.
+  for (const Priority priority : {Priority::kWanted, Priority::kLacksSlots, Priority::kAtRest}) {
     for (int i = 0; i < kLedgerShards; ++i) {
       const int number = (m_next_shard + i) % kLedgerShards;
-      if (m_shards[static_cast<std::size_t>(number)].wanted == wanted) {
+      if (PriorityOf(m_shards[static_cast<std::size_t>(number)]) == priority) {
         AdvanceShard(now, number);
       }
     }
@@ -542,8 +543,24 @@
   return changed ? std::optional(std::move(next)) : std::nullopt;
 }
 
-Duration SlotLedger::PollInterval(const Shard& shard) const {
+bool SlotLedger::LacksSlots(const Shard& shard) const {
+  return std::any_of(shard.limits.begin(), shard.limits.end(), [&](const auto& item) {
+    const auto& [team, limit] = item;
+    const auto entry = shard.ledger.teams.find(team);
+    const LedgerTeam known = entry == shard.ledger.teams.end() ? LedgerTeam{} : entry->second;
+    return known.TotalHeld() < limit && known.HeldBy(m_self) == 0;
+  });
+}
+
+SlotLedger::Priority SlotLedger::PriorityOf(const Shard& shard) {
   if (shard.wanted) {
+    return Priority::kWanted;
+  }
+  return shard.lacks_slots ? Priority::kLacksSlots : Priority::kAtRest;
+}
+
+Duration SlotLedger::PollInterval(const Shard& shard) const {
+  if (shard.wanted || shard.lacks_slots) {
     return m_options.poll_wanted;
   }
   return shard.excess ? m_options.poll_excess : m_options.poll_idle;
--- a/packages/control/tests/slot_ledger_test.cc
+++ b/packages/control/tests/slot_ledger_test.cc
@@ -33,6 +33,22 @@
   CHECK(run.store.table.writes() == writes);
 }
 
+TEST_CASE("Daemons that have just started claim slots of all teams before a store outage") {
+  // Guards against teams without slots on the daemons that survive a store outage and a kill.
+  SimulatedRunOptions options;
+  options.limits = {{"artisans", 24}, {"clerks", 16}, {"inspectors", 16}};
+  SimulatedRun run(options);
+  run.clock.RunFor(Duration(1'500));
+  run.store.down = true;
+  run.clock.RunFor(Duration(1'000));
+  for (const auto& daemon : run.daemons) {
+    for (const auto& [team, limit] : options.limits) {
+      INFO(team);
+      CHECK(daemon->ledger.Usable(team) == limit / options.daemons);
+    }
+  }
+}
+
 TEST_CASE("Slots move to the daemon on which requests wait") {
   SimulatedRun run(OneTeam(10));
   run.clock.RunFor(Duration(20'000));
