Store which runs had just begun on a worker that fell silent

Cause: which run had just begun on a silent worker was recorded in memory only, and only when its lease expired some 3 s later or its restart was seen. A new owner knew nothing of it, so the restart proved nothing. Unconfirmed crashes were not stored either.

Change: at the first lease renewal or start without a reply, the runs that had just begun on the worker are recorded and stored with their jobs' progress, in two fields that follow those of earlier versions and are left out when empty. The next owner loads them (event=suspects_loaded), keeps the tasks suspect, and counts a crash if the VM or worker starts anew. A reply of the same incarnation, a planned end, or an order that certainly had no effect removes them. A crash is identified by its run, so two owners count it once. Jobs that are final are not changed. Nothing is stored for a worker that answers.

Evidence: the new case "a deadly task is given up although no owner sees both its start and the restart" failed before with "started three times more after three workers crashed under it", for workers that return under a new id and under their own, and passes now.

--- a/packages/jobs/include/cranberryplank/jobs/job_codec.h
+++ b/packages/jobs/include/cranberryplank/jobs/job_codec.h
@@ -13,6 +13,17 @@
 
 namespace cranberryplank {
 
+/// A start after which the worker fell silent, so that the task may have crashed it.
+struct SuspectStart {
+  std::string worker;
+  std::string vm;                    ///< Empty if the worker reports none.
+  std::int64_t started_unix_ms = 0;  ///< Start of the worker's incarnation.
+  bool confirmed = false;  ///< The worker replied to the start. Otherwise it may never have run.
+  bool alone = false;      ///< No other run had begun on the worker shortly before.
+
+  friend bool operator==(const SuspectStart& left, const SuspectStart& right) = default;
+};
+
 /// Stored progress of a job. It lets a new owner continue without repeating a task whose end was
 /// acknowledged.
 struct JobProgress {
@@ -29,6 +40,11 @@
   std::map<TaskKey, std::set<int>> failures;
   /// Runs of tasks that are not done whose worker crashed soon after their start.
   std::map<TaskKey, std::set<int>> crashes;
+  /// The same for runs whose start the worker did not reply to.
+  std::map<TaskKey, std::set<int>> unconfirmed_crashes;
+  /// Runs of tasks that are not done whose worker has not been heard of since their start, by run.
+  /// A later start of the worker proves that it crashed.
+  std::map<TaskKey, std::map<int, SuspectStart>> suspects;
 };
 
 /// Minimal record of a job that has ended; it replaces the spec.
--- a/packages/jobs/src/job_codec.cc
+++ b/packages/jobs/src/job_codec.cc
@@ -79,6 +79,28 @@
   return runs_of_tasks;
 }
 
+json ToJson(const std::map<JobProgress::TaskKey, std::map<int, SuspectStart>>& suspects) {
+  json rows = json::array();
+  for (const auto& [key, runs] : suspects) {
+    for (const auto& [run, start] : runs) {
+      const int flags = (start.confirmed ? 1 : 0) | (start.alone ? 2 : 0);
+      rows.push_back(json::array({key.first.first, key.first.second, key.second, run, start.worker,
+                                  start.vm, start.started_unix_ms, flags}));
+    }
+  }
+  return rows;
+}
+
+std::map<JobProgress::TaskKey, std::map<int, SuspectStart>> SuspectsFromJson(const json& rows) {
+  std::map<JobProgress::TaskKey, std::map<int, SuspectStart>> suspects;
+  for (const json& row : rows) {
+    const int flags = row.at(7);
+    suspects[{{row.at(0), row.at(1)}, row.at(2)}][row.at(3)] = {row.at(4), row.at(5), row.at(6),
+                                                                (flags & 1) != 0, (flags & 2) != 0};
+  }
+  return suspects;
+}
+
 }  // namespace
 
 std::string EncodeJob(const JobSpec& spec) {
@@ -120,9 +142,14 @@
   for (const auto& [key, tasks] : progress.done) {
     done.push_back(json::array({key.first, key.second, tasks}));
   }
-  return ToMessagePack(json::array({static_cast<int>(progress.state), progress.finished_unix_ms,
-                                    progress.done_occurrences, done, ToJson(progress.failures),
-                                    ToJson(progress.crashes)}));
+  json fields = json::array({static_cast<int>(progress.state), progress.finished_unix_ms,
+                             progress.done_occurrences, done, ToJson(progress.failures),
+                             ToJson(progress.crashes)});
+  if (!progress.suspects.empty() || !progress.unconfirmed_crashes.empty()) {
+    fields.push_back(ToJson(progress.suspects));
+    fields.push_back(ToJson(progress.unconfirmed_crashes));
+  }
+  return ToMessagePack(fields);
 }
 
 std::optional<JobProgress> DecodeProgress(std::string_view value) {
@@ -140,6 +167,11 @@
     if (fields.size() > kCrashesField) {
       progress.crashes = RunsOfTasks(fields.at(kCrashesField));
     }
+    constexpr std::size_t kSuspectsField = 6;  // Missing in most entries.
+    if (fields.size() > kSuspectsField) {
+      progress.suspects = SuspectsFromJson(fields.at(kSuspectsField));
+      progress.unconfirmed_crashes = RunsOfTasks(fields.at(kSuspectsField + 1));
+    }
     return progress;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/jobs/tests/job_test.cc
+++ b/packages/jobs/tests/job_test.cc
@@ -83,6 +83,33 @@
   CHECK(decoded->failures.empty());
 }
 
+// Guards against a task that crashes its workers without end because each owner of the schedule is
+// replaced before it sees that they restarted.
+TEST_CASE("progress keeps the runs whose worker fell silent") {
+  JobProgress progress;
+  progress.unconfirmed_crashes[{{0, 1}, 2}] = {3};
+  progress.suspects[{{0, 1}, 2}][1'004] = {"worker", "vm", 1'234'567'890'123, true, false};
+  progress.suspects[{{0, 1}, 2}][1'005] = {"other", "", 7, false, true};
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded);
+  CHECK(decoded->unconfirmed_crashes == progress.unconfirmed_crashes);
+  CHECK(decoded->suspects == progress.suspects);
+}
+
+// Guards against progress that an earlier version, which reads the first six fields, can not read,
+// and against larger entries for the many jobs without suspects.
+TEST_CASE("runs whose worker fell silent are stored in additional fields") {
+  JobProgress progress;
+  progress.crashes[{{0, 0}, 1}] = {1};
+  const nlohmann::json without = FromMessagePack(EncodeProgress(progress));
+  progress.suspects[{{0, 0}, 1}][2] = {"worker", "vm", 5, true, true};
+  nlohmann::json with = FromMessagePack(EncodeProgress(progress));
+  REQUIRE(without.size() == 6);
+  REQUIRE(with.size() == 8);
+  with.erase(with.begin() + 6, with.end());
+  CHECK(with == without);
+}
+
 // Guards against jobs that are lost in an upgrade from a version that stored no crashes.
 TEST_CASE("progress of an earlier version without crashes is read") {
   const std::string entry = ToMessagePack(nlohmann::json::array(
--- a/packages/scheduler/include/cranberryplank/scheduler/crash_ledger.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/crash_ledger.h
@@ -16,9 +16,7 @@
   JobPointer job;  ///< Keeps the job of `task` alive.
   TaskRef task;
   int run = 0;
-  bool confirmed = false;  ///< The worker replied to the start. Otherwise it may never have run.
-  bool alone = false;      ///< No other run had begun on the worker shortly before.
-  std::string worker;
+  SuspectStart start;
 };
 
 /// Finds out whether a worker that fell silent has crashed or is only unreachable. A later start of
@@ -26,26 +24,36 @@
 /// disproves it.
 class CrashLedger {
  public:
-  /// Records that a run was lost because its worker fell silent.
-  void AddLostRun(TimePoint now, const WorkerInfo& worker, SuspectRun run);
+  /// Records a run whose worker fell silent soon after its start. An earlier record of the run is
+  /// replaced.
+  void Add(TimePoint now, SuspectRun run);
   /// Records the start time of a worker's incarnation.
   void AddStart(const WorkerInfo& worker);
-  /// Removes and returns the lost runs of the incarnation that replied.
-  std::vector<SuspectRun> TakeDisproved(const WorkerInfo& worker);
-  /// Removes and returns the lost runs whose worker has certainly ended.
+  /// Removes and returns the runs of this incarnation of the worker.
+  std::vector<SuspectRun> TakeOfIncarnation(const WorkerInfo& worker);
+  /// Removes and returns the runs of all incarnations of the worker.
+  std::vector<SuspectRun> TakeOfWorker(const std::string& worker);
+  /// Removes and returns the runs of the task.
+  std::vector<SuspectRun> TakeOfTask(const TaskRef& task);
+  /// Removes and returns one run of the task, if it is recorded.
+  std::vector<SuspectRun> TakeRun(const TaskRef& task, int run);
+  /// Removes and returns the runs whose worker has certainly ended.
   std::vector<SuspectRun> TakeProved();
-  /// Forgets the lost runs of a worker whose VM was taken down as planned.
-  void Forget(const std::string& worker);
-  /// Forgets lost runs whose worker has not been heard of for long.
-  void Expire(TimePoint now);
+  /// Removes and returns the runs whose worker has not been heard of for long.
+  std::vector<SuspectRun> TakeExpired(TimePoint now);
+
+  std::size_t size() const { return m_entries.size(); }
 
  private:
   struct Entry {
-    WorkerInfo worker;
     TimePoint since{};
     SuspectRun run;
   };
 
+  /// Removes and returns the runs of the entries for which `matches` returns true.
+  template <typename Predicate>
+  std::vector<SuspectRun> Take(Predicate matches);
+
   std::vector<Entry> m_entries;
   /// Newest start in Unix milliseconds, by VM, or by worker if it reports no VM.
   std::map<std::string, std::int64_t> m_newest_start;
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -84,6 +84,9 @@
   bool started = false;            ///< A task has been started.
   bool over_share = false;  ///< Exceeded its customer's guaranteed jobs per second on arrival.
   int placed_runs = 0;
+  /// Runs whose worker fell silent soon after their start, by task and run. Kept here and not with
+  /// the tasks, because few jobs have any.
+  std::map<JobProgress::TaskKey, std::map<int, SuspectStart>> suspects;
   std::uint64_t change = 0;        ///< Number of the newest change that is not stored; 0 if none.
   std::uint64_t first_change = 0;  ///< Lower bound of the changes that are not stored.
   TimePoint changed_at{};          ///< When the oldest change that is not stored was made.
@@ -107,6 +110,7 @@
   int index = 0;
 
   TaskId Id() const { return {job->spec.id, occurrence, step, index}; }
+  JobProgress::TaskKey Key() const { return {{occurrence, step}, index}; }
   const StepSpec& spec() const { return job->spec.steps[static_cast<std::size_t>(step)]; }
   /// Returns the state, or nullptr if the occurrence is not open.
   JobTaskState* state() const;
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -245,13 +245,22 @@
                           const StartOrder& order, CallOutcome outcome);
 
   // Tasks that crash the workers that start them.
-  /// Records the runs that had just begun on a worker that fell silent or restarted.
+  /// Returns whether the end of the worker is planned, so that it is no crash.
+  bool EndsAsPlanned(const Worker& worker) const;
+  /// Records the runs that had just begun on a worker that fell silent. They are stored, so that a
+  /// crash that is proved under a later owner is counted.
+  void RecordSuspects(TimePoint now, const Worker& worker);
+  /// The same when the runs are lost; their tasks are suspect from then on.
   void RecordLostRuns(TimePoint now, const Worker& worker);
+  /// Takes over the runs that the earlier owner recorded.
+  void LoadSuspects(TimePoint now, Job* job);
+  /// Removes runs that were taken from the ledger from what is stored with their jobs.
+  void DropSuspects(TimePoint now, std::span<const SuspectRun> runs);
   void HandleCrashes(TimePoint now);
   /// Counts a crash against a task, and gives the task up after several.
   void CountCrash(TimePoint now, const SuspectRun& run);
   /// Ends the suspicion of tasks whose worker was only unreachable.
-  void ClearUnproved(const Worker& worker);
+  void ClearUnproved(TimePoint now, const Worker& worker);
   void ClearSuspicion(TimePoint now, const TaskRef& task);
   /// Ends the suspicion of tasks whose worker has outlived their start.
   void ClearOutlived(TimePoint now, Worker* worker);
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -53,6 +53,12 @@
         if (!tasks[t].crashed_runs.empty()) {
           progress.crashes[task] = tasks[t].crashed_runs;
         }
+        if (!tasks[t].unconfirmed_runs.empty()) {
+          progress.unconfirmed_crashes[task] = tasks[t].unconfirmed_runs;
+        }
+        if (const auto found = suspects.find(task); found != suspects.end()) {
+          progress.suspects.insert(*found);
+        }
       }
     }
   }
@@ -143,6 +149,17 @@
       task->trial_until = now + kTrialWait;
     }
   }
+  for (const auto& [key, runs] : progress.unconfirmed_crashes) {
+    if (JobTaskState* task = TaskAt(raw, key)) {
+      task->unconfirmed_runs = runs;
+      task->trial_until = now + kTrialWait;
+    }
+  }
+  for (const auto& [key, runs] : progress.suspects) {
+    if (TaskAt(raw, key) != nullptr) {
+      raw->suspects[key] = runs;
+    }
+  }
   return raw;
 }
 
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -82,12 +82,22 @@
       .Field("generation", takeover.generation)
       .Field("jobs", m_jobs.jobs().size())
       .Field("recorded_workers", takeover.workers.size());
+  if (m_crashes.size() > 0) {
+    LogLine(LogLevel::kInfo, "suspects_loaded").Field("runs", m_crashes.size());
+  }
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.has_drained) {
+      DropSuspects(now.time, m_crashes.TakeOfIncarnation(worker.info));
+    }
+  }
 }
 
 void Scheduler::LoadJob(Now now, const std::string& id, const JobRecord& record,
                         const JobProgress& progress) {
-  m_jobs.Load(now.time, now.unix_ms, id, record, progress);
-  m_suspects_wait = m_suspects_wait || !progress.crashes.empty();
+  Job* job = m_jobs.Load(now.time, now.unix_ms, id, record, progress);
+  m_suspects_wait =
+      m_suspects_wait || !progress.crashes.empty() || !progress.unconfirmed_crashes.empty();
+  LoadSuspects(now.time, job);
 }
 
 void Scheduler::SetConfig(Now /*now*/, std::shared_ptr<const ClusterConfig> config) {
@@ -158,7 +168,7 @@
                          worker.info.started_unix_ms != info.started_unix_ms;
   const std::int64_t known_start = worker.info.started_unix_ms;
   if (drains) {
-    m_crashes.Forget(info.id);
+    DropSuspects(now.time, m_crashes.TakeOfWorker(info.id));
   }
   m_crashes.AddStart(info);
   worker.has_drained = worker.has_drained || info.draining;
--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -62,30 +62,86 @@
 Duration Scheduler::TrialRenewalWait() { return kCrashWindow + kTrialMargin; }
 
 void Scheduler::RecordLostRuns(TimePoint now, const Worker& worker) {
-  if (worker.has_drained || m_closed.contains(worker.info.id)) {
-    return;  // It ends as planned.
+  if (EndsAsPlanned(worker)) {
+    DropSuspects(now, m_crashes.TakeOfIncarnation(worker.info));
+    return;
   }
-  const int just_begun = JustBegunRuns(worker);
+  RecordSuspects(now, worker);
   for (const auto& [task, run] : worker.runs) {
     JobTaskState* state = task.state();
-    if (state == nullptr || state->done || !JustBegun(worker, run)) {
+    if (state != nullptr && !state->done && JustBegun(worker, run)) {
+      state->worker_lost = true;
+      state->retry_at = std::max(state->retry_at, now + kProofWait);
+      state->trial_until = TrialUntil(task);
+      m_suspects_wait = true;
+    }
+  }
+}
+
+bool Scheduler::EndsAsPlanned(const Worker& worker) const {
+  return worker.has_drained || m_closed.contains(worker.info.id);
+}
+
+void Scheduler::RecordSuspects(TimePoint now, const Worker& worker) {
+  if (EndsAsPlanned(worker)) {
+    return;
+  }
+  const int just_begun = JustBegunRuns(worker);
+  for (const auto& [task, run] : worker.runs) {
+    const JobTaskState* state = task.state();
+    const bool counts = state != nullptr && !state->done && !IsFinal(run.job->state) &&
+                        !state->crashed_runs.contains(run.run) &&
+                        !state->unconfirmed_runs.contains(run.run);
+    if (!counts || !JustBegun(worker, run)) {
       continue;
     }
+    const SuspectStart start{worker.info.id, worker.info.vm, worker.info.started_unix_ms,
+                             run.phase == RunPhase::kRunning, just_begun == 1};
+    SuspectStart& stored = run.job->suspects[task.Key()][run.run];
+    if (stored != start) {
+      stored = start;
+      m_crashes.Add(now, {run.job, task, run.run, start});
+      m_jobs.MarkChanged(now, run.job.get());
+    }
+  }
+}
+
+void Scheduler::LoadSuspects(TimePoint now, Job* job) {
+  for (const auto& [key, runs] : job->suspects) {
+    const TaskRef task{job, key.first.first, key.first.second, key.second};
+    JobTaskState* state = task.state();
     state->worker_lost = true;
-    state->retry_at = std::max(state->retry_at, now + kProofWait);
+    state->retry_at = now + kProofWait;
     state->trial_until = TrialUntil(task);
     m_suspects_wait = true;
-    const bool confirmed = run.phase == RunPhase::kRunning;
-    m_crashes.AddLostRun(now, worker.info,
-                         {run.job, task, run.run, confirmed, just_begun == 1, worker.info.id});
+    for (const auto& [run, start] : runs) {
+      m_crashes.Add(now, {m_jobs.jobs().at(job->spec.id), task, run, start});
+    }
+  }
+}
+
+void Scheduler::DropSuspects(TimePoint now, std::span<const SuspectRun> runs) {
+  for (const SuspectRun& run : runs) {
+    const auto of_task = run.job->suspects.find(run.task.Key());
+    if (of_task == run.job->suspects.end() || of_task->second.erase(run.run) == 0) {
+      continue;
+    }
+    if (of_task->second.empty()) {
+      run.job->suspects.erase(of_task);
+    }
+    if (!IsFinal(run.job->state)) {
+      m_jobs.MarkChanged(now, run.job.get());
+    }
   }
 }
 
 void Scheduler::HandleCrashes(TimePoint now) {
-  for (const SuspectRun& run : m_crashes.TakeProved()) {
+  const std::vector<SuspectRun> proved = m_crashes.TakeProved();
+  for (const SuspectRun& run : proved) {
     CountCrash(now, run);
   }
-  m_crashes.Expire(now);
+  DropSuspects(now, proved);
+  DropSuspects(now, m_crashes.TakeExpired(now));
 }
 
 void Scheduler::CountCrash(TimePoint now, const SuspectRun& run) {
@@ -93,7 +149,7 @@
   if (state == nullptr || state->done || IsFinal(run.job->state)) {
     return;
   }
-  (run.confirmed ? state->crashed_runs : state->unconfirmed_runs).insert(run.run);
+  (run.start.confirmed ? state->crashed_runs : state->unconfirmed_runs).insert(run.run);
   state->retry_at = now;
   state->trial_until = TrialUntil(run.task);
   m_suspects_wait = m_schedule_needed = true;
@@ -104,11 +160,11 @@
   LogLine(LogLevel::kInfo, "worker_crashed")
       .Field("task", run.task.Id().Name())
       .Field("run", run.run)
-      .Field("worker", run.worker)
-      .Field("confirmed", run.confirmed)
-      .Field("alone", run.alone)
+      .Field("worker", run.start.worker)
+      .Field("confirmed", run.start.confirmed)
+      .Field("alone", run.start.alone)
       .Field("crashes", confirmed);
-  const bool proved = run.confirmed && run.alone && confirmed >= kCrashesAlone;
+  const bool proved = run.start.confirmed && run.start.alone && confirmed >= kCrashesAlone;
   if (proved || all >= kCrashesInAnyCase) {
     ++m_counters.jobs_failed;
     ++m_counters.crashing_tasks;
@@ -120,9 +176,12 @@
   }
 }
 
-void Scheduler::ClearUnproved(const Worker& worker) {
-  for (const SuspectRun& run : m_crashes.TakeDisproved(worker.info)) {
-    if (JobTaskState* state = run.task.state()) {
+void Scheduler::ClearUnproved(TimePoint now, const Worker& worker) {
+  const std::vector<SuspectRun> disproved = m_crashes.TakeOfIncarnation(worker.info);
+  DropSuspects(now, disproved);
+  for (const SuspectRun& run : disproved) {
+    JobTaskState* state = run.task.state();
+    if (state != nullptr && !run.job->suspects.contains(run.task.Key())) {
       state->worker_lost = false;
     }
   }
@@ -130,13 +189,17 @@
 
 void Scheduler::ClearSuspicion(TimePoint now, const TaskRef& task) {
   JobTaskState* state = task.state();
-  if (state == nullptr || !state->suspect()) {
+  if (state == nullptr) {
     return;
   }
+  if (!task.job->suspects.empty()) {
+    DropSuspects(now, m_crashes.TakeOfTask(task));
+  }
   state->worker_lost = false;
-  state->unconfirmed_runs.clear();
-  if (!state->crashed_runs.empty() && !IsFinal(task.job->state)) {
+  const bool counted = !state->crashed_runs.empty() || !state->unconfirmed_runs.empty();
+  if (counted && !IsFinal(task.job->state)) {
     state->crashed_runs.clear();
+    state->unconfirmed_runs.clear();
     m_jobs.MarkChanged(now, task.job);
   }
 }
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -60,7 +60,7 @@
 }
 
 void Scheduler::RetireWorker(TimePoint now, const std::string& id) {
-  m_crashes.Forget(id);
+  DropSuspects(now, m_crashes.TakeOfWorker(id));
   Worker* worker = FindWorker(id);
   if (worker == nullptr) {
     return;
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -106,7 +106,7 @@
   }
   worker->failed_renewals = 0;
   worker->last_heard = now;
-  ClearUnproved(*worker);
+  ClearUnproved(now, *worker);
   if (renewal.acknowledged <= worker->acknowledged) {
     worker->acknowledged_by_worker = std::max(worker->acknowledged_by_worker, renewal.acknowledged);
   }
@@ -167,6 +167,7 @@
         .Field("outcome", ToString(outcome))
         .Field("runs", worker->runs.size())
         .Field("registered", worker->registered);
+    RecordSuspects(now, *worker);
   }
   const int doublings = std::min(worker->failed_renewals, 4);
   ++worker->failed_renewals;
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -244,6 +244,7 @@
     ++worker->fence;
     run.phase = RunPhase::kUncertain;
     run.fence_needed = worker->fence;
+    RecordSuspects(now, *worker);
     SendRenewal(now, worker);
     return;
   }
@@ -252,6 +253,7 @@
 
 void Scheduler::ResolveFailedStart(TimePoint now, Worker* worker, const TaskRef& task,
                                    const StartOrder& order, CallOutcome outcome) {
+  DropSuspects(now, m_crashes.TakeRun(task, order.run));
   RemoveRun(now, worker, task);
   JobTaskState* state = task.state();
   Duration retry = kRetryAfterRefusal;
--- a/packages/scheduler/tests/crashing_task_test.cc
+++ b/packages/scheduler/tests/crashing_task_test.cc
@@ -238,6 +238,23 @@
   CHECK(workers.Crashes("deadly.0.0.0") >= 2);
 }
 
+// Guards against suspicions that die with the owner: here each owner is replaced after the worker
+// fell silent and before its restart is seen.
+TEST_CASE("a deadly task is given up although no owner sees both its start and the restart") {
+  SimulatedCluster cluster(1, 3, kCapacity);
+  SimulatedWorkers& workers = cluster.workers();
+  workers.SetNewIdShare(GENERATE(0.0, 1.0));
+  workers.SetDeadly("deadly.0.0.0");
+  cluster.Submit(OneStepJob("deadly", 1, Duration(500)), Duration(500));
+  for (int owner = 0; owner < 8 && !cluster.RunUntilStarted("deadly.0.0.0").empty(); ++owner) {
+    cluster.Run(Duration(1'000));
+    cluster.ReplaceOwner();
+  }
+  CheckNoViolation(&cluster);
+  CHECK(cluster.EndOf("deadly") == JobState::kFailed);
+  CHECK(workers.Crashes("deadly.0.0.0") >= 2);
+}
+
 // Guards against blaming all tasks on a crashed worker, and against letting none of them run.
 TEST_CASE("a task that runs beside a deadly one is not given up and gets done") {
   SimulatedCluster cluster(1, GENERATE(1, 2), kCapacity);
