Tell by the worker's clock whether it outlived the start of a task

Callers saw: a task that crashes its workers could be started without end when the owner was slow: a reply that the worker sent before it crashed cleared the task if it was handled 200 ms after the reply to the start.

Cause: the time between both replies was taken on the owner's clock when it handled them.

Change: the clocks that the replies carry are compared. A worker has outlived the start once it sends a list 200 ms of its clock after its reply to the start. If that reply carries no clock, the first list that shows the run takes its place. The newest clock of the incarnation counts, so lists that are handled out of order do no harm. The simulated workers' replies to starts now carry their clock, and a simulated owner can be frozen.

Evidence: the new case "a reply that is handled late does not show that the worker outlived a start" failed before in all four variants (return under a new or the same id, replies with and without a clock) with "started three times more after three workers crashed under it", and passes now.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -229,7 +229,8 @@
   void ReleaseAcknowledged(TimePoint now);
   void ReleaseAcknowledged(TimePoint now, Worker* worker);
   void ExpireWorkers(TimePoint now);
-  void UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task, const ListedRun& listed);
+  void UpdateRun(TimePoint now, const Worker& worker, PlacedRun* run, const TaskRef& task,
+                 const ListedRun& listed);
 
   // Runs.
   bool CanMissOneMore(const TaskRef& task) const;
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -32,6 +32,9 @@
   Resources footprint;
   std::string customer;
   TimePoint placed_at{};
+  /// The worker's clock in its reply to the start, or in the first reply that lists the run; 0 if
+  /// there is none yet.
+  std::int64_t began_clock_ms = 0;
   TimePoint resolved_at{};         ///< A renewal sent later shows whether the run exists.
   std::uint64_t fence_needed = 0;  ///< For an uncertain run, the fence that resolves it.
   bool stopping = false;
@@ -92,13 +95,13 @@
   TimePoint lease_bound{};          ///< All runs there have ended by then, even without a reply.
   std::map<std::uint64_t, RenewalInFlight> renewals;
   TimePoint next_renewal{};
-  TimePoint last_list_sent{};    ///< Sending time of the newest renewal whose list was applied.
-  TimePoint last_removed{};      ///< When a run was last found to have ended.
-  TimePoint first_seen{};        ///< When this incarnation became known.
-  TimePoint last_heard{};        ///< When the worker last replied to an order.
-  bool kept_for_trials = false;  ///< Kept for suspect tasks in the last pass that had some.
-  bool has_drained = false;      ///< This incarnation announced its end.
-  std::optional<TaskRef> trial;  ///< Suspect task whose run began there a short while ago.
+  TimePoint last_list_sent{};       ///< Sending time of the newest renewal whose list was applied.
+  TimePoint last_removed{};         ///< When a run was last found to have ended.
+  TimePoint first_seen{};           ///< When this incarnation became known.
+  std::int64_t heard_clock_ms = 0;  ///< Newest clock in a list of this incarnation; 0 if none.
+  bool kept_for_trials = false;     ///< Kept for suspect tasks in the last pass that had some.
+  bool has_drained = false;         ///< This incarnation announced its end.
+  std::optional<TaskRef> trial;     ///< Suspect task whose run began there a short while ago.
   int failed_renewals = 0;
   /// The newest list contained runs that are not counted in `used`.
   bool has_untracked_runs = false;
--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Time after a task's start in which the end of its worker may be the task's doing. A worker that
-/// replies later has outlived the start.
+/// Time after a task's start, on its worker's clock, in which the end of the worker may be the
+/// task's doing. A worker that sends a list later has outlived the start.
 constexpr Duration kCrashWindow{200};
 /// Added to the wait of the lease renewal that shows whether a suspect task outlives the window.
 constexpr Duration kTrialMargin{50};
@@ -27,7 +27,8 @@
 
 /// Returns whether nothing shows yet that the worker outlived the start of the run.
 bool JustBegun(const Worker& worker, const PlacedRun& run) {
-  return run.phase != RunPhase::kRunning || worker.last_heard < run.resolved_at + kCrashWindow;
+  return run.phase != RunPhase::kRunning || run.began_clock_ms == 0 ||
+         worker.heard_clock_ms < run.began_clock_ms + kCrashWindow.count();
 }
 
 int JustBegunRuns(const Worker& worker) {
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -105,7 +105,7 @@
         .Field("failed_holds", worker->failed_renewals);
   }
   worker->failed_renewals = 0;
-  worker->last_heard = now;
+  worker->heard_clock_ms = std::max(worker->heard_clock_ms, reply.clock_ms);
   ClearUnproved(now, *worker);
   if (renewal.acknowledged <= worker->acknowledged) {
     worker->acknowledged_by_worker = std::max(worker->acknowledged_by_worker, renewal.acknowledged);
@@ -187,7 +187,7 @@
   worker->acknowledged_sent = worker->acknowledged_by_worker = 0;
   worker->pending_acknowledgements.clear();
   worker->untracked_stops.clear();
-  worker->lease_until_ms = 0;
+  worker->lease_until_ms = worker->heard_clock_ms = 0;
   worker->failure_streak = 0;
   if (restarted) {
     ++m_counters.restarted_workers;
@@ -216,6 +216,7 @@
     if (recent(run)) {
       run.phase = RunPhase::kUncertain;
       run.fence_needed = worker->fence;
+      run.began_clock_ms = 0;  // If it is present, it began in the new incarnation.
     }
   }
 }
@@ -314,11 +315,13 @@
   }
   const auto placed = worker->runs.find(task);
   if (placed != worker->runs.end()) {
-    if (placed->second.run == listed.run) {
-      UpdateRun(now, &placed->second, task, listed);
-    } else if (placed->second.run < listed.run) {
-      placed->second.run = listed.run;
-      UpdateRun(now, &placed->second, task, listed);
+    PlacedRun* run = &placed->second;
+    if (run->run < listed.run) {
+      run->run = listed.run;
+      run->began_clock_ms = 0;
+    }
+    if (run->run == listed.run) {
+      UpdateRun(now, *worker, run, task, listed);
     }
     return;
   }
@@ -342,8 +345,11 @@
   Adopt(now, worker, task, listed);
 }
 
-void Scheduler::UpdateRun(TimePoint now, PlacedRun* run, const TaskRef& task,
+void Scheduler::UpdateRun(TimePoint now, const Worker& worker, PlacedRun* run, const TaskRef& task,
                           const ListedRun& listed) {
+  if (run->began_clock_ms == 0) {
+    run->began_clock_ms = worker.clock.clock_ms;
+  }
   if (run->phase != RunPhase::kRunning) {
     run->phase = RunPhase::kRunning;
     run->resolved_at = now;
@@ -375,7 +381,7 @@
       .Field("worker", worker->info.id);
   task.state()->last_run = std::max(task.state()->last_run, listed.run);
   PlacedRun* run = AddRun(now, worker, task, listed.run);
-  UpdateRun(now, run, task, listed);
+  UpdateRun(now, *worker, run, task, listed);
   task.job->started = true;
 }
 
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -227,8 +227,8 @@
   }
   PlacedRun& run = it->second;
   if (reply.outcome == CallOutcome::kOk) {
-    worker->last_heard = now;
     run.phase = RunPhase::kRunning;
+    run.began_clock_ms = reply.clock_ms;
     run.resolved_at = run.progressed_at = now;
     return;
   }
--- a/packages/scheduler/tests/crashing_task_test.cc
+++ b/packages/scheduler/tests/crashing_task_test.cc
@@ -255,6 +255,25 @@
   CHECK(workers.Crashes("deadly.0.0.0") >= 2);
 }
 
+// Guards against taking a reply that the worker sent before it crashed for one that it sent long
+// after the start, because a busy owner handles it late.
+TEST_CASE("a reply that is handled late does not show that the worker outlived a start") {
+  SimulatedCluster cluster(1, 2, kCapacity);
+  SimulatedWorkers& workers = cluster.workers();
+  workers.SetNewIdShare(GENERATE(0.0, 1.0));
+  workers.SetClockInStartReplies(GENERATE(false, true));
+  workers.SetDeadly("deadly.0.0.0", Duration(100));
+  cluster.Submit(OneStepJob("deadly", 1, Duration(500)), Duration(500));
+  for (int start = 0; start < 8 && !cluster.RunUntilStarted("deadly.0.0.0").empty(); ++start) {
+    cluster.Run(Duration(50));
+    cluster.RunWithFrozenOwner(Duration(300));
+    cluster.Run(Duration(1'000));
+  }
+  CheckNoViolation(&cluster);
+  CHECK(cluster.EndOf("deadly") == JobState::kFailed);
+  CHECK(workers.Crashes("deadly.0.0.0") >= 2);
+}
+
 // Guards against blaming all tasks on a crashed worker, and against letting none of them run.
 TEST_CASE("a task that runs beside a deadly one is not given up and gets done") {
   SimulatedCluster cluster(1, GENERATE(1, 2), kCapacity);
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -93,6 +93,13 @@
 
   Scheduler& scheduler() { return m_scheduler; }
 
+  void Freeze() { m_link.Hold(); }
+  /// Handles what arrived while the owner was frozen.
+  void Resume(TimePoint now) {
+    m_now = now;
+    m_link.Release();
+  }
+
  private:
   Now Present() const {
     return {m_now, std::chrono::duration_cast<Duration>(m_now.time_since_epoch()).count()};
@@ -176,6 +183,15 @@
       }
     }
   }
+  /// Advances while the newest owner does not run.
+  void RunWithFrozenOwner(Duration time) {
+    m_owners.back()->Freeze();
+    for (const TimePoint end = m_now + time; m_now < end;) {
+      m_now += Duration(10);
+      m_workers.Advance(m_now);
+    }
+    m_owners.back()->Resume(m_now);
+  }
   void Run(Duration time) {
     for (const TimePoint end = m_now + time; m_now < end;) {
       Step();
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cranberryplank/model/random.h"
@@ -92,6 +94,9 @@
     m_report_registration(m_workers.at(id));
   }
 
+  /// Sets whether replies to starts carry the worker's clock.
+  void SetClockInStartReplies(bool given) { m_clock_in_start_replies = given; }
+
   void SetFaults(const LinkFaults& faults) { m_faults = faults; }
   std::map<std::string, SimulatedWorker>& workers() { return m_workers; }
   const std::vector<std::string>& violations() const { return m_violations; }
@@ -197,7 +202,12 @@
   }
 
   /// @param capacity the worker's capacity when the order was sent
-  CallOutcome Start(const std::string& id, const StartOrder& order, const Resources& capacity) {
+  OrderReply Start(const std::string& id, const StartOrder& order, const Resources& capacity) {
+    const CallOutcome outcome = Execute(id, order, capacity);
+    return {outcome, m_clock_in_start_replies ? ClockMs(m_workers.at(id)) : 0};
+  }
+
+  CallOutcome Execute(const std::string& id, const StartOrder& order, const Resources& capacity) {
     SimulatedWorker& worker = m_workers.at(id);
     EndRuns(&worker);
     if (order.fence < worker.fence) {
@@ -402,6 +412,7 @@
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
   double m_new_id_share = 0;
+  bool m_clock_in_start_replies = true;
   std::map<std::string, TaskKind> m_tasks;
   std::map<std::string, DeadlyTask> m_deadly;
   std::multimap<TimePoint, std::function<void()>> m_queue;
@@ -421,10 +432,20 @@
 
   /// @param now current time of the scheduler's caller, passed with each reply
   void Connect(WorkerEvents* events, const TimePoint* now) {
-    m_events = std::make_shared<WorkerEvents*>(events);
+    m_receiver = std::make_shared<Receiver>();
+    m_receiver->events = events;
     m_now = now;
   }
-  void Disconnect() { m_events.reset(); }
+  void Disconnect() { m_receiver.reset(); }
+
+  /// Keeps arriving replies until `Release`, as for an owner that does not run.
+  void Hold() { m_receiver->held = true; }
+  void Release() {
+    m_receiver->held = false;
+    for (const auto& reply : std::exchange(m_receiver->replies, {})) {
+      reply();
+    }
+  }
 
   void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
     const std::string id = worker.id;
@@ -443,8 +464,8 @@
         [this, id, order, capacity = m_workers->workers().at(id).info.capacity] {
           return m_workers->Start(id, order, capacity);
         },
-        [id, order](WorkerEvents* events, TimePoint now, const CallOutcome* outcome) {
-          events->OnStart(now, id, order, {outcome ? *outcome : CallOutcome::kUnknown, 0});
+        [id, order](WorkerEvents* events, TimePoint now, const OrderReply* reply) {
+          events->OnStart(now, id, order, reply ? *reply : OrderReply{});
         });
   }
   void Stop(const WorkerInfo& worker, const StopOrder& order) override {
@@ -459,31 +480,48 @@
   void Advise(const AdviceOrder&) override {}
 
  private:
+  struct Receiver {
+    WorkerEvents* events = nullptr;
+    bool held = false;
+    std::vector<std::function<void()>> replies;  ///< Arrived while held.
+
+    void Receive(std::function<void()> reply) {
+      if (held) {
+        replies.push_back(std::move(reply));
+      } else {
+        reply();
+      }
+    }
+  };
+
   template <typename Execute, typename Report>
   void Send(const std::string& id, Execute execute, Report report) {
     constexpr Duration kAnswerTimeout{450};
-    const std::weak_ptr<WorkerEvents*> events = m_events;
+    const std::weak_ptr<Receiver> receiver = m_receiver;
     const TimePoint* now = m_now;
     m_workers->Deliver(
         id,
-        [execute, report, events, now]() -> std::function<void()> {
+        [execute, report, receiver, now]() -> std::function<void()> {
           const auto result = execute();
-          return [result, report, events, now] {
-            if (const auto target = events.lock()) {
-              report(*target, *now, &result);
+          return [result, report, receiver, now] {
+            if (const auto target = receiver.lock()) {
+              target->Receive([result, report, events = target->events, now] {
+                report(events, *now, &result);
+              });
             }
           };
         },
-        [report, events, now] {
-          if (const auto target = events.lock()) {
-            report(*target, *now, nullptr);
+        [report, receiver, now] {
+          if (const auto target = receiver.lock()) {
+            target->Receive(
+                [report, events = target->events, now] { report(events, *now, nullptr); });
           }
         },
         kAnswerTimeout);
   }
 
   SimulatedWorkers* m_workers;
-  std::shared_ptr<WorkerEvents*> m_events;
+  std::shared_ptr<Receiver> m_receiver;
   const TimePoint* m_now = nullptr;
 };
 
