Keep the ports of the fault soak and of the process tests apart

What was seen: a process test failed because one of its programs could not listen: "fake_store: cannot listen on port 26900" at the start of store_outage, and "entry-5 is not ready", "cannot listen on 127.0.0.1 port 22735: Address already in use" in the middle of rolling_replacement, each while fault soaks ran on the same machine.

Cause: the soak takes 23 ports from 10000 + 36 n for n below 600, so up to 31582, and the process tests use 20000 to 31999. Both failures fit a soak's block: 26884 to 26906, and 22708 to 22738 less the ports that the test held already. Two process tests whose process ids agree modulo 120 also met (seen once, base 25500).

Change: the soak's blocks end below 20000 (n below 270).

--- a/soak/daemon_process.cc
+++ b/soak/daemon_process.cc
@@ -19,7 +19,8 @@
 
 constexpr int kFirstPort = 10'000;
 constexpr int kPortsPerProcess = 36;
-constexpr int kProcesses = 600;
+/// Keeps the ports below 20000, where those of the process tests begin.
+constexpr int kProcesses = 270;
 
 bool IsPortFree(std::uint16_t port) {
   const int probe = socket(AF_INET, SOCK_STREAM, 0);
