Simulate lease renewals that wait for an end, with frequent restarts of workers

In a second random case the replies wait as the orders ask; a renewal to a worker that restarts or becomes unreachable stays unanswered until it times out, as if no end of the connection were seen, and workers restart at once under their ids ten times as often.

The first random case draws the same numbers as before; its checks are unchanged and shared.

--- a/packages/scheduler/tests/scheduler_random_test.cc
+++ b/packages/scheduler/tests/scheduler_random_test.cc
@@ -47,8 +47,13 @@
 
 /// Simulates one seed: jobs are submitted, orders are lost or delayed, workers become unreachable
 /// or restart, and owners are replaced while they still act.
-Outcome RunSeed(std::uint64_t seed) {
+/// @param waits whether replies to lease renewals wait for an end
+/// @param restart_interval mean number of steps between two restarts of a worker
+Outcome RunSeed(std::uint64_t seed, bool waits, std::uint64_t restart_interval) {
   SimulatedWorkers workers(seed);
+  if (waits) {
+    workers.EnableWaits();
+  }
   DurableState store;
   TimePoint now{std::chrono::seconds(1'000)};
   workers.Advance(now);
@@ -80,7 +85,7 @@
       owner.scheduler().Submit({now, spec.accepted_unix_ms}, spec, [](bool) {});
     }
     for (auto& [id, worker] : workers.workers()) {
-      if (faulty && random.Below(6'000) == 0) {
+      if (faulty && random.Below(restart_interval) == 0) {
         workers.Restart(id);
       }
       if (faulty && worker.reachable && random.Below(4'000) == 0) {
@@ -114,14 +119,11 @@
   return outcome;
 }
 
-}  // namespace
-
-// Guards against a task that runs twice at the same time or after its acknowledged end, against
-// starts beyond a worker's capacity, and against work that is never finished.
-TEST_CASE("random faults violate no guarantee of the schedule") {
+/// Simulates seeds from 1 on and requires that no guarantee is violated. Arguments as for RunSeed.
+void CheckSeeds(bool waits, std::uint64_t restart_interval) {
   std::uint64_t starts = 0;
   for (std::uint64_t seed = 1; seed <= SeedCount(60); ++seed) {
-    const Outcome outcome = RunSeed(seed);
+    const Outcome outcome = RunSeed(seed, waits, restart_interval);
     INFO("seed " << seed);
     for (const std::string& violation : outcome.violations) {
       UNSCOPED_INFO(violation);
@@ -133,4 +135,16 @@
   CHECK(starts > 0);
 }
 
+}  // namespace
+
+// Guards against a task that runs twice at the same time or after its acknowledged end, against
+// starts beyond a worker's capacity, and against work that is never finished.
+TEST_CASE("random faults violate no guarantee of the schedule") { CheckSeeds(false, 6'000); }
+
+// Guards against an acknowledgement that reaches a restarted worker while a lease renewal to its
+// earlier incarnation is still unanswered.
+TEST_CASE("waiting renewals and frequent restarts violate no guarantee of the schedule") {
+  CheckSeeds(true, 600);
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -22,6 +22,9 @@
   double late = 0;         ///< Executed seconds later, no reply.
 };
 
+/// Time after which a caller gives up an order, beyond the wait that the order asks for.
+constexpr Duration kAnswerTimeout{450};
+
 /// Simulated workers in memory that follow the platform's rules: fences, leases on the worker's own
 /// clock, and numbered ended runs that are listed until they are acknowledged. Every violated
 /// guarantee is recorded.
@@ -192,6 +195,29 @@
     });
   }
 
+  /// Lets replies to lease renewals wait for an end, as the orders ask. By default they do not
+  /// wait.
+  void EnableWaits() { m_waits = true; }
+  /// Returns how long the reply to a lease renewal may be delayed.
+  Duration LongestWait(const LeaseRenewalOrder& order) const {
+    return m_waits ? order.wait : Duration(0);
+  }
+
+  /// Reports the list of runs once it has an ended run or the order's wait is over. If the worker
+  /// restarts or becomes unreachable meanwhile, the renewal stays unanswered until it times out.
+  /// @param first the reply when the order was executed
+  void WaitForEnd(const std::string& id, LeaseRenewalOrder order, const LeaseRenewalReply& first,
+                  const std::function<void(const LeaseRenewalReply*)>& report) {
+    const Duration wait = LongestWait(order);
+    if (first.outcome != CallOutcome::kOk || !first.ended.empty() || wait <= Duration(0)) {
+      report(&first);
+      return;
+    }
+    order.acknowledged = 0;  // The order has been applied; only the list is still awaited.
+    order.lease_until_ms.reset();
+    PollForEnd(id, order, m_now + wait, first.started_unix_ms, report);
+  }
+
   std::int64_t ClockMs(const SimulatedWorker& worker) const {
     return 1'000 + std::chrono::duration_cast<Duration>(m_now - worker.started_at).count();
   }
@@ -287,6 +313,25 @@
   /// Time from a crash until the registration of the old id is removed.
   static constexpr Duration kRegistrationLifetime{4'500};
 
+  void PollForEnd(const std::string& id, const LeaseRenewalOrder& order, TimePoint until,
+                  std::int64_t started_unix_ms,
+                  const std::function<void(const LeaseRenewalReply*)>& report) {
+    constexpr Duration kPollInterval{10};
+    const SimulatedWorker& worker = m_workers.at(id);
+    if (!worker.up || !worker.reachable || worker.info.started_unix_ms != started_unix_ms) {
+      At(until + kAnswerTimeout, [report] { report(nullptr); });
+      return;
+    }
+    const LeaseRenewalReply reply = RenewLease(id, order);
+    if (reply.outcome != CallOutcome::kOk || !reply.ended.empty() || m_now >= until) {
+      report(&reply);
+      return;
+    }
+    At(m_now + kPollInterval, [this, id, order, until, started_unix_ms, report] {
+      PollForEnd(id, order, until, started_unix_ms, report);
+    });
+  }
+
   void ComeBack(const std::string& id) {
     Restart(id);
     m_workers.at(id).up = true;
@@ -402,6 +447,7 @@
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
   double m_new_id_share = 0;
+  bool m_waits = false;
   std::map<std::string, TaskKind> m_tasks;
   std::map<std::string, DeadlyTask> m_deadly;
   std::multimap<TimePoint, std::function<void()>> m_queue;
@@ -428,13 +474,23 @@
 
   void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
     const std::string id = worker.id;
-    Send(
-        id, [this, id, order] { return m_workers->RenewLease(id, order); },
-        [id, order](WorkerEvents* events, TimePoint now, const LeaseRenewalReply* reply) {
-          LeaseRenewalReply lost;
-          lost.call = order.call;
-          events->OnLeaseRenewal(now, id, reply == nullptr ? lost : *reply);
-        });
+    const auto report = [events = std::weak_ptr<WorkerEvents*>(m_events), now = m_now, id,
+                         order](const LeaseRenewalReply* reply) {
+      LeaseRenewalReply lost;
+      lost.call = order.call;
+      if (const auto target = events.lock()) {
+        (*target)->OnLeaseRenewal(*now, id, reply == nullptr ? lost : *reply);
+      }
+    };
+    m_workers->Deliver(
+        id,
+        [workers = m_workers, id, order, report]() -> std::function<void()> {
+          const LeaseRenewalReply reply = workers->RenewLease(id, order);
+          return [workers, id, order, report, reply] {
+            workers->WaitForEnd(id, order, reply, report);
+          };
+        },
+        [report] { report(nullptr); }, m_workers->LongestWait(order) + kAnswerTimeout);
   }
   void Start(const WorkerInfo& worker, const StartOrder& order) override {
     const std::string id = worker.id;
@@ -461,7 +517,6 @@
  private:
   template <typename Execute, typename Report>
   void Send(const std::string& id, Execute execute, Report report) {
-    constexpr Duration kAnswerTimeout{450};
     const std::weak_ptr<WorkerEvents*> events = m_events;
     const TimePoint* now = m_now;
     m_workers->Deliver(
