--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -111,6 +111,9 @@
       if (change.progress) {
         m_store->progress[change.job] = *change.progress;
       }
+      if (change.remove_record) {
+        m_store->records.erase(change.job);
+      }
       if (change.remove_progress) {
         m_store->progress.erase(change.job);
       }
