--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -152,6 +152,7 @@
   SimulatedCluster& operator=(const SimulatedCluster&) = delete;
 
   SimulatedWorkers& workers() { return m_workers; }
+  const SimulatedWorkers& workers() const { return m_workers; }
   Scheduler& scheduler() { return m_owners.back()->scheduler(); }
   TimePoint now() const { return m_now; }
 
@@ -238,6 +239,12 @@
   return text == nullptr ? usual : std::strtoull(text, nullptr, 10);
 }
 
+/// Returns the first seed to simulate, which the environment can override.
+inline std::uint64_t FirstSeed() {
+  const char* text = std::getenv("CRANBERRYPLANK_FIRST_SEED");
+  return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_SCHEDULER_TESTS_SIMULATED_OWNER_H_
