--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -51,9 +51,10 @@
   void SetSettings(Now now, const JobSettings& settings);
   /// Begins a graceful shutdown.
   void BeginShutdown(TimePoint now);
-  /// Returns whether the process may end. Before it does so for the first time, it accepts no more
-  /// connections of callers, and the event loop must run another turn.
-  bool finished(TimePoint now);
+  /// Continues a shutdown that has begun: once all requests have their responses, no more
+  /// connections of callers are accepted. Must be called after each turn of the event loop.
+  /// @return whether the process may end; no sooner than a turn after the last accepted connection
+  bool AdvanceShutdown(TimePoint now);
   /// Returns the number of callers' requests whose response is not yet written completely.
   std::size_t open_requests() const { return m_caller_server.open_requests(); }
   /// Returns whether this daemon owns the schedule, so that its loop has frequent work.
--- a/packages/entry/include/cranberryplank/entry/vm_list.h
+++ b/packages/entry/include/cranberryplank/entry/vm_list.h
@@ -13,7 +13,7 @@
 class VmList {
  public:
   /// @param begun when this daemon became the owner of the schedule
-  VmList(VmControl* machines, TimePoint begun) : m_machines(machines), m_begun(begun) {}
+  VmList(VmControl* vm_control, TimePoint begun) : m_vm_control(vm_control), m_begun(begun) {}
   VmList(const VmList&) = delete;
   VmList& operator=(const VmList&) = delete;
 
@@ -39,7 +39,7 @@
   void OnPage(TimePoint now, const VmPage& page);
   void FinishList(TimePoint now);
 
-  VmControl* m_machines;
+  VmControl* m_vm_control;
   TimePoint m_begun;
   std::map<std::string, ListedVm> m_vms;
   std::map<std::string, ListedVm> m_listing;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -358,7 +358,7 @@
       .Field("open_requests", m_gateway.open_requests());
 }
 
-bool JobService::finished(TimePoint now) {
+bool JobService::AdvanceShutdown(TimePoint now) {
   if (!m_stopping_since) {
     return false;
   }
--- a/packages/entry/src/vm_list.cc
+++ b/packages/entry/src/vm_list.cc
@@ -26,7 +26,7 @@
 
 void VmList::RequestPage(const std::string& page) {
   const std::weak_ptr<int> lifetime = m_lifetime;
-  m_machines->List(page, [this, lifetime](TimePoint at, const VmPage& reply) {
+  m_vm_control->List(page, [this, lifetime](TimePoint at, const VmPage& reply) {
     if (!lifetime.expired()) {
       OnPage(at, reply);
     }
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -242,10 +242,10 @@
   fixture.SendRequest();
   fixture.RunUntilRequestIsRead();  // Refused at once, because no configuration is known yet.
   const TimePoint later = stopped + Duration(3'000);
-  while (!fixture.service().finished(later) && Clock::now() < stopped + Duration(5'000)) {
+  while (!fixture.service().AdvanceShutdown(later) && Clock::now() < stopped + Duration(5'000)) {
     fixture.RunOneTurn();
   }
-  CHECK(fixture.service().finished(later));
+  CHECK(fixture.service().AdvanceShutdown(later));
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
@@ -258,7 +258,7 @@
   fixture.service().BeginShutdown(stopped);
   fixture.SendRequest();
   fixture.RunUntilRequestIsRead();
-  while (!fixture.service().finished(Clock::now())) {
+  while (!fixture.service().AdvanceShutdown(Clock::now())) {
     fixture.service().Tick({Clock::now(), UnixMilliseconds()});
     fixture.RunOneTurn();
     usleep(1'000);
@@ -275,12 +275,12 @@
   fixture.service().BeginShutdown(stopped);
   fixture.SendRequest();
   fixture.RunUntilRequestIsRead();
-  CHECK(fixture.service().finished(stopped + fixture.settings().shutdown_grace));
+  CHECK(fixture.service().AdvanceShutdown(stopped + fixture.settings().shutdown_grace));
   const TimePoint last = stopped + fixture.settings().shutdown_grace - Duration(900);
-  while (!fixture.service().finished(last) && Clock::now() < stopped + Duration(5'000)) {
+  while (!fixture.service().AdvanceShutdown(last) && Clock::now() < stopped + Duration(5'000)) {
     fixture.RunOneTurn();
   }
-  CHECK(fixture.service().finished(last));
+  CHECK(fixture.service().AdvanceShutdown(last));
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
@@ -294,10 +294,10 @@
   fixture.RunOneTurn();
   REQUIRE(fixture.service().open_requests() == 0);  // The connection is accepted, but not read.
   const TimePoint later = stopped + Duration(3'000);
-  while (!fixture.service().finished(later) && Clock::now() < stopped + Duration(5'000)) {
+  while (!fixture.service().AdvanceShutdown(later) && Clock::now() < stopped + Duration(5'000)) {
     fixture.RunOneTurn();
   }
-  CHECK(fixture.service().finished(later));
+  CHECK(fixture.service().AdvanceShutdown(later));
   CHECK(fixture.Received().find("HTTP/1.1 503") == 0);
 }
 
@@ -311,10 +311,10 @@
   fixture.RunOneTurn();  // Accepts the connection.
   fixture.RunOneTurn();  // Reads the request.
   const TimePoint later = stopped + Duration(3'000);
-  while (!fixture.service().finished(later) && Clock::now() < stopped + Duration(5'000)) {
+  while (!fixture.service().AdvanceShutdown(later) && Clock::now() < stopped + Duration(5'000)) {
     fixture.RunOneTurn();
   }
-  CHECK(fixture.service().finished(later));
+  CHECK(fixture.service().AdvanceShutdown(later));
   CHECK(fixture.Received().find("HTTP/1.1 501") == 0);
 }
 
