Acknowledge ended runs beside an unresolved start once the worker has answered

Cause: nothing was acknowledged while a start was unresolved. A list with 500 ended runs, the most that a worker sends, does not resolve a start that it lacks, so neither gave way.

Change: an unanswered start raises the fence, as before. Acknowledgements wait until a renewal with that fence is answered by the same incarnation, which excludes a restart, and no longer until the start is resolved.

--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -90,6 +90,7 @@
   /// Its list was applied under a fence of this owner, in this incarnation.
   bool reconciled = false;
   std::uint64_t fence = 0;
+  std::uint64_t answered_fence = 0;  ///< Highest fence of a lease renewal that was answered.
   ClockSample clock;
   std::int64_t lease_until_ms = 0;  ///< Newest deadline granted, on the worker's clock.
   TimePoint lease_bound{};          ///< All runs there have ended by then, even without a reply.
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -55,19 +55,21 @@
   order.not_after = m_authority;
   order.fence = worker->fence;
   const bool trusted = worker->reconciled && worker->clock.known && worker->failed_renewals == 0;
-  const bool resolves = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
-    return item.second.phase == RunPhase::kUncertain;
-  });
   // A restarted worker numbers its ended runs from 1 again, so an old acknowledgement could hide
   // new ended runs. It is therefore not sent again once confirmed, nor after or beside a call
-  // without a reply, which may be the first sign of a restart.
-  const bool acknowledges = trusted && !resolves && worker->renewals.empty();
+  // without a reply, which may be the first sign of a restart. Such a call raises the fence, so an
+  // answered renewal with the present fence shows that the worker has not restarted.
+  const bool acknowledges =
+      trusted && worker->answered_fence == worker->fence && worker->renewals.empty();
   order.acknowledged = acknowledges && worker->acknowledged > worker->acknowledged_by_worker
                            ? worker->acknowledged
                            : 0;
   if (trusted && !worker->runs.empty()) {
     order.lease_until_ms = GrantLease(now, worker);
   }
+  const bool resolves = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
+    return item.second.phase == RunPhase::kUncertain;
+  });
   if (trusted && !resolves && !worker->has_untracked_runs &&
       worker->pending_acknowledgements.empty()) {
     order.wait = worker->trial ? std::min(m_settings.renewal_wait, TrialRenewalWait())
@@ -108,6 +110,7 @@
         .Field("failed_holds", worker->failed_renewals);
   }
   worker->failed_renewals = 0;
+  worker->answered_fence = std::max(worker->answered_fence, renewal.fence);
   worker->heard_clock_ms = std::max(worker->heard_clock_ms, reply.clock_ms);
   ClearUnproved(now, *worker);
   if (renewal.acknowledged <= worker->acknowledged) {
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -218,6 +218,30 @@
   CHECK(fixture.link.renewals.back().acknowledged == 1);
 }
 
+// Guards against a worker whose ended runs are never acknowledged: its list of 500 ended runs, the
+// most that it sends, can not show that an unanswered start is missing, and the unresolved start
+// prevented the acknowledgement that would have made room in the list.
+TEST_CASE("500 ended runs are acknowledged although a start stays unresolved") {
+  AcknowledgementFixture fixture;
+  fixture.ConfirmStart(1);
+  fixture.Tick();
+  fixture.Answer({{"job.0.0.0", 1, "", 10, 0}}, {});
+  fixture.SubmitJob("other");
+  fixture.Tick();
+  REQUIRE(fixture.link.starts.size() == 2);
+  std::vector<EndedRun> ends;
+  for (std::uint64_t number = 1; number <= 500; ++number) {
+    ends.push_back({number, "gone.0.0." + std::to_string(number), 1, RunEndKind::kDone, ""});
+  }
+  fixture.Answer({{"job.0.0.0", 1, "", 10, 0}}, ends);
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back(),
+                            {CallOutcome::kUnknown, 0});
+  fixture.Store();
+  fixture.Answer({{"job.0.0.0", 1, "", 10, 0}}, ends);
+  fixture.Tick();
+  CHECK(fixture.link.renewals.back().acknowledged == 500);
+}
+
 // Guards against an owner that spends its processor time on idle workers: with 3,003 workers only
 // 54% of the requests were served. Also guards against a lease that expires during the pause of an
 // idle worker.
