Wait longer for proof of a crash with each run that lacks it

Cause: a crash is proved only when its VM is back, but a suspect task was tried again 0.5 s after its lease had ended, however many of its runs still lacked proof.

Change: the wait grows eightfold with each run without proof, up to some 4 minutes. A run that is proved or disproved shortens it again.

--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -14,8 +14,12 @@
 constexpr Duration kCrashWindow{200};
 /// Added to the wait of the lease renewal that shows whether a suspect task outlives the window.
 constexpr Duration kTrialMargin{50};
-/// A suspect task waits this long for proof that its worker crashed, before it is tried again.
+/// A suspect task waits this long for proof that its worker crashed, before it is tried again. For
+/// each further run without proof it waits `kProofWaitGrowth` times as long, so that a task whose
+/// workers stay away does not take down one after the other.
 constexpr Duration kProofWait{500};
+constexpr int kProofWaitGrowth = 8;
+constexpr int kMaxProofWaitGrowths = 3;
 /// Crashes after which a task is given up: when it was the only run that could be the cause of the
 /// last one, and in any case.
 constexpr std::size_t kCrashesAlone = 2;
@@ -47,6 +51,15 @@
   return task.state()->retry_at + (task.spec().long_running ? kLongRunningTrialWait : kTrialWait);
 }
 
+/// Returns how long a task waits for proof, given the number of its runs that lack it.
+Duration ProofWait(std::size_t unproved_runs) {
+  Duration wait = kProofWait;
+  for (std::size_t run = 1; run < unproved_runs && run <= kMaxProofWaitGrowths; ++run) {
+    wait *= kProofWaitGrowth;
+  }
+  return wait;
+}
+
 bool HasRoomFor(const Worker& worker, const TaskRef& task) {
   const StepSpec& spec = task.spec();
   const RunRange runs = worker.RunsOfStep(task);
@@ -72,7 +85,9 @@
     JobTaskState* state = task.state();
     if (state != nullptr && !state->done && JustBegun(worker, run)) {
       state->worker_lost = true;
-      state->retry_at = std::max(state->retry_at, now + kProofWait);
+      const auto unproved = run.job->suspects.find(task.Key());
+      const std::size_t runs = unproved == run.job->suspects.end() ? 0 : unproved->second.size();
+      state->retry_at = std::max(state->retry_at, now + ProofWait(runs));
       state->trial_until = TrialUntil(task);
       m_suspects_wait = true;
     }
@@ -112,7 +127,7 @@
     const TaskRef task{job, key.first.first, key.first.second, key.second};
     JobTaskState* state = task.state();
     state->worker_lost = true;
-    state->retry_at = now + kProofWait;
+    state->retry_at = now + ProofWait(runs.size());
     state->trial_until = TrialUntil(task);
     m_suspects_wait = true;
     for (const auto& [run, start] : runs) {
--- a/packages/scheduler/tests/crashing_task_test.cc
+++ b/packages/scheduler/tests/crashing_task_test.cc
@@ -336,6 +336,21 @@
   CHECK(workers.Crashes("deadly.0.0.0") >= 2);
 }
 
+// Guards against a task that takes down worker after worker while none of them is back to prove a
+// crash.
+TEST_CASE("a deadly task is given up after few crashes if its workers stay away for long") {
+  SimulatedCluster cluster(1, 12, kCapacity);
+  SimulatedWorkers& workers = cluster.workers();
+  workers.SetNewIdShare(GENERATE(0.0, 1.0));
+  workers.SetRestartTime(GENERATE(Duration(6'000), Duration(15'000), Duration(30'000)));
+  workers.SetDeadly("deadly.0.0.0");
+  cluster.Submit(OneStepJob("deadly", 1, Duration(500)), Duration(500));
+  cluster.Run(Duration(90'000));
+  CheckNoViolation(&cluster);
+  CHECK(cluster.EndOf("deadly") == JobState::kFailed);
+  CHECK(workers.Crashes("deadly.0.0.0") <= 4);
+}
+
 // Guards against taking a reply that the worker sent before it crashed for one that it sent long
 // after the start, because a busy owner handles it late.
 TEST_CASE("a reply that is handled late does not show that the worker outlived a start") {
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -116,6 +116,8 @@
     m_report_registration(m_workers.at(id));
   }
 
+  /// Sets the least time from a crash until the worker is back.
+  void SetRestartTime(Duration time) { m_restart_time = time; }
   /// Sets whether replies to starts carry the worker's clock.
   void SetClockInStartReplies(bool given) { m_clock_in_start_replies = given; }
 
@@ -154,7 +156,7 @@
     worker.runs.clear();
     worker.up = false;
     worker.refuses = m_random.Below(2) == 0;
-    const Duration back{3'000 + static_cast<Duration::rep>(m_random.Below(500))};
+    const Duration back = m_restart_time + Duration(m_random.Below(500));
     if (m_random.Fraction() >= m_new_id_share) {
       At(m_now + back, [this, id] { ComeBack(id); });
       return;
@@ -482,6 +484,7 @@
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
   double m_new_id_share = 0;
+  Duration m_restart_time{3'000};
   bool m_clock_in_start_replies = true;
   bool m_waits = false;
   std::map<std::string, TaskKind> m_tasks;
