Start a task again at once when its silent workers have replied

Callers would have seen a job that could run and didn't.

Cause: a reply ended the suspicion and not the wait.

Evidence: the new case failed before (the job was not done 8 s after the replies) and passes now.

--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -199,6 +199,7 @@
     JobTaskState* state = run.task.state();
     if (state != nullptr && !run.job->suspects.contains(run.task.Key())) {
       state->worker_lost = false;
+      state->retry_at = std::min(state->retry_at, now);
     }
   }
 }
--- a/packages/scheduler/tests/crashing_task_test.cc
+++ b/packages/scheduler/tests/crashing_task_test.cc
@@ -399,6 +399,32 @@
   CHECK(cluster.EndOf("job") == JobState::kDone);
 }
 
+// Guards against a task that goes on waiting for proof after its workers have replied.
+TEST_CASE("a task whose workers were only unreachable starts again once they reply") {
+  SimulatedCluster cluster(1, 6, kCapacity);
+  auto& workers = cluster.workers().workers();
+  cluster.Submit(OneStepJob("job", 1, Duration(4'000)), Duration(4'000));
+  const auto runs_job = [](const auto& item) {
+    return item.second.reachable && item.second.runs.contains("job.0.0.0");
+  };
+  for (int lost = 0; lost < 3; ++lost) {
+    auto found = workers.end();
+    for (int step = 0; step < 1'000 && found == workers.end(); ++step) {
+      cluster.Step();
+      found = std::find_if(workers.begin(), workers.end(), runs_job);
+    }
+    REQUIRE(found != workers.end());
+    found->second.reachable = false;
+  }
+  cluster.Run(Duration(5'000));  // The last lease expires.
+  for (auto& [id, worker] : workers) {
+    worker.reachable = true;
+  }
+  cluster.Run(Duration(8'000));
+  CheckNoViolation(&cluster);
+  CHECK(cluster.EndOf("job") == JobState::kDone);
+}
+
 // Guards against counting planned removals of workers as crashes of their tasks.
 TEST_CASE("a worker that was draining or retired does not count as crashed") {
   const bool retired = GENERATE(false, true);
