--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -24,6 +24,9 @@
   double late = 0;         ///< Executed seconds later, no reply.
 };
 
+/// Time after which a caller gives up an order, beyond the wait that the order asks for.
+constexpr Duration kAnswerTimeout{450};
+
 /// Simulated workers in memory that follow the platform's rules: fences, leases on the worker's own
 /// clock, and numbered ended runs that are listed until they are acknowledged. Every violated
 /// guarantee is recorded.
@@ -34,6 +37,15 @@
     Resources need;
     TimePoint ends{};
     bool fails = false;
+    TimePoint began{};
+  };
+
+  /// A crash of a worker under a run.
+  struct RunCrash {
+    std::string worker;
+    int run = 0;
+    Duration after_start{0};
+    bool outlived = false;  ///< An owner had received a list that shows that it outlived the start.
   };
 
   struct SimulatedWorker {
@@ -49,6 +61,7 @@
     std::map<std::string, int> finished;  ///< Highest run stopped or ended, by task.
     std::vector<EndedRun> ends;
     std::uint64_t last_ended_number = 0;
+    std::int64_t heard_clock_ms = 0;  ///< Newest clock in a list that an owner received.
   };
 
   explicit SimulatedWorkers(std::uint64_t seed) : m_random(seed) {}
@@ -77,6 +90,15 @@
   /// Returns how many workers have crashed while they ran the deadly task.
   int Crashes(const std::string& task) const { return m_deadly.at(task).crashes; }
 
+  /// Returns the crashes of workers under all runs, by task.
+  const std::map<std::string, std::vector<RunCrash>>& run_crashes() const { return m_run_crashes; }
+  /// Returns how many workers have crashed.
+  int crashes() const { return m_crashes; }
+  /// Records that an owner received a list.
+  void RecordHeard(const std::string& id, std::int64_t clock_ms) {
+    m_workers.at(id).heard_clock_ms = std::max(m_workers.at(id).heard_clock_ms, clock_ms);
+  }
+
   /// Sets the receiver of changed and removed registrations.
   void OnRegistration(std::function<void(const SimulatedWorker&)> report) {
     m_report_registration = std::move(report);
@@ -94,6 +116,8 @@
     m_report_registration(m_workers.at(id));
   }
 
+  /// Sets the least time from a crash until the worker is back.
+  void SetRestartTime(Duration time) { m_restart_time = time; }
   /// Sets whether replies to starts carry the worker's clock.
   void SetClockInStartReplies(bool given) { m_clock_in_start_replies = given; }
 
@@ -111,7 +135,7 @@
     worker.finished.clear();
     worker.ends.clear();
     worker.last_ended_number = worker.fence = 0;
-    worker.deadline_ms = 0;
+    worker.deadline_ms = worker.heard_clock_ms = 0;
     worker.started_at = m_now;
     worker.info.started_unix_ms = ++m_incarnations;
   }
@@ -120,7 +144,11 @@
   /// or a new one.
   void Crash(const std::string& id) {
     SimulatedWorker& worker = m_workers.at(id);
+    ++m_crashes;
     for (const auto& [task, run] : worker.runs) {
+      const Duration age = std::chrono::duration_cast<Duration>(m_now - run.began);
+      const std::int64_t outlived_ms = ClockMs(worker) - age.count() + kCrashWindow.count();
+      m_run_crashes[task].push_back({id, run.run, age, worker.heard_clock_ms >= outlived_ms});
       if (const auto deadly = m_deadly.find(task); deadly != m_deadly.end()) {
         ++deadly->second.crashes;
       }
@@ -128,7 +156,7 @@
     worker.runs.clear();
     worker.up = false;
     worker.refuses = m_random.Below(2) == 0;
-    const Duration back{3'000 + static_cast<Duration::rep>(m_random.Below(500))};
+    const Duration back = m_restart_time + Duration(m_random.Below(500));
     if (m_random.Fraction() >= m_new_id_share) {
       At(m_now + back, [this, id] { ComeBack(id); });
       return;
@@ -197,6 +225,29 @@
     });
   }
 
+  /// Lets replies to lease renewals wait for an end, as the orders ask. By default they do not
+  /// wait.
+  void EnableWaits() { m_waits = true; }
+  /// Returns how long the reply to a lease renewal may be delayed.
+  Duration LongestWait(const LeaseRenewalOrder& order) const {
+    return m_waits ? order.wait : Duration(0);
+  }
+
+  /// Reports the list of runs once it has an ended run or the order's wait is over. If the worker
+  /// restarts or becomes unreachable meanwhile, the renewal stays unanswered until it times out.
+  /// @param first the reply when the order was executed
+  void WaitForEnd(const std::string& id, LeaseRenewalOrder order, const LeaseRenewalReply& first,
+                  const std::function<void(const LeaseRenewalReply*)>& report) {
+    const Duration wait = LongestWait(order);
+    if (first.outcome != CallOutcome::kOk || !first.ended.empty() || wait <= Duration(0)) {
+      report(&first);
+      return;
+    }
+    order.acknowledged = 0;  // The order has been applied; only the list is still awaited.
+    order.lease_until_ms.reset();
+    PollForEnd(id, order, m_now + wait, first.started_unix_ms, report);
+  }
+
   std::int64_t ClockMs(const SimulatedWorker& worker) const {
     return 1'000 + std::chrono::duration_cast<Duration>(m_now - worker.started_at).count();
   }
@@ -294,9 +345,30 @@
     int starts_after_third_crash = 0;
   };
 
+  /// A worker that lists its runs later than this after a start has outlived it.
+  static constexpr Duration kCrashWindow{200};
   /// Time from a crash until the registration of the old id is removed.
   static constexpr Duration kRegistrationLifetime{4'500};
 
+  void PollForEnd(const std::string& id, const LeaseRenewalOrder& order, TimePoint until,
+                  std::int64_t started_unix_ms,
+                  const std::function<void(const LeaseRenewalReply*)>& report) {
+    constexpr Duration kPollInterval{10};
+    const SimulatedWorker& worker = m_workers.at(id);
+    if (!worker.up || !worker.reachable || worker.info.started_unix_ms != started_unix_ms) {
+      At(until + kAnswerTimeout, [report] { report(nullptr); });
+      return;
+    }
+    const LeaseRenewalReply reply = RenewLease(id, order);
+    if (reply.outcome != CallOutcome::kOk || !reply.ended.empty() || m_now >= until) {
+      report(&reply);
+      return;
+    }
+    At(m_now + kPollInterval, [this, id, order, until, started_unix_ms, report] {
+      PollForEnd(id, order, until, started_unix_ms, report);
+    });
+  }
+
   void ComeBack(const std::string& id) {
     Restart(id);
     m_workers.at(id).up = true;
@@ -357,7 +429,7 @@
                           order.run, worker->info.id, order.fence));
     }
     worker->runs[name] = {order.run, kind.need, m_now + kind.time,
-                          m_random.Fraction() < kind.fail_share};
+                          m_random.Fraction() < kind.fail_share, m_now};
     if (const auto deadly = m_deadly.find(name); deadly != m_deadly.end()) {
       BeginDeadly(*worker, order, &deadly->second);
     }
@@ -412,9 +484,13 @@
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
   double m_new_id_share = 0;
+  Duration m_restart_time{3'000};
   bool m_clock_in_start_replies = true;
+  bool m_waits = false;
   std::map<std::string, TaskKind> m_tasks;
   std::map<std::string, DeadlyTask> m_deadly;
+  std::map<std::string, std::vector<RunCrash>> m_run_crashes;  ///< By task.
+  int m_crashes = 0;
   std::multimap<TimePoint, std::function<void()>> m_queue;
   std::set<std::string> m_acknowledged_done;
   std::set<std::string> m_unfinished;  ///< Tasks that were started and have not succeeded.
@@ -449,13 +525,29 @@
 
   void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
     const std::string id = worker.id;
-    Send(
-        id, [this, id, order] { return m_workers->RenewLease(id, order); },
-        [id, order](WorkerEvents* events, TimePoint now, const LeaseRenewalReply* reply) {
-          LeaseRenewalReply lost;
-          lost.call = order.call;
-          events->OnLeaseRenewal(now, id, reply == nullptr ? lost : *reply);
+    const auto report = [receiver = std::weak_ptr<Receiver>(m_receiver), workers = m_workers,
+                         now = m_now, id, order](const LeaseRenewalReply* reply) {
+      LeaseRenewalReply lost;
+      lost.call = order.call;
+      if (const auto target = receiver.lock()) {
+        target->Receive([events = target->events, workers, now, id, answered = reply != nullptr,
+                         received = reply == nullptr ? lost : *reply] {
+          if (answered) {
+            workers->RecordHeard(id, received.clock_ms);
+          }
+          events->OnLeaseRenewal(*now, id, received);
         });
+      }
+    };
+    m_workers->Deliver(
+        id,
+        [workers = m_workers, id, order, report]() -> std::function<void()> {
+          const LeaseRenewalReply reply = workers->RenewLease(id, order);
+          return [workers, id, order, report, reply] {
+            workers->WaitForEnd(id, order, reply, report);
+          };
+        },
+        [report] { report(nullptr); }, m_workers->LongestWait(order) + kAnswerTimeout);
   }
   void Start(const WorkerInfo& worker, const StartOrder& order) override {
     const std::string id = worker.id;
@@ -496,7 +588,6 @@
 
   template <typename Execute, typename Report>
   void Send(const std::string& id, Execute execute, Report report) {
-    constexpr Duration kAnswerTimeout{450};
     const std::weak_ptr<Receiver> receiver = m_receiver;
     const TimePoint* now = m_now;
     m_workers->Deliver(
