--- a/packages/scheduler/tests/crashing_task_test.cc
+++ b/packages/scheduler/tests/crashing_task_test.cc
@@ -241,8 +241,7 @@
 }
 
 /// Simulates the seeds. A job without a deadly task may fail only if two workers crashed under one
-/// of its tasks. That must stay rare, since crashes by chance soon after two starts of one task
-/// are.
+/// of its tasks. Two such crashes by chance are rare, so the number of these jobs is bounded.
 void CheckSeeds(std::uint64_t seeds, OwnerFaults owner_faults) {
   constexpr std::uint64_t kSeedsPerJobGivenUp = 60;
   const std::uint64_t first = FirstSeed();
