--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -339,7 +339,7 @@
   m_metrics.SetGauge("cranberryplank_open_requests",
                      static_cast<double>(m_gateway.open_requests()));
   if (m_owner && m_owner->ready()) {
-    RecordOwnerMetrics(m_owner.get(), &m_metrics);
+    RecordOwnerMetrics(now, m_owner.get(), &m_metrics);
   }
   ApiResponse response;
   response.content_type = "text/plain; version=0.0.4";
--- a/packages/entry/src/owner_metrics.cc
+++ b/packages/entry/src/owner_metrics.cc
@@ -4,7 +4,7 @@
 
 namespace cranberryplank {
 
-void RecordOwnerMetrics(ScheduleOwner* owner, Metrics* metrics) {
+void RecordOwnerMetrics(TimePoint now, ScheduleOwner* owner, Metrics* metrics) {
   if (const VmFleet* fleet = owner->fleet()) {
     metrics->SetTotal("cranberryplank_vm_moves_total", fleet->moves());
     metrics->SetTotal("cranberryplank_vm_upkeeps_total", fleet->upkeeps());
@@ -15,6 +15,9 @@
   metrics->SetGauge("cranberryplank_oldest_unstored_change_seconds",
                     std::chrono::duration<double>(load.oldest_unstored).count());
   metrics->SetGauge("cranberryplank_starts_per_pass", load.fewest_starts);
+  metrics->SetGauge(
+      "cranberryplank_registrations_age_seconds",
+      std::chrono::duration<double>(owner->scheduler()->RegistrationsAge(now)).count());
   const SchedulerCounters& counters = owner->scheduler()->counters();
   metrics->SetTotal("cranberryplank_task_starts_total", counters.starts);
   metrics->SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
--- a/packages/entry/src/owner_metrics.h
+++ b/packages/entry/src/owner_metrics.h
@@ -8,7 +8,7 @@
 
 /// Records the state and the counters of the schedule's owner.
 /// @param owner must be ready
-void RecordOwnerMetrics(ScheduleOwner* owner, Metrics* metrics);
+void RecordOwnerMetrics(TimePoint now, ScheduleOwner* owner, Metrics* metrics);
 
 }  // namespace cranberryplank
 
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -243,6 +243,7 @@
     return;
   }
   m_scheduler->SetAuthority(m_parts.ownership->authority_until());
+  m_scheduler->SetRegistrationsKnownUntil(m_workers.confirmed_at());
   UpdateLoad(now.time);
   m_scheduler->Tick(now);
   if (m_fleet) {
@@ -271,6 +272,7 @@
       .Field("starts", all_starts - std::exchange(m_reported_starts, all_starts))
       .Field("transactions", m_writer.transactions())
       .Field("transaction_ms", m_writer.last_transaction_time().count())
+      .Field("registrations_age_ms", m_scheduler->RegistrationsAge(now).count())
       .Field("usable_workers", m_scheduler->usable_workers())
       .Field("active_jobs", m_scheduler->job_table().active().size())
       .Field("waiting_calls", m_waiting.size());
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -110,6 +110,10 @@
   /// Sets the time after which no order is sent.
   void SetAuthority(TimePoint until) { m_authority = until; }
   TimePoint authority() const { return m_authority; }
+  /// Reports that every change of a registration that was acknowledged before `time` is known.
+  void SetRegistrationsKnownUntil(TimePoint time) { m_registrations_known_until = time; }
+  /// Returns how old the registrations may be; 0 if that was never reported.
+  Duration RegistrationsAge(TimePoint now) const;
 
   void LoadJob(Now now, const std::string& id, const JobRecord& record,
                const JobProgress& progress);
@@ -330,6 +334,7 @@
   int m_run_base = 0;
   std::uint64_t m_last_call = 0;
   TimePoint m_authority{};
+  std::optional<TimePoint> m_registrations_known_until;
   TimePoint m_unreconciled_bound{};
   TimePoint m_last_schedule{};
   TimePoint m_last_expiry{};
--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -318,6 +318,7 @@
       .Field("task", task.Id().Name())
       .Field("run", run)
       .Field("worker", worker->info.id)
+      .Field("registrations_age_ms", RegistrationsAge(now).count())
       .Field("crashes", task.state()->crashed_runs.size());
   SendRenewal(now, worker);  // Its reply shows whether the worker outlives the start.
 }
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -107,11 +107,13 @@
 /// most of the log of an owner that starts a thousand tasks per second.
 class StartsLine {
  public:
-  StartsLine(TimePoint now, const TaskRef& step, std::uint64_t config_version)
+  StartsLine(TimePoint now, const TaskRef& step, std::uint64_t config_version,
+             Duration registrations_age)
       : m_step(step.Id().StepName()),
         m_waited(
             std::chrono::duration_cast<Duration>(now - step.job->open.at(step.occurrence).due)),
-        m_config_version(config_version) {}
+        m_config_version(config_version),
+        m_registrations_age(registrations_age) {}
 
   void Add(int index, int run, std::string_view worker) {
     fmt::format_to(std::back_inserter(m_runs), "{}{}:{}@{}", m_runs.empty() ? "" : " ", index, run,
@@ -127,6 +129,7 @@
         .Field("step", m_step)
         .Field("runs", m_runs)
         .Field("config", m_config_version)
+        .Field("registrations_age_ms", m_registrations_age.count())
         .Field("waited_ms", m_waited.count());
   }
 
@@ -134,6 +137,7 @@
   std::string m_step;
   Duration m_waited;
   std::uint64_t m_config_version;
+  Duration m_registrations_age;
   std::string m_runs;
 };
 
@@ -268,6 +272,12 @@
   return passes;
 }
 
+Duration Scheduler::RegistrationsAge(TimePoint now) const {
+  return m_registrations_known_until
+             ? std::chrono::duration_cast<Duration>(now - *m_registrations_known_until)
+             : Duration(0);
+}
+
 bool Scheduler::WithinCap(const Job& job, const Resources& more) const {
   const CustomerConfig* customer = m_config->FindCustomer(job.spec.customer);
   if (customer == nullptr) {
@@ -338,7 +348,7 @@
   const std::string step_name = waiting.queue->advice ? step.Id().StepName() : std::string();
   TaskRef task = step;
   std::vector<JobTaskState>& tasks = step.step_state()->tasks;
-  StartsLine line(now, step, m_config->version);
+  StartsLine line(now, step, m_config->version, RegistrationsAge(now));
   for (task.index = 0; task.index < spec.count; ++task.index) {
     JobTaskState& state = tasks[static_cast<std::size_t>(task.index)];
     if (state.done || state.placed > 0 || now < state.retry_at ||
@@ -405,7 +415,7 @@
   TaskRef task = step;
   // A gang is never split, so it may exceed the limit of the pass.
   m_starts_left -= spec.count;
-  StartsLine line(now, step, m_config->version);
+  StartsLine line(now, step, m_config->version, RegistrationsAge(now));
   for (task.index = 0; task.index < spec.count; ++task.index) {
     Worker* worker = usable[static_cast<std::size_t>(chosen[static_cast<std::size_t>(task.index)])];
     state.tasks[static_cast<std::size_t>(task.index)].saved = saved;
