Start no task by a list of workers that may hide a drain

Cause: the owner's watch of the registrations waits up to 10 s and is given up 1.5 s after that. If its connection goes silent, the owner renews its ownership by other calls, for 8 s after the last one even if all fail, and goes on starting tasks by the list that it has. Nothing limited the age of that list. The class is a copy that is used without regard to its age; the configuration had such a limit, the list of workers had none.

Change: a start is decided, and leaves the client, only while the registrations are newer than the time that a worker drains (new setting bounds.drain_ms), less 600 ms for the order to reach the worker. The registrations are confirmed four times within that time, instead of each 10 s. starts_paused and starts_resumed tell when this binds.

Evidence: 'no task is started by registrations older than the time that a worker drains' fails before (a start 2 s after the report, with an order that may leave for 8 s). The bound covers silent connections, a slow store, a late reader and a frozen process alike, since it is taken from the sending time of the last call that the store answered.

--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -26,7 +26,8 @@
   Duration revocation_bound{5'000};  ///< A withdrawn key must not be accepted for longer.
   Duration max_lease{6'000};         ///< Longest lease that workers grant.
   Duration stop_time{900};           ///< Longest time to stop a task.
-  Duration retention{120'000};       ///< How long the state of an ended job stays available.
+  Duration drain_time{2'000};  ///< A worker accepts starts for this long after it reports to drain.
+  Duration retention{120'000};  ///< How long the state of an ended job stays available.
   Duration shutdown_grace{6'000};
   Duration machine_lease{3'000};  ///< Two holders must not send orders to one VM within this time.
   Duration move_time{1'500};
--- a/packages/entry/include/cranberryplank/entry/watched_prefix.h
+++ b/packages/entry/include/cranberryplank/entry/watched_prefix.h
@@ -26,6 +26,8 @@
   /// Starts to watch the prefix until `Stop`. May be called again after `Stop`.
   void Start(TimePoint now);
   void Stop();
+  /// Sets the longest time that a watch waits for a change, from the next watch on.
+  void SetWait(Duration wait) { m_wait = wait; }
   /// Reloads all items without waiting for the watch. A load in progress continues.
   void Refresh(TimePoint now);
   /// Retries failed calls. Must be called regularly.
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -107,6 +107,7 @@
   settings.max_lease = m_settings.max_lease;
   settings.lease = std::min(settings.lease, m_settings.max_lease);
   settings.stop_time = m_settings.stop_time;
+  settings.drain_time = m_settings.drain_time;
   settings.retention = m_settings.retention;
   return settings;
 }
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -44,6 +44,7 @@
   table.Milliseconds("revocation_ms", 100, kHourMs, &settings->revocation_bound);
   table.Milliseconds("max_lease_ms", 500, kHourMs, &settings->max_lease);
   table.Milliseconds("stop_ms", 0, kHourMs, &settings->stop_time);
+  table.Milliseconds("drain_ms", 0, kHourMs, &settings->drain_time);
   table.Milliseconds("machine_lease_ms", 0, kHourMs, &settings->machine_lease);
   table.Milliseconds("notice_ms", 0, kHourMs, &settings->notice_time);
   table.Milliseconds("harm_ms", 0, kHourMs, &settings->harm_time);
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr Duration kWorkerWatchWait{10'000};
+/// Registrations are confirmed this many times within the time that a worker drains.
+constexpr int kConfirmationsPerDrain = 4;
+constexpr Duration kLeastWatchWait{100};
 constexpr Duration kReadRetry{100};
 /// Counts of waiting jobs are at most this old. Many callers ask, and each count visits all jobs.
 constexpr Duration kCountInterval{300};
@@ -21,6 +23,10 @@
     kJobPrefix, kProgressPrefix, kProgressLogPrefix, kWorkersKey, kWavePrefix, kCursorKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 
+Duration WorkerWatchWait(const SchedulerSettings& settings) {
+  return std::max(settings.drain_time / kConfirmationsPerDrain, kLeastWatchWait);
+}
+
 OwnerReply ReplyOf(OwnerStatus status, std::string_view reason = {}) {
   OwnerReply reply;
   reply.status = status;
@@ -35,7 +41,7 @@
     : m_parts(parts),
       m_scheduler(std::make_unique<Scheduler>(settings, parts.workers)),
       m_writer(parts.store, parts.ownership, m_scheduler.get()),
-      m_workers(parts.store, std::string(parts.format->WorkerPrefix()), kWorkerWatchWait,
+      m_workers(parts.store, std::string(parts.format->WorkerPrefix()), WorkerWatchWait(settings),
                 [this](TimePoint now, const KvItem& item) { OnWorkerItem(now, item); }),
       m_fleet_settings(fleet_settings) {
   parts.workers->SetEvents(m_scheduler.get());
@@ -51,6 +57,7 @@
 
 void ScheduleOwner::SetSettings(const SchedulerSettings& settings) {
   m_scheduler->SetSettings(settings);
+  m_workers.SetWait(WorkerWatchWait(settings));
 }
 
 void ScheduleOwner::SetConfig(Now now, std::shared_ptr<const ClusterConfig> config) {
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -31,6 +31,7 @@
   Duration stop_time{900};       ///< Longest time that a stop takes.
   Duration retention{120'000};   ///< How long the state of an ended job is kept.
   Duration renewal_wait{1'000};  ///< How long a worker may delay its reply until a run ends.
+  Duration drain_time{2'000};  ///< A worker accepts starts for this long after it reports to drain.
 };
 
 /// Current time on the two clocks that decisions use.
@@ -111,6 +112,7 @@
   void SetAuthority(TimePoint until) { m_authority = until; }
   TimePoint authority() const { return m_authority; }
   /// Reports that every change of a registration that was acknowledged before `time` is known.
+  /// Tasks are started only while the registrations are newer than the time that a worker drains.
   void SetRegistrationsKnownUntil(TimePoint time) { m_registrations_known_until = time; }
   /// Returns how old the registrations may be; 0 if that was never reported.
   Duration RegistrationsAge(TimePoint now) const;
@@ -206,6 +208,11 @@
   struct StepPlaces;
 
   bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority; }
+  /// Returns the time after which no start is sent.
+  TimePoint StartsUntil() const;
+  bool MayStart(TimePoint now) const { return MayAct(now) && now < StartsUntil(); }
+  /// Logs when starts pause because the registrations are old, and when they resume.
+  void LogPause(TimePoint now);
   const QueueConfig& QueueOfJob(const Job& job);
   const QueueConfig& FindOrAddQueue(const Job& job);
 
@@ -335,6 +342,7 @@
   std::uint64_t m_last_call = 0;
   TimePoint m_authority{};
   std::optional<TimePoint> m_registrations_known_until;
+  bool m_starts_paused = false;
   TimePoint m_unreconciled_bound{};
   TimePoint m_last_schedule{};
   TimePoint m_last_expiry{};
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -105,7 +105,7 @@
   std::uint64_t fence = 0;
   std::string saved;
   std::string ticket;
-  TimePoint not_after{};  ///< The sender's authority ends then; not sent later.
+  TimePoint not_after{};  ///< Not sent later: the sender's authority ends, or what it knows is old.
 };
 
 struct StopOrder {
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -22,6 +22,10 @@
 
 /// Maximum number of workers in one call to the advice service.
 constexpr std::size_t kMaxAdvisedWorkers = 30;
+/// A start that is sent may reach the worker this much later.
+constexpr Duration kStartDelivery{600};
+/// Registrations can be used for this long even where workers drain for a shorter time.
+constexpr Duration kLeastRegistrationsUse{400};
 
 Duration ObjectiveOf(const JobSpec& spec, const QueueConfig& queue) {
   const auto stretched =
@@ -212,7 +216,8 @@
 void Scheduler::Schedule(TimePoint now) {
   m_schedule_needed = false;
   m_last_schedule = now;
-  if (!MayAct(now) || !m_config) {
+  LogPause(now);
+  if (!MayStart(now) || !m_config) {
     return;
   }
   m_advice.Expire(now);
@@ -278,6 +283,25 @@
              : Duration(0);
 }
 
+TimePoint Scheduler::StartsUntil() const {
+  if (!m_registrations_known_until) {
+    return m_authority;
+  }
+  const Duration usable = std::max(m_settings.drain_time - kStartDelivery, kLeastRegistrationsUse);
+  return std::min(m_authority, *m_registrations_known_until + usable);
+}
+
+void Scheduler::LogPause(TimePoint now) {
+  const bool paused = MayAct(now) && !MayStart(now);
+  if (paused == m_starts_paused) {
+    return;
+  }
+  m_starts_paused = paused;
+  LogLine(paused ? LogLevel::kWarning : LogLevel::kInfo,
+          paused ? "starts_paused" : "starts_resumed")
+      .Field("registrations_age_ms", RegistrationsAge(now).count());
+}
+
 bool Scheduler::WithinCap(const Job& job, const Resources& more) const {
   const CustomerConfig* customer = m_config->FindCustomer(job.spec.customer);
   if (customer == nullptr) {
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -187,7 +187,7 @@
 
 bool Scheduler::StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                           std::string_view ticket) {
-  if (!MayAct(now)) {
+  if (!MayStart(now)) {
     return false;
   }
   JobTaskState* state = task.state();
@@ -202,7 +202,7 @@
   order.fence = worker->fence;
   order.saved = task.spec().saves_progress ? state->saved : std::string();
   order.ticket = ticket;
-  order.not_after = m_authority;
+  order.not_after = StartsUntil();
   task.job->started = true;
   ++m_counters.starts;
   placed->phase = RunPhase::kStarting;
--- a/soak/daemon_process.cc
+++ b/soak/daemon_process.cc
@@ -55,7 +55,7 @@
       "[daemon]\nid = \"daemon-{}\"\nzone = \"az-{}\"\ncpu_share = 1.0\ncpu_speed = 1.0\n\n"
       "[listen]\ncallers = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\ndaemons = \"127.0.0.1:{}\"\n"
       "metrics = \"127.0.0.1:{}\"\n\n[platform]\nstore = \"{}:{}\"\n\n"
-      "[bounds]\nrevocation_ms = 5000\nmax_lease_ms = 6000\nstop_ms = 200\n"
+      "[bounds]\nrevocation_ms = 5000\nmax_lease_ms = 6000\nstop_ms = 200\ndrain_ms = 2000\n"
       "machine_lease_ms = 3000\nnotice_ms = 5500\nharm_ms = 4500\nretention_s = 120\n"
       "shutdown_grace_s = 6\nmove_s = 1.5\nupkeep_s = 2\n",
       number, number % 3 + 1, m_caller_endpoint.port, NextPort(), NextPort(), NextPort(),
