Close idle connections that may be silent after a timeout

Change: when a request that was written gets no reply in time, the idle connections to that server, urgent or not, are closed unless they carried a reply since the request was sent.

Evidence: 'a timeout closes the idle connections that may be silent too' fails before (3 idle connections, 2 left after the timeout).

--- a/packages/platform/include/cranberryplank/platform/http_client.h
+++ b/packages/platform/include/cranberryplank/platform/http_client.h
@@ -31,7 +31,8 @@
 
 /// HTTP client with a pool of keep-alive connections per server. A connection carries one request
 /// at a time; it is closed after a timeout, after an invalid reply and if bytes follow a reply. A
-/// request is sent at most once.
+/// timeout also closes the server's idle connections that carried no reply since. A request is sent
+/// at most once.
 class HttpClient {
  public:
   using Callback = std::function<void(TimePoint now, HttpReply reply)>;
@@ -64,6 +65,10 @@
   void Release(Call* call);
   void Complete(std::uint64_t id);
   void CloseIdle(TimePoint now);
+  /// Closes the idle connections to the server of a request without a reply that have carried no
+  /// reply since it was sent. They may have gone silent with its connection, and each would cost a
+  /// timeout of its own.
+  void CloseUnproved(const HttpRequest& request, TimePoint sent);
   std::unique_ptr<HttpConnection> TakeIdle(Pool* pool);
 
   event_base* m_base;
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -37,6 +37,7 @@
   HttpRequest request;
   Callback done;
   TimePoint deadline;
+  TimePoint sent{};  ///< When it was given to its connection.
   event* timer = nullptr;
   std::unique_ptr<HttpConnection> connection;
   std::optional<HttpReply> reply;
@@ -132,6 +133,7 @@
                                                   m_limits.max_reply_bytes, call->request.urgent);
   }
   ++pool.used;
+  call->sent = Clock::now();
   call->connection = std::move(connection);
   call->connection->Send(call->request,
                          [call](HttpReply reply) { call->SetReply(std::move(reply)); });
@@ -168,6 +170,9 @@
     reply.outcome = written ? HttpOutcome::kNoReply : HttpOutcome::kNotSent;
     reply.reason = written ? "no complete reply in time" : "no connection in time";
     call->reply = std::move(reply);
+    if (written) {
+      CloseUnproved(call->request, call->sent);
+    }
   }
   Release(call);
   // The callback may destroy the client.
@@ -197,6 +202,16 @@
   StartWaiting(call->server);
 }
 
+void HttpClient::CloseUnproved(const HttpRequest& request, TimePoint sent) {
+  for (const bool urgent : {false, true}) {
+    const auto pool = m_pools.find({request.host, request.port, urgent});
+    if (pool != m_pools.end()) {
+      std::erase_if(pool->second.idle,
+                    [&](const IdleConnection& connection) { return connection.since < sent; });
+    }
+  }
+}
+
 void HttpClient::StartWaiting(const Server& server) {
   Pool& pool = m_pools[server];
   while (!pool.waiting.empty() && pool.used < m_limits.connections_per_server) {
--- a/packages/platform/tests/http_client_test.cc
+++ b/packages/platform/tests/http_client_test.cc
@@ -73,6 +73,40 @@
 
 const ServerReply k_reply{201, "the whole body", {{"Some-Header", "v"}}};
 
+// Guards against a series of timeouts: connections went silent together, and each later request
+// was sent on another one of them.
+TEST_CASE("a timeout closes the idle connections that may be silent too") {
+  HttpClientFixture fixture;
+  fixture.Send(fixture.Request("/first"));
+  fixture.Send(fixture.Request("/second"));
+  HttpRequest urgent = fixture.Request("/third");
+  urgent.urgent = true;
+  fixture.Send(std::move(urgent));
+  REQUIRE(fixture.WaitForExchanges(3));
+  for (const auto& exchange : fixture.exchanges) {
+    exchange->Reply(k_reply);
+  }
+  REQUIRE(fixture.WaitForReplies(3));
+  REQUIRE(fixture.client->connections() == 3);
+
+  fixture.Send(fixture.Request("/silent"));
+  REQUIRE(fixture.WaitForReplies(4));
+  CHECK(fixture.replies.back().outcome == HttpOutcome::kNoReply);
+  CHECK(fixture.client->connections() == 0);
+}
+
+// Guards against a slow request that closes connections that have shown since that they work.
+TEST_CASE("a timeout keeps the idle connections that carried a reply since") {
+  HttpClientFixture fixture;
+  fixture.Send(fixture.Request("/silent"));
+  REQUIRE(fixture.WaitForExchanges(1));
+  const HttpReply reply = fixture.Call([](HttpExchange& e) { e.Reply(k_reply); });
+  REQUIRE(reply.outcome == HttpOutcome::kAnswered);
+  REQUIRE(fixture.WaitForReplies(2));
+  CHECK(fixture.replies.back().outcome == HttpOutcome::kNoReply);
+  CHECK(fixture.client->connections() == 1);
+}
+
 // Guards against a client that opens a new connection for each request.
 TEST_CASE("a connection is reused for the next request") {
   HttpClientFixture fixture;
