--- a/packages/jobs/include/cranberryplank/jobs/job.h
+++ b/packages/jobs/include/cranberryplank/jobs/job.h
@@ -70,7 +70,7 @@
   /// milliseconds.
   std::int64_t ChainEstimateMs() const;
   /// Returns the estimated CPU time of one occurrence, in millicore-milliseconds.
-  std::int64_t WorkEstimate() const;
+  double WorkEstimate() const;
 };
 
 /// Validates a submitted job.
--- a/packages/jobs/src/job.cc
+++ b/packages/jobs/src/job.cc
@@ -74,10 +74,11 @@
   return longest;
 }
 
-std::int64_t JobSpec::WorkEstimate() const {
-  std::int64_t work = 0;
+double JobSpec::WorkEstimate() const {
+  double work = 0;
   for (const StepSpec& step : steps) {
-    work += step.count * step.estimate_ms * step.per_task.cpu_millis;
+    work += static_cast<double>(step.count) * static_cast<double>(step.estimate_ms) *
+            static_cast<double>(step.per_task.cpu_millis);
   }
   return work;
 }
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -221,8 +221,7 @@
   const std::string customer = spec.customer;
   constexpr double kMillicoreMsPerCoreS = 1e6;
   if (!spec.timed() && !spec.steps.front().long_running) {
-    m_arrivals[spec.pool].Add(now.time,
-                              static_cast<double>(spec.WorkEstimate()) / kMillicoreMsPerCoreS);
+    m_arrivals[spec.pool].Add(now.time, spec.WorkEstimate() / kMillicoreMsPerCoreS);
   }
   Job* job = m_jobs.Add(now.time, std::move(spec));
   job->on_stored.push_back(std::move(done));
