Follow a watched prefix past an item that cannot be handled

An exception of the handler of one item ended the handling of the whole reply, and the watch was sent again from the revision before it: every 10 ms, for ever, and no later change was seen. No item is known that makes the handlers of today throw; the watch no longer depends on that.

Evidence: 'an item that cannot be handled does not hold up the watch of a prefix' fails before.

--- a/packages/entry/include/cranberryplank/entry/watched_prefix.h
+++ b/packages/entry/include/cranberryplank/entry/watched_prefix.h
@@ -47,6 +47,8 @@
   void OnWatch(TimePoint now, TimePoint sent, const KvReadReply& reply);
   void FinishLoad(TimePoint now);
   void Apply(TimePoint now, const KvItem& item);
+  /// Calls the handler of changes. An item that it can't handle does not hold up the others.
+  void Report(TimePoint now, const KvItem& item);
   void Fail(TimePoint now, KvStatus status);
 
   KeyValueStore* m_store;
--- a/packages/entry/src/watched_prefix.cc
+++ b/packages/entry/src/watched_prefix.cc
@@ -1,6 +1,7 @@
 #include "cranberryplank/entry/watched_prefix.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -170,7 +171,7 @@
   if (item.deleted) {
     if (held != m_revisions.end() && held->second <= item.revision) {
       m_revisions.erase(held);
-      m_changed(now, item);
+      Report(now, item);
     }
     return;
   }
@@ -178,7 +179,18 @@
     return;
   }
   m_revisions[item.key] = item.revision;
-  m_changed(now, item);
+  Report(now, item);
+}
+
+void WatchedPrefix::Report(TimePoint now, const KvItem& item) {
+  try {
+    m_changed(now, item);
+  } catch (const std::exception& error) {
+    // Otherwise the watch would return to the same item for ever and miss all later changes.
+    LogLine(LogLevel::kError, "item_not_handled")
+        .Field("key", item.key)
+        .Field("reason", error.what());
+  }
 }
 
 void WatchedPrefix::Fail(TimePoint now, KvStatus status) {
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 #include "cranberryplank/entry/caller_gateway.h"
 #include "cranberryplank/entry/job_settings.h"
@@ -224,6 +225,35 @@
   CHECK(prefix.confirmed_at() == now);
 }
 
+// Guards against a list that is no longer followed: an exception about one item ended the handling
+// of the reply, and the watch returned to that item for ever.
+TEST_CASE("an item that cannot be handled does not hold up the watch of a prefix") {
+  FakeKeyValueStore store;
+  std::vector<std::string> handled;
+  TimePoint now{std::chrono::seconds(5)};
+  WatchedPrefix prefix(&store, "op/", Duration(1'000), [&](TimePoint, const KvItem& item) {
+    if (item.value == "odd") {
+      throw std::runtime_error("the item cannot be handled");
+    }
+    handled.push_back(item.key);
+  });
+  store.Put("op/a", "odd");
+  store.Put("op/b", "1");
+  prefix.Start(now);
+  store.Deliver(now);
+  REQUIRE(prefix.loaded());
+  CHECK(handled == std::vector<std::string>{"op/b"});
+
+  KvReadReply reply;
+  reply.status = KvStatus::kOk;
+  reply.revision = store.revision() + 2;
+  reply.items = {{"op/c", "odd", store.revision() + 1, false},
+                 {"op/d", "1", store.revision() + 2, false}};
+  store.EndWatch(now, reply);
+  CHECK(handled == std::vector<std::string>{"op/b", "op/d"});
+  CHECK(store.watched_after == reply.revision);
+}
+
 // Guards against a load that never ends. Loading a large configuration over a slow link takes
 // longer than the refresh interval. If each refresh restarted the load, it would never finish.
 TEST_CASE("a refresh does not restart a load in progress") {
