--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -15,6 +15,10 @@
 constexpr Duration kWarmUp{2'500};
 constexpr Duration kTick{10};
 constexpr Duration kJobInterval{90};
+/// Time between two drains, and from a drain until the worker ends. Only one worker drains at a
+/// time.
+constexpr Duration kDrainInterval{9'000};
+constexpr Duration kDrainedEnd{8'000};
 /// All jobs must reach their final state within this time after the last fault. It covers lease
 /// expiry, a change of the schedule's owner and the run times several times over.
 constexpr Duration kRecoveryBound{30'000};
@@ -28,6 +32,7 @@
       m_random(settings.seed),
       m_load_random(settings.seed + 1),
       m_planned_random(settings.seed + 4),
+      m_drain_random(settings.seed + 5),
       m_store_random(settings.seed + 2),
       m_workers(settings.seed + 3),
       m_store(m_loop.base(), &m_store_random),
@@ -36,7 +41,7 @@
 bool FaultSoak::Run() {
   StartAll();
   m_start_time = Clock::now();
-  m_next_fault = m_next_job = m_next_planned = m_start_time + kWarmUp;
+  m_next_fault = m_next_job = m_next_planned = m_next_drain = m_start_time + kWarmUp;
   const TimePoint faults_end = m_start_time + kWarmUp + m_settings.duration;
   const auto run_until = [this](const std::function<bool(TimePoint)>& condition) {
     while (!condition(Clock::now())) {
@@ -98,6 +103,10 @@
     m_next_planned = now + Duration(1'000 + m_planned_random.Below(5'000));
     DoPlannedWork(now);
   }
+  if (!m_faults_ended && now >= m_next_drain) {
+    m_next_drain = now + kDrainInterval;
+    DrainWorker(now);
+  }
   m_load->Tick(now);
 }
 
@@ -216,6 +225,37 @@
   }
 }
 
+void FaultSoak::DrainWorker(TimePoint now) {
+  WriteOddRegistration(now);
+  Log(now, "the watches that wait get no answer");
+  for (int i = 0; i < kDaemons; ++i) {
+    m_store.LoseWatches(i);
+  }
+  const std::string id = fmt::format("worker-{}", m_drain_random.Below(kWorkers));
+  ScheduleAction(now + Duration(m_drain_random.Below(1'500)), [this, id] {
+    Log(Clock::now(), fmt::format("{} drains", id));
+    m_worker_servers.Drain(Clock::now(), id);
+  });
+  ScheduleAction(now + kDrainedEnd, [this, id] {
+    Log(Clock::now(), fmt::format("{} ends after it has drained", id));
+    if (!m_worker_servers.Restart(id)) {
+      Log(Clock::now(), fmt::format("{} cannot listen again", id));
+    }
+  });
+}
+
+void FaultSoak::WriteOddRegistration(TimePoint now) {
+  constexpr std::size_t kDepth = 20'000;
+  const std::string start = R"({"service":"pool","state":"ready","addr":"127.0.0.1:)";
+  const std::array<std::string, 4> kOdd{std::string(kDepth, '[') + std::string(kDepth, ']'),
+                                        start + R"(70000","capacity":{"cpu":1000,"memMb":1000}})",
+                                        start + R"(9","capacity":{"cpu":1e30,"memMb":1000}})",
+                                        "\xff\xfe"};
+  const std::size_t kind = m_drain_random.Below(kOdd.size());
+  Log(now, fmt::format("odd registration {}", kind));
+  m_store.Put(fmt::format("servers/odd-{}", kind), kOdd.at(kind));
+}
+
 void FaultSoak::ScheduleAction(TimePoint when, std::function<void()> action) {
   m_actions.emplace(when, std::move(action));
 }
@@ -239,6 +279,9 @@
 
 bool FaultSoak::Report() const {
   std::vector<std::string> failures = m_workers.violations();
+  for (const std::string& text : m_worker_servers.violations()) {
+    failures.push_back(text);
+  }
   for (const std::string& text : m_load->Violations()) {
     failures.push_back(text);
   }
--- a/soak/fault_soak.h
+++ b/soak/fault_soak.h
@@ -45,6 +45,10 @@
   void DoPlannedWork(TimePoint now);
   void InjectStoreFault(TimePoint now);
   void InjectWorkerFault(TimePoint now);
+  /// Lets a worker drain and end, after a disruption of the watches or an odd entry among the
+  /// registrations.
+  void DrainWorker(TimePoint now);
+  void WriteOddRegistration(TimePoint now);
   void ScheduleAction(TimePoint when, std::function<void()> action);
   void Log(TimePoint now, const std::string& text) const;
   void RestartStoppedDaemons(TimePoint now);
@@ -54,6 +58,7 @@
   SeededRandom m_random;  ///< Used for faults only, so that a seed reproduces them.
   SeededRandom m_load_random;
   SeededRandom m_planned_random;  ///< Used for planned work only.
+  SeededRandom m_drain_random;    ///< Used for draining workers only.
   SeededRandom m_store_random;
   EventLoop m_loop;
   SimulatedWorkers m_workers;
@@ -66,6 +71,7 @@
   TimePoint m_start_time{};
   TimePoint m_next_fault{};
   TimePoint m_next_planned{};
+  TimePoint m_next_drain{};
   TimePoint m_next_job{};
   bool m_faults_ended = false;
 };
