--- a/packages/entry/include/cranberryplank/entry/platform_format.h
+++ b/packages/entry/include/cranberryplank/entry/platform_format.h
@@ -18,7 +18,7 @@
 enum class CallKind { kSubmit, kGetState, kCancel, kCountWaiting };
 
 /// A caller's request, decoded from its method and path.
-struct CallerRequest {
+struct JobRequest {
   CallKind kind = CallKind::kGetState;
   std::string job;  ///< Empty when waiting jobs are counted.
 };
@@ -45,8 +45,8 @@
   virtual std::optional<WorkerInfo> DecodeWorker(const KvItem& item) const = 0;
 
   /// Decodes the method and path of a caller's request. @param rest path after the queue's prefix
-  virtual std::optional<CallerRequest> DecodeCall(std::string_view method,
-                                                  std::string_view rest) const = 0;
+  virtual std::optional<JobRequest> DecodeCall(std::string_view method,
+                                               std::string_view rest) const = 0;
   /// Decodes a submission into `spec`. @return the reason why it is not valid, or nothing
   virtual std::optional<std::string> DecodeJob(std::string_view body, JobSpec* spec) const = 0;
   /// Returns the key of a request, or an empty view if it has none.
--- a/packages/entry/include/cranberryplank/entry/upkeep_waves.h
+++ b/packages/entry/include/cranberryplank/entry/upkeep_waves.h
@@ -10,7 +10,7 @@
 
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/state_writer.h"
-#include "cranberryplank/entry/vm_list.h"
+#include "cranberryplank/entry/vm_inventory.h"
 
 namespace cranberryplank {
 
@@ -44,7 +44,7 @@
   /// @param begun VMs whose upkeep has begun
   void LoadProgress(std::int64_t wave, const std::set<std::string>& begun);
   /// Stores the progress and the state of a wave if they have changed.
-  void Update(TimePoint now, const VmList& list, const WaveProgress& wave);
+  void Update(TimePoint now, const VmInventory& list, const WaveProgress& wave);
   void RecordBegun(std::int64_t wave, const std::string& vm);
   void GiveUp(std::int64_t wave, const std::string& vm);
 
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -15,7 +15,7 @@
 #include "cranberryplank/entry/state_writer.h"
 #include "cranberryplank/entry/upkeep_waves.h"
 #include "cranberryplank/entry/vm_control.h"
-#include "cranberryplank/entry/vm_list.h"
+#include "cranberryplank/entry/vm_inventory.h"
 #include "cranberryplank/entry/vm_operation.h"
 #include "cranberryplank/scheduler/scheduler.h"
 #include "cranberryplank/scheduler/upkeep_planner.h"
@@ -74,7 +74,7 @@
   VmFleetParts m_parts;
   VmFleetSettings m_settings;
   TimePoint m_started_at;
-  VmList m_list;
+  VmInventory m_list;
   UpkeepWaves m_waves;
   VmOperations m_operations;
   std::uint64_t m_last_token = 0;
--- a/packages/entry/include/cranberryplank/entry/vm_list.h
+++ b/packages/entry/include/cranberryplank/entry/vm_inventory.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYPLANK_ENTRY_VM_LIST_H_
-#define CRANBERRYPLANK_ENTRY_VM_LIST_H_
+#ifndef CRANBERRYPLANK_ENTRY_VM_INVENTORY_H_
+#define CRANBERRYPLANK_ENTRY_VM_INVENTORY_H_
 
 #include <map>
 #include <memory>
@@ -10,12 +10,12 @@
 namespace cranberryplank {
 
 /// The platform's list of VMs. It is read again and again, page by page.
-class VmList {
+class VmInventory {
  public:
   /// @param begun when this daemon became the owner of the schedule
-  VmList(VmControl* vm_control, TimePoint begun) : m_vm_control(vm_control), m_begun(begun) {}
-  VmList(const VmList&) = delete;
-  VmList& operator=(const VmList&) = delete;
+  VmInventory(VmControl* vm_control, TimePoint begun) : m_vm_control(vm_control), m_begun(begun) {}
+  VmInventory(const VmInventory&) = delete;
+  VmInventory& operator=(const VmInventory&) = delete;
 
   /// Reads the list if it is time to. Must be called regularly.
   void Tick(TimePoint now);
@@ -54,4 +54,4 @@
 
 }  // namespace cranberryplank
 
-#endif  // CRANBERRYPLANK_ENTRY_VM_LIST_H_
+#endif  // CRANBERRYPLANK_ENTRY_VM_INVENTORY_H_
--- a/packages/entry/src/upkeep_waves.cc
+++ b/packages/entry/src/upkeep_waves.cc
@@ -50,7 +50,7 @@
   m_waves.at(wave).given_up.insert(vm);
 }
 
-void UpkeepWaves::Update(TimePoint now, const VmList& list, const WaveProgress& wave) {
+void UpkeepWaves::Update(TimePoint now, const VmInventory& list, const WaveProgress& wave) {
   const bool done = std::all_of(
       wave.request.vms.begin(), wave.request.vms.end(),
       [&](const std::string& vm) { return wave.IsSettled(vm) || list.IsRemoved(now, vm); });
--- a/packages/entry/src/vm_list.cc
+++ b/packages/entry/src/vm_inventory.cc
@@ -1,4 +1,4 @@
-#include "cranberryplank/entry/vm_list.h"
+#include "cranberryplank/entry/vm_inventory.h"
 
 #include <utility>
 
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void VmList::Tick(TimePoint now) {
+void VmInventory::Tick(TimePoint now) {
   if (!m_list_in_flight && now >= m_next_list) {
     m_listing.clear();
     m_listing_sent = now;
@@ -24,7 +24,7 @@
   }
 }
 
-void VmList::RequestPage(const std::string& page) {
+void VmInventory::RequestPage(const std::string& page) {
   const std::weak_ptr<int> lifetime = m_lifetime;
   m_vm_control->List(page, [this, lifetime](TimePoint at, const VmPage& reply) {
     if (!lifetime.expired()) {
@@ -33,7 +33,7 @@
   });
 }
 
-void VmList::OnPage(TimePoint now, const VmPage& page) {
+void VmInventory::OnPage(TimePoint now, const VmPage& page) {
   if (!page.answered) {
     m_list_in_flight = false;
     m_next_list = now + kListRetry;
@@ -50,7 +50,7 @@
   RequestPage(page.next);
 }
 
-void VmList::FinishList(TimePoint now) {
+void VmInventory::FinishList(TimePoint now) {
   m_next_list = now + kListInterval;
   for (const auto& [id, vm] : m_vms) {
     if (!m_listing.contains(id)) {
@@ -69,14 +69,14 @@
   m_listed = true;
 }
 
-void VmList::SetMoving(const std::string& vm, const std::string& pool) {
+void VmInventory::SetMoving(const std::string& vm, const std::string& pool) {
   if (const auto listed = m_vms.find(vm); listed != m_vms.end()) {
     listed->second.pool = pool;
     listed->second.state = ListedVmState::kMoving;
   }
 }
 
-bool VmList::IsRemoved(TimePoint now, const std::string& vm) const {
+bool VmInventory::IsRemoved(TimePoint now, const std::string& vm) const {
   const auto missing = m_missing_since.find(vm);
   return !m_vms.contains(vm) &&
          (missing == m_missing_since.end() ? now - m_begun >= kMissingBound
--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -82,7 +82,7 @@
   std::string_view WorkerPrefix() const override { return "servers/"; }
   std::string WorkerIdOf(std::string_view key) const override { return std::string(key); }
   std::optional<WorkerInfo> DecodeWorker(const KvItem&) const override { return {}; }
-  std::optional<CallerRequest> DecodeCall(std::string_view, std::string_view) const override {
+  std::optional<JobRequest> DecodeCall(std::string_view, std::string_view) const override {
     return {};
   }
   std::optional<std::string> DecodeJob(std::string_view, JobSpec*) const override { return {}; }
--- a/packages/entry/tests/shutdown_test.cc
+++ b/packages/entry/tests/shutdown_test.cc
@@ -46,8 +46,8 @@
     config.queues.push_back(queue);
     return config;
   }
-  std::optional<CallerRequest> DecodeCall(std::string_view, std::string_view rest) const override {
-    return CallerRequest{CallKind::kSubmit, std::string(rest)};
+  std::optional<JobRequest> DecodeCall(std::string_view, std::string_view rest) const override {
+    return JobRequest{CallKind::kSubmit, std::string(rest)};
   }
 };
 
--- a/packages/entry/tests/vm_list_test.cc
+++ b/packages/entry/tests/vm_inventory_test.cc
@@ -1,4 +1,4 @@
-#include "cranberryplank/entry/vm_list.h"
+#include "cranberryplank/entry/vm_inventory.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,7 +12,7 @@
 
 ListedVm VmNamed(const std::string& id) { return {id, "pool", ListedVmState::kUp, "", ""}; }
 
-void ReadList(VmList* list, KeepingVmControl* machines, TimePoint now) {
+void ReadList(VmInventory* list, KeepingVmControl* machines, TimePoint now) {
   list->ReadAt(now);
   list->Tick(now);
   machines->DeliverLists(now);
@@ -24,7 +24,7 @@
 // one that waits forever for a VM that was removed.
 TEST_CASE("a VM counts as removed only once it has been missing for seconds") {
   KeepingVmControl machines;
-  VmList list(&machines, kBegun);
+  VmInventory list(&machines, kBegun);
   machines.vms = {VmNamed("vm-1"), VmNamed("vm-2")};
   ReadList(&list, &machines, kBegun);
   machines.vms = {VmNamed("vm-1")};
@@ -40,7 +40,7 @@
 // Guards against the same for a VM that a new owner has never seen in the list.
 TEST_CASE("a VM that was never listed counts as removed seconds after the owner began") {
   KeepingVmControl machines;
-  VmList list(&machines, kBegun);
+  VmInventory list(&machines, kBegun);
   ReadList(&list, &machines, kBegun);
   CHECK_FALSE(list.IsRemoved(kBegun + Duration(2'999), "vm-1"));
   CHECK(list.IsRemoved(kBegun + Duration(3'000), "vm-1"));
