--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -28,6 +28,7 @@
   std::map<std::string, std::string, std::less<>> query;
   std::map<std::string, std::string, std::less<>> headers;  ///< By lower-case name.
   std::string body;
+  std::uint16_t caller_port = 0;  ///< The caller's end of the connection.
 
   /// Returns a header's value, or an empty view if it is absent.
   /// @param name header name in lower case
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -47,6 +47,8 @@
 
 ApiRequest ReadRequest(evhttp_request* raw) {
   ApiRequest request;
+  char* caller = nullptr;
+  evhttp_connection_get_peer(evhttp_request_get_connection(raw), &caller, &request.caller_port);
   request.method = MethodName(evhttp_request_get_command(raw));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(raw);
   if (uri != nullptr && evhttp_uri_get_path(uri) != nullptr) {
--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -227,9 +227,15 @@
 
 void FaultSoak::DrainWorker(TimePoint now) {
   WriteOddRegistration(now);
-  Log(now, "the watches that wait get no answer");
+  const bool all_connections = m_drains++ % 2 == 0;
+  Log(now, all_connections ? "all connections to the store go silent"
+                           : "the watches that wait get no answer");
   for (int i = 0; i < kDaemons; ++i) {
-    m_store.LoseWatches(i);
+    if (all_connections) {
+      m_store.SilenceConnections(i);
+    } else {
+      m_store.LoseWatches(i);
+    }
   }
   const std::string id = fmt::format("worker-{}", m_drain_random.Below(kWorkers));
   ScheduleAction(now + Duration(m_drain_random.Below(1'500)), [this, id] {
--- a/soak/fault_soak.h
+++ b/soak/fault_soak.h
@@ -71,6 +71,7 @@
   TimePoint m_start_time{};
   TimePoint m_next_fault{};
   TimePoint m_next_planned{};
+  int m_drains = 0;
   TimePoint m_next_drain{};
   TimePoint m_next_job{};
   bool m_faults_ended = false;
