--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -253,13 +253,13 @@
 void FaultSoak::WriteOddRegistration(TimePoint now) {
   constexpr std::size_t kDepth = 20'000;
   const std::string start = R"({"service":"pool","state":"ready","addr":"127.0.0.1:)";
-  const std::array<std::string, 4> kOdd{std::string(kDepth, '[') + std::string(kDepth, ']'),
-                                        start + R"(70000","capacity":{"cpu":1000,"memMb":1000}})",
-                                        start + R"(9","capacity":{"cpu":1e30,"memMb":1000}})",
-                                        "\xff\xfe"};
-  const std::size_t kind = m_drain_random.Below(kOdd.size());
+  const std::array<std::string, 4> odd{std::string(kDepth, '[') + std::string(kDepth, ']'),
+                                       start + R"(70000","capacity":{"cpu":1000,"memMb":1000}})",
+                                       start + R"(9","capacity":{"cpu":1e30,"memMb":1000}})",
+                                       "\xff\xfe"};
+  const std::size_t kind = m_drain_random.Below(odd.size());
   Log(now, fmt::format("odd registration {}", kind));
-  m_store.Put(fmt::format("servers/odd-{}", kind), kOdd.at(kind));
+  m_store.Put(fmt::format("servers/odd-{}", kind), odd.at(kind));
 }
 
 void FaultSoak::ScheduleAction(TimePoint when, std::function<void()> action) {
