Show that a step is never started after the loss of its first allowed worker

review/2: the owner asks the advice service about the first thirty workers of a pool only. After the only allowed one among them is lost, an accepted job runs nothing more while six allowed workers are idle.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -606,6 +606,7 @@
             "portRange": [7040, 7055],
             "platform": {"addr": f"{PLATFORM_HOST}:{store_port}"},
             "cloud": {"addr": f"{PLATFORM_HOST}:{world.cloud.http.port}"} if world.cloud else {},
+            "advice": f"{PLATFORM_HOST}:{world.advice.port}" if world.advice else None,
             "bounds": BOUNDS,
         }
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as file:
@@ -693,6 +694,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.record)
         self.cloud = None
+        self.advice = None
         self.workers = {}
         self.daemons = []
         self.store_ports = []
@@ -800,6 +802,8 @@
                 worker.http.stop()
         if self.cloud is not None:
             self.cloud.http.stop()
+        if self.advice is not None:
+            self.advice.stop()
         keep = os.environ.get("REVIEW_KEEP")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
