--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
     world.plan = lambda task, run: (9.0, "done")
     world.configure(1, [route("r-calc", "calc")], [tenant()],
                     [{"name": "calc", "admissionCheck": False}])
-    for index in range(7):
+    for index in range(8):
         worker = Worker(world, f"i-{index}", "calc", f"m-{index}")
         world.workers[worker.id] = worker
         await worker.start()
