Let an owner act on expired leases only after the store has confirmed it

Cause: an owner may act for 8 s after its last confirmation, and another daemon may claim after about 1 s. Within that time an owner that was replaced took the lease of a worker that it did not reach as ended and started the task elsewhere, though its successor had seen the task's end.

Change: Scheduler::HasExpired. What follows from time alone holds only up to the sending time of the newest call that confirmed the ownership: runs given up on silent workers, workers taken out of the record, the end of a new owner's wait, VMs that may be taken down. A worker is used in a new incarnation, and tasks lost by a restart start again, only after a confirmation too. While something waits, the record is read at once, at most every 50 ms.

Ruled out: fences (the worker had not been reached by the successor); the order in which the watch and the record come back (the test reads neither).

--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -40,6 +40,8 @@
   void Tick(TimePoint now);
   /// Reads the record again.
   void Read(TimePoint now);
+  /// Reads the record soon, because a decision waits for a confirmation.
+  void RequestConfirmation(TimePoint now);
   void Claim(TimePoint now);
   /// Extends the authority after a transaction with the record's revision as a precondition
   /// succeeded. The transaction was sent at `sent`.
@@ -57,6 +59,8 @@
   const std::optional<OwnershipRecord>& record() const { return m_record; }
   std::uint64_t revision() const { return m_revision; }
   const std::string& key() const { return m_key; }
+  /// Sending time of the newest call that confirmed the ownership.
+  TimePoint confirmed() const { return m_confirmed; }
   TimePoint authority_until() const {
     return m_stepped_down ? TimePoint{} : m_confirmed + kAuthority;
   }
@@ -100,6 +104,7 @@
   TimePoint m_record_changed_at{};
   TimePoint m_store_answered{};
   TimePoint m_next_read{};
+  TimePoint m_next_requested_read{};
   sigc::signal<void, TimePoint> m_acquired;
   sigc::signal<void, TimePoint> m_lost;
 };
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -66,7 +66,7 @@
   void LogPools(TimePoint now, std::span<const JobPoolLoad> loads);
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
-  bool MayTakeDown(TimePoint now, const std::string& worker) const;
+  bool MayTakeDown(const std::string& worker) const;
   std::vector<UpkeepCandidate> CandidatesOf(const WaveProgress& wave,
                                             std::span<const JobPoolLoad> loads) const;
   std::map<std::string, std::vector<std::string>> MovableVms() const;
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -249,10 +249,13 @@
   if (!m_ready) {
     return;
   }
-  m_scheduler->SetAuthority(m_parts.ownership->authority_until());
+  m_scheduler->SetAuthority({m_parts.ownership->confirmed(), m_parts.ownership->authority_until()});
   m_scheduler->SetRegistrationsKnownUntil(m_workers.confirmed_at());
   UpdateLoad(now.time);
   m_scheduler->Tick(now);
+  if (m_scheduler->ConfirmationWanted()) {
+    m_parts.ownership->RequestConfirmation(now.time);
+  }
   if (m_fleet) {
     m_fleet->Tick(now.time);
   }
--- a/packages/entry/src/schedule_ownership.cc
+++ b/packages/entry/src/schedule_ownership.cc
@@ -15,6 +15,8 @@
 constexpr Duration kReadRetry{150};
 /// An owner reads the record when no transaction has confirmed its ownership for this long.
 constexpr Duration kConfirmInterval{700};
+/// Minimum time between two reads for decisions that wait for a confirmation.
+constexpr Duration kRequestedReadInterval{50};
 
 }  // namespace
 
@@ -53,6 +55,13 @@
   }
 }
 
+void ScheduleOwnership::RequestConfirmation(TimePoint now) {
+  if (now >= m_next_requested_read) {
+    m_next_requested_read = now + kRequestedReadInterval;
+    Read(now);
+  }
+}
+
 void ScheduleOwnership::Read(TimePoint now) {
   if (m_reading) {
     return;
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -237,9 +237,9 @@
   m_parts.scheduler->SetClosedWorkers(std::move(closed));
 }
 
-bool VmFleet::MayTakeDown(TimePoint now, const std::string& worker) const {
+bool VmFleet::MayTakeDown(const std::string& worker) const {
   const Worker* known = m_parts.scheduler->FindWorker(worker);
-  return known == nullptr || known->MayBeTakenDown(now);
+  return known == nullptr || known->MayBeTakenDown(m_parts.scheduler->authority().confirmed);
 }
 
 void VmFleet::Advance(TimePoint now) {
@@ -259,7 +259,7 @@
 
 void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation) {
   if (operation->phase == VmOperation::Phase::kVacating) {
-    if (!MayTakeDown(now, operation->worker)) {
+    if (!MayTakeDown(operation->worker)) {
       m_parts.scheduler->VacateWorker(now, operation->worker,
                                       now - operation->since > VacateBound(*operation));
       return;
@@ -268,7 +268,7 @@
   }
   if (operation->phase == VmOperation::Phase::kOrdering && !operation->in_flight &&
       now >= operation->retry_at && MayOrder(now)) {
-    if (!MayTakeDown(now, operation->worker)) {
+    if (!MayTakeDown(operation->worker)) {
       operation->phase = VmOperation::Phase::kVacating;
       return;
     }
--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -155,7 +155,7 @@
   void Step() {
     now += Duration(100);
     clock_ms += 100;
-    scheduler.SetAuthority(now + Duration(8'000));
+    scheduler.SetAuthority({now, now + Duration(8'000)});
     scheduler.Tick(At());
     fleet->Tick(now);
     if (lists_answered) {
--- a/packages/entry/tests/state_writer_test.cc
+++ b/packages/entry/tests/state_writer_test.cc
@@ -36,7 +36,7 @@
     }
   }
   fixture->now += Duration(100);
-  fixture->scheduler.SetAuthority(fixture->now + Duration(8'000));
+  fixture->scheduler.SetAuthority({fixture->now, fixture->now + Duration(8'000)});
   fixture->scheduler.Tick(fixture->At());
   fixture->ReplyToRenewals(ended);
 }
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -36,6 +36,7 @@
   std::string saved;          ///< Newest saved progress; empty if there is none.
   std::string failed_worker;  ///< Worker of the last run that failed.
   TimePoint retry_at{};       ///< The task is not started before this time.
+  TimePoint lost_at{};        ///< When a run of it was last lost with a restart of its worker.
   bool ready = false;         ///< For a long-running task, whether its start-up is complete.
   /// Runs whose worker crashed soon after their start. Emptied once a run outlives that time.
   std::set<int> crashed_runs;
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_SCHEDULER_SCHEDULER_H_
 #define CRANBERRYPLANK_SCHEDULER_SCHEDULER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -40,6 +41,14 @@
   std::int64_t unix_ms = 0;
 };
 
+/// Right of an owner to act.
+struct Authority {
+  /// Sending time of the newest call by which the store confirmed the ownership. No other daemon
+  /// had claimed the schedule by then.
+  TimePoint confirmed{};
+  TimePoint until{};  ///< No order is sent after that.
+};
+
 /// A change of one job that must be stored.
 struct JobChange {
   std::string job;
@@ -108,9 +117,14 @@
   void EarlierOwnerEnded(TimePoint now);
   /// Returns the longest time on this daemon's clock for which a lease granted by an owner lasts.
   Duration LongestLease() const;
-  /// Sets the time after which no order is sent.
-  void SetAuthority(TimePoint until) { m_authority = until; }
-  TimePoint authority() const { return m_authority; }
+  void SetAuthority(const Authority& authority) { m_authority = authority; }
+  const Authority& authority() const { return m_authority; }
+  /// Returns whether the lease of a run has ended that lasts until `bound` at most. Time alone does
+  /// not show this to an owner: after `bound`, a successor that it has not heard of may have seen
+  /// the end of the run. So the store must have confirmed the ownership after it.
+  bool HasExpired(TimePoint bound) const { return m_authority.confirmed > bound; }
+  /// Returns whether a decision waits until the store confirms the ownership again.
+  bool ConfirmationWanted() const { return m_active && !HasExpired(m_confirmation_wanted); }
   /// Reports that every change of a registration that was acknowledged before `time` is known.
   /// Tasks are started only while the registrations are newer than the time that a worker drains.
   void SetRegistrationsKnownUntil(TimePoint time) { m_registrations_known_until = time; }
@@ -207,7 +221,10 @@
   struct PoolPass;
   struct StepPlaces;
 
-  bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority; }
+  bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority.until; }
+  void WantConfirmation(TimePoint after) {
+    m_confirmation_wanted = std::max(m_confirmation_wanted, after);
+  }
   /// Returns the time after which no start is sent.
   TimePoint StartsUntil() const;
   bool MayStart(TimePoint now) const { return MayAct(now) && now < StartsUntil(); }
@@ -228,6 +245,9 @@
                        CallOutcome outcome);
   void BeginIncarnation(TimePoint now, Worker* worker, std::int64_t started_unix_ms);
   static void MarkRecentStartsUncertain(Worker* worker);
+  /// Lets the tasks of all runs on a restarted worker wait for a confirmation. The worker has
+  /// forgotten whether a successor acknowledged their ends.
+  void WaitForConfirmation(TimePoint now, const Worker& worker);
   void ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply);
   void ApplyEndedRun(TimePoint now, Worker* worker, const EndedRun& end);
   void ApplyList(TimePoint now, Worker* worker, const RenewalInFlight& renewal,
@@ -239,7 +259,11 @@
   void LoseRuns(TimePoint now, Worker* worker, std::string_view reason);
   void ReleaseAcknowledged(TimePoint now);
   void ReleaseAcknowledged(TimePoint now, Worker* worker);
+  /// Takes the runs as lost whose leases have ended on workers that do not answer.
   void ExpireWorkers(TimePoint now);
+  void ExpireSilentWorker(TimePoint now, Worker* worker);
+  /// Returns whether the task waits for a start and may be started now.
+  bool IsDue(TimePoint now, const JobTaskState& task) const;
   void UpdateRun(TimePoint now, const Worker& worker, PlacedRun* run, const TaskRef& task,
                  const ListedRun& listed);
 
@@ -302,8 +326,8 @@
   bool WithinCap(const Job& job, const Resources& more) const;
   /// Returns whether no task of the step may still run on a worker that was not heard of since an
   /// earlier owner.
-  bool MayPlace(TimePoint now, const WaitingStep& waiting) const;
-  bool PoolReconciled(TimePoint now, std::string_view pool) const;
+  bool MayPlace(const WaitingStep& waiting) const;
+  bool PoolReconciled(std::string_view pool) const;
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
 
@@ -340,7 +364,8 @@
   std::uint64_t m_epoch = 0;
   int m_run_base = 0;
   std::uint64_t m_last_call = 0;
-  TimePoint m_authority{};
+  Authority m_authority;
+  TimePoint m_confirmation_wanted{};  ///< A decision waits for a confirmation later than this.
   std::optional<TimePoint> m_registrations_known_until;
   bool m_starts_paused = false;
   TimePoint m_unreconciled_bound{};
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -89,6 +89,7 @@
   bool recorded = false;  ///< The store lists it among the workers that may run tasks.
   /// Its list was applied under a fence of this owner, in this incarnation.
   bool reconciled = false;
+  TimePoint reconciled_at{};
   std::uint64_t fence = 0;
   std::uint64_t answered_fence = 0;  ///< Highest fence of a lease renewal that was answered.
   ClockSample clock;
@@ -127,10 +128,18 @@
   bool idle() const { return runs.empty() && pending_acknowledgements.empty(); }
   /// Returns when an idle worker last had a run, or when it became known.
   TimePoint last_used() const { return std::max(last_removed, first_seen); }
+  /// Returns whether the worker has listed its runs under a fence of this owner, in this
+  /// incarnation, and the store has confirmed the ownership since. Without that, a worker that
+  /// restarted after it had heard of a successor would accept orders of an owner that was replaced.
+  /// @param confirmed sending time of the newest call that confirmed the ownership
+  bool IsConfirmed(TimePoint confirmed) const { return reconciled && confirmed > reconciled_at; }
   /// Returns whether the worker's VM may be shut down: the worker has no runs, and the store has
   /// all ended runs that it listed. A worker that has not listed its runs to this owner may have
   /// some until its leases have expired.
-  bool MayBeTakenDown(TimePoint now) const { return idle() && (reconciled || now > lease_bound); }
+  /// @param confirmed as for `IsConfirmed`
+  bool MayBeTakenDown(TimePoint confirmed) const {
+    return idle() && (reconciled || confirmed > lease_bound);
+  }
   /// Returns the runs of the step of `step`; its index is not used.
   RunRange RunsOfStep(const TaskRef& step) const;
 };
--- a/packages/scheduler/src/scheduler_crashes.cc
+++ b/packages/scheduler/src/scheduler_crashes.cc
@@ -254,8 +254,8 @@
     }
     m_suspects_wait = pass->suspects_wait = true;
     const bool in_turn = !one_on_trial || now >= state.trial_until;
-    const bool may_start = in_turn && now >= state.retry_at && m_starts_left > 0 &&
-                           MayPlace(now, waiting) && WithinCap(*task.job, spec.per_task);
+    const bool may_start = in_turn && IsDue(now, state) && m_starts_left > 0 && MayPlace(waiting) &&
+                           WithinCap(*task.job, spec.per_task);
     if (!may_start) {
       continue;
     }
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -247,16 +247,17 @@
   }
 }
 
-bool Scheduler::MayPlace(TimePoint now, const WaitingStep& waiting) const {
+bool Scheduler::IsDue(TimePoint now, const JobTaskState& task) const {
+  return !task.done && task.placed == 0 && now >= task.retry_at && HasExpired(task.lost_at);
+}
+
+bool Scheduler::MayPlace(const WaitingStep& waiting) const {
   const Job& job = *waiting.step.job;
   return !job.loaded_from_store ||
-         (PoolReconciled(now, job.spec.pool) && PoolReconciled(now, waiting.queue->pool));
+         (PoolReconciled(job.spec.pool) && PoolReconciled(waiting.queue->pool));
 }
 
-bool Scheduler::PoolReconciled(TimePoint now, std::string_view pool) const {
-  if (m_unreconciled.empty() || now > m_unreconciled_bound) {
-    return true;
-  }
+bool Scheduler::PoolReconciled(std::string_view pool) const {
   return std::none_of(m_unreconciled.begin(), m_unreconciled.end(),
                       [&](const auto& item) { return item.second.pool == pool; });
 }
@@ -265,8 +266,9 @@
   std::map<std::string_view, PoolPass> passes;
   m_usable_workers = 0;
   for (auto& [id, worker] : m_workers) {
-    const bool trusted = worker.reconciled && worker.recorded && worker.clock.known &&
-                         worker.failed_renewals == 0 && !worker.has_untracked_runs;
+    const bool trusted = worker.IsConfirmed(m_authority.confirmed) && worker.recorded &&
+                         worker.clock.known && worker.failed_renewals == 0 &&
+                         !worker.has_untracked_runs;
     if (trusted && worker.registered && !worker.info.draining && !m_closed.contains(id)) {
       PoolPass& pass = passes[worker.info.pool];
       const bool for_trials = worker.trial || worker.kept_for_trials;
@@ -285,10 +287,10 @@
 
 TimePoint Scheduler::StartsUntil() const {
   if (!m_registrations_known_until) {
-    return m_authority;
+    return m_authority.until;
   }
   const Duration usable = std::max(m_settings.drain_time - kStartDelivery, kLeastRegistrationsUse);
-  return std::min(m_authority, *m_registrations_known_until + usable);
+  return std::min(m_authority.until, *m_registrations_known_until + usable);
 }
 
 void Scheduler::LogPause(TimePoint now) {
@@ -318,7 +320,7 @@
   const TaskRef& step = waiting.step;
   const StepSpec& spec = step.spec();
   const QueueConfig& queue = *waiting.queue;
-  if (!MayPlace(now, waiting)) {
+  if (!MayPlace(waiting)) {
     return;
   }
   if (pass->IsFullFor(spec)) {
@@ -375,8 +377,7 @@
   StartsLine line(now, step, m_config->version, RegistrationsAge(now));
   for (task.index = 0; task.index < spec.count; ++task.index) {
     JobTaskState& state = tasks[static_cast<std::size_t>(task.index)];
-    if (state.done || state.placed > 0 || now < state.retry_at ||
-        WaitsForTrial(state, spec, *waiting.queue)) {
+    if (!IsDue(now, state) || WaitsForTrial(state, spec, *waiting.queue)) {
       continue;
     }
     if (m_starts_left <= 0 || !WithinCap(*step.job, spec.per_task)) {
@@ -414,7 +415,7 @@
   int run = m_run_base;
   std::string saved;
   for (const JobTaskState& task : state.tasks) {
-    if (now < task.retry_at) {
+    if (!IsDue(now, task)) {
       return;
     }
     all += spec.per_task;
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -52,7 +52,7 @@
   }
   LeaseRenewalOrder order;
   order.call = ++m_last_call;
-  order.not_after = m_authority;
+  order.not_after = m_authority.until;
   order.fence = worker->fence;
   const bool trusted = worker->reconciled && worker->clock.known && worker->failed_renewals == 0;
   // A restarted worker numbers its ended runs from 1 again, so an old acknowledgement could hide
@@ -121,6 +121,8 @@
     // The worker refuses orders of earlier owners from now on, so no lease is longer than one
     // granted now.
     worker->reconciled = true;
+    worker->reconciled_at = now;
+    WantConfirmation(now);
     worker->lease_bound = now + LongestLease();
     m_unreconciled.erase(id);
   }
@@ -207,6 +209,7 @@
     ++worker->fence;
     worker->reconciled = false;
     MarkRecentStartsUncertain(worker);
+    WaitForConfirmation(now, *worker);
     LoseRuns(now, worker, "the worker restarted");
   }
 }
@@ -227,6 +230,15 @@
   }
 }
 
+void Scheduler::WaitForConfirmation(TimePoint now, const Worker& worker) {
+  WantConfirmation(now);
+  for (const auto& [task, run] : worker.runs) {
+    if (JobTaskState* state = task.state()) {
+      state->lost_at = now;
+    }
+  }
+}
+
 void Scheduler::ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply) {
   // One line for all of a reply's runs, because a line for each run would be most of the log of an
   // owner that ends a thousand runs per second.
@@ -406,7 +418,7 @@
       .Field("run", listed.run)
       .Field("worker", worker->info.id)
       .Field("reason", "the run is not needed");
-  m_link->Stop(worker->info, {*id, listed.run, worker->fence, m_authority});
+  m_link->Stop(worker->info, {*id, listed.run, worker->fence, m_authority.until});
 }
 
 void Scheduler::LoseRuns(TimePoint now, Worker* worker, std::string_view reason) {
@@ -446,24 +458,32 @@
   }
 }
 
+void Scheduler::ExpireSilentWorker(TimePoint now, Worker* worker) {
+  if (!worker->runs.empty()) {
+    RecordLostRuns(now, *worker);
+    LoseRuns(now, worker, "the lease expired on an unresponsive worker");
+    m_schedule_needed = true;
+  }
+  if (worker->recorded) {
+    // Nothing runs there, so the next owner need not wait for the worker.
+    worker->recorded = false;
+    m_recorded.erase(worker->info.id);
+    m_record_changed = true;
+  }
+}
+
 void Scheduler::ExpireWorkers(TimePoint now) {
   for (auto it = m_workers.begin(); it != m_workers.end();) {
     Worker& worker = it->second;
     const bool silent = worker.failed_renewals > 0 || !worker.reconciled;
-    if (silent && now > worker.lease_bound && !worker.runs.empty()) {
-      RecordLostRuns(now, worker);
-      LoseRuns(now, &worker, "the lease expired on an unresponsive worker");
-      m_schedule_needed = true;
-    }
-    if (silent && now > worker.lease_bound && worker.recorded) {
-      // Nothing runs there, so the next owner need not wait for the worker.
-      worker.recorded = false;
-      m_recorded.erase(it->first);
-      m_record_changed = true;
+    const bool expired = silent && HasExpired(worker.lease_bound);
+    const bool in_use = worker.recorded || !worker.registered || !worker.runs.empty();
+    if (expired) {
+      ExpireSilentWorker(now, &worker);
+    } else if (silent && in_use && now > worker.lease_bound) {
+      WantConfirmation(worker.lease_bound);
     }
-    const bool erasable =
-        !worker.registered && silent && worker.runs.empty() && now > worker.lease_bound;
-    if (erasable) {
+    if (expired && !worker.registered && worker.runs.empty()) {
       LogLine(LogLevel::kInfo, "worker_gone").Field("worker", it->first);
       m_unreconciled.erase(it->first);
       m_record_changed = true;
@@ -472,7 +492,13 @@
       ++it;
     }
   }
-  if (!m_unreconciled.empty() && now > m_unreconciled_bound) {
+  if (m_unreconciled.empty()) {
+    return;
+  }
+  if (now > m_unreconciled_bound) {
+    WantConfirmation(m_unreconciled_bound);
+  }
+  if (HasExpired(m_unreconciled_bound)) {
     LogLine(LogLevel::kInfo, "unheard_workers_expired").Field("workers", m_unreconciled.size());
     m_unreconciled.clear();
     m_record_changed = true;
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -169,7 +169,7 @@
   }
   run->stop_sent = now;
   ++m_counters.stops;
-  m_link->Stop(worker->info, {task.Id(), run->run, worker->fence, m_authority});
+  m_link->Stop(worker->info, {task.Id(), run->run, worker->fence, m_authority.until});
 }
 
 void Scheduler::SendStops(TimePoint now) {
--- a/packages/scheduler/src/scheduler_watch.cc
+++ b/packages/scheduler/src/scheduler_watch.cc
@@ -98,7 +98,8 @@
         .Field("to", speed_percent);
     run.speed_percent = speed_percent;
     run.throttled_at = now;
-    m_link->Throttle(worker->info, {task.Id(), run.run, speed_percent, worker->fence, m_authority});
+    m_link->Throttle(worker->info,
+                     {task.Id(), run.run, speed_percent, worker->fence, m_authority.until});
   }
 }
 
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -76,7 +76,7 @@
   void Tick() {
     now += Duration(200);
     clock_ms += 200;
-    scheduler.SetAuthority(now + Duration(8'000));
+    scheduler.SetAuthority({now, now + Duration(8'000)});
     scheduler.Tick(At());
   }
 
@@ -131,9 +131,9 @@
 TEST_CASE("each order carries the time at which the authority ends") {
   AcknowledgementFixture fixture;
   REQUIRE(fixture.link.starts.size() == 1);
-  CHECK(fixture.link.starts.back().not_after == fixture.scheduler.authority());
+  CHECK(fixture.link.starts.back().not_after == fixture.scheduler.authority().until);
   CHECK(fixture.link.renewals.back().not_after > fixture.now);
-  CHECK(fixture.link.renewals.back().not_after <= fixture.scheduler.authority());
+  CHECK(fixture.link.renewals.back().not_after <= fixture.scheduler.authority().until);
 }
 
 // Guards against acknowledging an ended run before the cancellation of its job is stored. The next
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -72,16 +72,23 @@
 
   void Tick(TimePoint now) {
     m_now = now;
-    if (m_store->epoch == m_epoch) {
+    if (m_reaches_store && m_store->epoch == m_epoch) {
       m_confirmed = now;
     }
-    m_scheduler.SetAuthority(m_confirmed + kAuthority);
+    m_scheduler.SetAuthority({m_confirmed, m_confirmed + kAuthority});
     m_scheduler.Tick(Present());
-    if (m_store->epoch == m_epoch) {
+    if (m_reaches_store && m_store->epoch == m_epoch) {
       Store();
     }
   }
 
+  /// Sets whether the owner reaches the store, and the workers that it does not reach.
+  void Partition(bool reaches_store, std::set<std::string> cut_off) {
+    m_reaches_store = reaches_store;
+    m_link.CutOff(std::move(cut_off));
+  }
+  std::uint64_t epoch() const { return m_epoch; }
+
   void SetRegistration(TimePoint now, const SimulatedWorkers::SimulatedWorker& worker) {
     m_now = now;
     if (worker.registered) {
@@ -133,6 +140,7 @@
   DurableState* m_store;
   TimePoint m_now;
   std::uint64_t m_epoch = 0;
+  bool m_reaches_store = true;
   TimePoint m_confirmed{};
 };
 
@@ -157,6 +165,8 @@
   SimulatedWorkers& workers() { return m_workers; }
   const SimulatedWorkers& workers() const { return m_workers; }
   Scheduler& scheduler() { return m_owners.back()->scheduler(); }
+  /// Returns an owner. @param number 0 for the first one
+  Owner& owner(std::size_t number) { return *m_owners.at(number); }
   TimePoint now() const { return m_now; }
 
   /// Adds an owner that takes over. Earlier owners tick until their authority expires.
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -225,6 +225,11 @@
     });
   }
 
+  /// Loses an order on its way.
+  void Lose(const std::function<void()>& no_answer, Duration timeout) {
+    At(m_now + timeout, no_answer);
+  }
+
   /// Lets replies to lease renewals wait for an end, as the orders ask. By default they do not
   /// wait.
   void EnableWaits() { m_waits = true; }
@@ -513,6 +518,8 @@
     m_now = now;
   }
   void Disconnect() { m_receiver.reset(); }
+  /// Sets the workers that the owner cannot reach. Replies that are on their way still arrive.
+  void CutOff(std::set<std::string> ids) { m_cut_off = std::move(ids); }
 
   /// Keeps arriving replies until `Release`, as for an owner that does not run.
   void Hold() { m_receiver->held = true; }
@@ -539,7 +546,7 @@
         });
       }
     };
-    m_workers->Deliver(
+    DeliverUnlessCutOff(
         id,
         [workers = m_workers, id, order, report]() -> std::function<void()> {
           const LeaseRenewalReply reply = workers->RenewLease(id, order);
@@ -586,11 +593,21 @@
     }
   };
 
+  void DeliverUnlessCutOff(const std::string& id,
+                           const std::function<std::function<void()>()>& execute,
+                           const std::function<void()>& no_answer, Duration timeout) {
+    if (m_cut_off.contains(id)) {
+      m_workers->Lose(no_answer, timeout);
+    } else {
+      m_workers->Deliver(id, execute, no_answer, timeout);
+    }
+  }
+
   template <typename Execute, typename Report>
   void Send(const std::string& id, Execute execute, Report report) {
     const std::weak_ptr<Receiver> receiver = m_receiver;
     const TimePoint* now = m_now;
-    m_workers->Deliver(
+    DeliverUnlessCutOff(
         id,
         [execute, report, receiver, now]() -> std::function<void()> {
           const auto result = execute();
@@ -614,6 +631,7 @@
   SimulatedWorkers* m_workers;
   std::shared_ptr<Receiver> m_receiver;
   const TimePoint* m_now = nullptr;
+  std::set<std::string> m_cut_off;
 };
 
 }  // namespace cranberryplank
