Wait for every earlier owner that may still act, not for the predecessor alone

Cause: a new owner shortened its wait for workers that it does not reach to one lease once its direct predecessor had stopped. That the predecessor itself still waited for an owner before it was neither stored nor handed over.

Change: the ownership record lists the owners that may still act; a new owner asks each of them, and its wait ends a lease after the last one stops (EarlierOwners). A stopping owner hands on how much longer the owners before it may act. An owner stores its epoch once none before it acts any more. A record of an earlier version lists nothing, and is waited for in full.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
 #define CRANBERRYPLANK_ENTRY_JOB_SERVICE_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -73,7 +74,8 @@
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
-  void AskPredecessor(TimePoint now);
+  /// Asks the earlier owners that may still act whether they have stopped.
+  void AskEarlierOwners(TimePoint now);
   SchedulerSettings SchedulerSettingsOf() const;
   VmFleetSettings FleetSettingsOf() const;
 
@@ -94,9 +96,10 @@
   bool m_owner_ended = false;
   std::optional<TimePoint> m_stopping_since;
   bool m_ended_accepting = false;  ///< Connections of callers, before the end of the process.
-  std::string m_stopped_owner;     ///< Incarnation of an owner that handed over and stopped acting.
-  bool m_predecessor_ended = false;
-  TimePoint m_predecessor_asked{};
+  /// Owners that stopped acting when they handed over to this daemon, by incarnation, and the time
+  /// until which the owners before each of them may act, if it said so.
+  std::map<std::string, std::optional<TimePoint>> m_handed_over;
+  TimePoint m_earlier_owners_asked{};
   TimePoint m_callers_checked{};
   ApiServer m_caller_server;
   ApiServer m_ready_server;
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cranberryplank/jobs/job.h"
+#include "cranberryplank/model/time.h"
 
 namespace cranberryplank {
 
@@ -28,6 +29,9 @@
   double cores = 0;                       ///< Processing power of the sender's VM.
   int state_format = kProgressLogFormat;  ///< Newest format of the state that the sender reads.
   std::optional<JobSpec> spec;            ///< For a submission.
+  /// Of an owner that hands over: how much longer the owners before it may act. Nothing if it does
+  /// not say.
+  std::optional<Duration> earlier_owners_act_for;
 };
 
 /// Result of a call to the owner.
--- a/packages/entry/include/cranberryplank/entry/schedule_hand_over.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_hand_over.h
@@ -24,7 +24,8 @@
 
   /// Asks the next daemon when it is time. Must be called regularly while this daemon stops.
   /// @param least_cores processing power that its VM must have, in cores of standard speed
-  void Tick(TimePoint now, double least_cores);
+  /// @param earlier_owners_act_for how much longer the owners before this daemon may act
+  void Tick(TimePoint now, double least_cores, Duration earlier_owners_act_for);
 
  private:
   void OnReply(TimePoint now, const std::string& address, OwnerStatus status);
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -15,6 +15,7 @@
 #include "cranberryplank/entry/state_writer.h"
 #include "cranberryplank/entry/vm_fleet.h"
 #include "cranberryplank/entry/watched_prefix.h"
+#include "cranberryplank/scheduler/earlier_owners.h"
 #include "cranberryplank/scheduler/scheduler.h"
 
 namespace cranberryplank {
@@ -51,8 +52,10 @@
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
   void SetWave(TimePoint now, const UpkeepWave& wave);
   void SetSettings(const SchedulerSettings& settings);
-  /// The earlier owner stopped acting at the latest at `now`: it reported so, or its process ended.
-  void EarlierOwnerEnded(TimePoint now);
+  /// Earlier owners that may still act. What is recorded there takes effect with the next `Tick`.
+  EarlierOwners* earlier_owners() { return &m_earlier; }
+  /// Returns how much longer earlier owners may act.
+  Duration EarlierOwnersActFor(TimePoint now) const;
   void Tick(Now now);
   void Handle(Now now, const OwnerCall& call, Callback done);
 
@@ -88,6 +91,8 @@
   bool LoadProgressEntry(const KvItem& item);
   void NextPrefix();
   void FinishLoad(Now now);
+  /// Shortens the wait for workers of earlier owners as these are known to have stopped.
+  void ApplyEarlierOwners(TimePoint now);
   void OnWorkerItem(TimePoint now, const KvItem& item);
   /// Returns a recent count of the jobs of a queue without a started task.
   int WaitingJobs(TimePoint now, const std::string& queue);
@@ -115,7 +120,8 @@
   std::map<std::string, LoadedProgress> m_progress;
   std::vector<RecordedWorker> m_recorded;
   TimePoint m_started_at{};
-  std::optional<TimePoint> m_earlier_ended;
+  EarlierOwners m_earlier;
+  bool m_stored_settled = false;  ///< It was stored that no earlier owner acts any more.
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
   std::map<std::string, WaitingCount> m_waiting_counts;  ///< By queue.
--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -7,8 +7,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cranberryplank/entry/key_value_store.h"
+#include "cranberryplank/scheduler/earlier_owners.h"
 
 namespace cranberryplank {
 
@@ -18,6 +20,9 @@
   std::string address;      ///< Address for calls between daemons.
   std::string incarnation;  ///< Incarnation of the owner's process.
   int generation = 0;       ///< Number of earlier claims.
+  /// Owners that might act at the time of the claim. A record of a version that does not list them
+  /// has one that cannot be asked.
+  std::vector<EarlierOwner> earlier;
 };
 
 /// Key of the cursor that every transaction of the owner writes. A claim writes it too, so that the
@@ -72,9 +77,6 @@
   /// under it.
   bool is_own_stale_record() const;
   const std::string& incarnation() const { return m_self.incarnation; }
-  /// The owner before this daemon, if there was one.
-  const std::optional<OwnershipRecord>& predecessor() const { return m_predecessor; }
-
   /// Emitted when this daemon becomes the owner.
   sigc::signal<void, TimePoint>& signal_acquired() { return m_acquired; }
   /// Emitted when this daemon stops being the owner.
@@ -87,12 +89,13 @@
   void OnClaimSucceeded(TimePoint now, TimePoint sent, const OwnershipRecord& claim,
                         std::uint64_t revision);
   void Acquire(TimePoint now, TimePoint sent);
+  /// Returns the owners that may still act when this daemon claims the schedule.
+  std::vector<EarlierOwner> OwnersBefore(TimePoint now) const;
 
   KeyValueStore* m_store;
   std::string m_key;
   OwnershipRecord m_self;
   std::optional<OwnershipRecord> m_record;
-  std::optional<OwnershipRecord> m_predecessor;
   std::uint64_t m_revision = 0;
   std::uint64_t m_lost_revision = 0;  ///< Epoch of the most recently lost ownership.
   bool m_known = false;
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -21,6 +21,8 @@
 constexpr std::string_view kJobPrefix = "job/";
 constexpr std::string_view kProgressPrefix = "progress/";
 constexpr std::string_view kWorkersKey = "schedule/workers";
+/// Epoch of an owner that found that no owner before it acts any more.
+constexpr std::string_view kSettledEpochKey = "schedule/settled-epoch";
 
 std::string EncodeWorkers(std::span<const RecordedWorker> workers);
 std::vector<RecordedWorker> DecodeWorkers(std::string_view value);
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -16,7 +16,7 @@
 
 constexpr Duration kCallerCheckInterval{500};
 constexpr Duration kTakeOverTimeout{300};
-constexpr Duration kPredecessorInterval{250};
+constexpr Duration kEarlierOwnersInterval{250};
 /// Time in which a new owner is called by all other daemons.
 constexpr Duration kFirstPings{1'500};
 /// The store counts as unreachable after this time without an answer.
@@ -156,37 +156,38 @@
     m_owner->SetConfig(at, m_operators.config());
   }
   m_owner->Begin(at);
-  m_predecessor_asked = now;
-  const auto& predecessor = m_ownership.predecessor();
-  const bool ended = !predecessor || predecessor->owner == m_settings.node ||
-                     predecessor->incarnation == m_stopped_owner;
-  if (ended) {
-    m_owner->EarlierOwnerEnded(now);
+  m_earlier_owners_asked = now;
+  EarlierOwners* earlier = m_owner->earlier_owners();
+  earlier->RecordVmStopped(now, m_settings.node);
+  for (const auto& [incarnation, act_until] : m_handed_over) {
+    earlier->RecordStopped(now, incarnation);
+    if (act_until) {
+      earlier->RecordBoundBefore(*act_until, incarnation);
+    }
   }
-  m_predecessor_ended = ended;
 }
 
-void JobService::AskPredecessor(TimePoint now) {
-  if (m_predecessor_ended || now < m_predecessor_asked + kPredecessorInterval) {
+void JobService::AskEarlierOwners(TimePoint now) {
+  if (now < m_earlier_owners_asked + kEarlierOwnersInterval) {
     return;
   }
-  m_predecessor_asked = now;
+  m_earlier_owners_asked = now;
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
   ping.config_version = m_operators.config_version();
-  const OwnershipRecord predecessor = *m_ownership.predecessor();
-  m_owner_client.Call(predecessor.address, ping, kTakeOverTimeout,
-                      [this, predecessor](TimePoint at, const OwnerReply& reply) {
-                        // A reply from another process means that the earlier one has ended. The
-                        // same process replies kNotOwner only after it has stopped acting.
-                        const bool ended = !reply.incarnation.empty() &&
-                                           (reply.incarnation != predecessor.incarnation ||
-                                            reply.status == OwnerStatus::kNotOwner);
-                        if (ended && m_owner && !m_predecessor_ended) {
-                          m_predecessor_ended = true;
-                          m_owner->EarlierOwnerEnded(at);
-                        }
-                      });
+  for (const EarlierOwner& owner : m_owner->earlier_owners()->Askable(now)) {
+    m_owner_client.Call(owner.address, ping, kTakeOverTimeout,
+                        [this, owner](TimePoint at, const OwnerReply& reply) {
+                          // A reply from another process means that the earlier one has ended. The
+                          // same process replies kNotOwner only after it has stopped acting.
+                          const bool stopped = !reply.incarnation.empty() &&
+                                               (reply.incarnation != owner.incarnation ||
+                                                reply.status == OwnerStatus::kNotOwner);
+                          if (stopped && m_owner) {
+                            m_owner->earlier_owners()->RecordStopped(at, owner.incarnation);
+                          }
+                        });
+  }
 }
 
 void JobService::OnLost(TimePoint /*now*/) {
@@ -207,7 +208,7 @@
     m_claim.Tick(now.time, CoresOf(m_settings), m_operators.confirmed_at());
   }
   if (m_owner && m_ownership.owned()) {
-    AskPredecessor(now.time);
+    AskEarlierOwners(now.time);
     m_owner->SetProgressInLog(now.time, AllReadProgressLog(now.time));
     m_owner->Tick(now);
     if (m_owner && m_owner->fenced()) {
@@ -218,8 +219,9 @@
   m_gateway.Tick(now.time);
   if (m_stopping_since) {
     const auto elapsed = std::chrono::duration_cast<Duration>(now.time - *m_stopping_since);
-    m_hand_over.Tick(now.time,
-                     LeastSuccessorCores(elapsed, m_settings.shutdown_grace, CoresOf(m_settings)));
+    m_hand_over.Tick(
+        now.time, LeastSuccessorCores(elapsed, m_settings.shutdown_grace, CoresOf(m_settings)),
+        m_owner ? m_owner->EarlierOwnersActFor(now.time) : ScheduleOwnership::kAuthority);
   }
   if (now.time - m_callers_checked >= kCallerCheckInterval) {
     m_callers_checked = now.time;
@@ -297,7 +299,9 @@
         m_stopping_since || !m_operators.config() ? OwnerStatus::kNotReady : OwnerStatus::kOk;
     if (reply.status == OwnerStatus::kOk) {
       m_claim.RequestTakeOver();
-      m_stopped_owner = call->incarnation;
+      m_handed_over[call->incarnation] = call->earlier_owners_act_for
+                                             ? std::optional(now + *call->earlier_owners_act_for)
+                                             : std::nullopt;
       m_ownership.Read(now);
     }
     answer(now, reply);
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -32,10 +32,11 @@
 }
 
 std::string EncodeOwnerCall(const OwnerCall& call) {
-  return ToMessagePack(
-      json::array({static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
-                   call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr),
-                   call.cores, call.state_format}));
+  return ToMessagePack(json::array(
+      {static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
+       call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores,
+       call.state_format,
+       call.earlier_owners_act_for ? json(call.earlier_owners_act_for->count()) : json(nullptr)}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
@@ -50,6 +51,9 @@
     call.config_version = fields.at(5);
     call.cores = fields.at(7);
     call.state_format = fields.size() > 8 ? fields.at(8).get<int>() : kSingleProgressFormat;
+    if (fields.size() > 9 && !fields.at(9).is_null()) {
+      call.earlier_owners_act_for = Duration(fields.at(9).get<std::int64_t>());
+    }
     if (!fields.at(6).is_null()) {
       const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
       if (!record || !record->spec) {
--- a/packages/entry/src/schedule_hand_over.cc
+++ b/packages/entry/src/schedule_hand_over.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-void ScheduleHandOver::Tick(TimePoint now, double least_cores) {
+void ScheduleHandOver::Tick(TimePoint now, double least_cores, Duration earlier_owners_act_for) {
   if (!m_ownership->owned() || now < m_next_call) {
     return;
   }
@@ -30,6 +30,7 @@
   call.kind = OwnerCallKind::kTakeOver;
   call.sender = m_self;
   call.incarnation = m_ownership->incarnation();
+  call.earlier_owners_act_for = earlier_owners_act_for;
   LogLine(LogLevel::kInfo, "hand_over").Field("to", *successor);
   m_owner_client->Call(*successor, call, kTakeOverTimeout,
                        [this, address = *successor](TimePoint at, const OwnerReply& reply) {
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -17,10 +17,11 @@
 constexpr Duration kReadRetry{100};
 /// Counts of waiting jobs are at most this old. Many callers ask, and each count visits all jobs.
 constexpr Duration kCountInterval{300};
-/// Added to the time after which all runs on unreconciled workers have ended.
-constexpr Duration kUnreconciledMargin{300};
-constexpr std::array<std::string_view, 6> kPrefixes{
-    kJobPrefix, kProgressPrefix, kProgressLogPrefix, kWorkersKey, kWavePrefix, kCursorKey};
+/// Added to the time for which earlier owners may act, because clocks may differ in speed.
+constexpr Duration kAuthorityMargin{300};
+constexpr std::array<std::string_view, 7> kPrefixes{
+    kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kWorkersKey,
+    kWavePrefix, kCursorKey,      kSettledEpochKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 
 Duration WorkerWatchWait(const SchedulerSettings& settings) {
@@ -51,6 +52,10 @@
 
 void ScheduleOwner::Begin(Now now) {
   m_started_at = now.time;
+  if (m_parts.ownership->record()) {
+    m_earlier = EarlierOwners(m_parts.ownership->record()->earlier,
+                              now.time + ScheduleOwnership::kAuthority + kAuthorityMargin);
+  }
   m_workers.Start(now.time);
   ReadPage();
 }
@@ -72,13 +77,18 @@
   }
 }
 
-void ScheduleOwner::EarlierOwnerEnded(TimePoint now) {
-  if (m_earlier_ended) {
-    return;
-  }
-  m_earlier_ended = now;
-  if (m_ready) {
-    m_scheduler->EarlierOwnerEnded(now);
+Duration ScheduleOwner::EarlierOwnersActFor(TimePoint now) const {
+  const auto left = std::chrono::duration_cast<Duration>(m_earlier.act_until() - now);
+  return left > Duration(0) ? left + kAuthorityMargin : Duration(0);
+}
+
+void ScheduleOwner::ApplyEarlierOwners(TimePoint now) {
+  // One that stopped before this daemon's claim may have granted a lease just before it.
+  m_scheduler->SetEarlierOwnersBound(std::max(m_earlier.act_until(), m_started_at));
+  if (!m_stored_settled && now >= m_earlier.act_until()) {
+    m_stored_settled = true;
+    const std::string epoch = std::to_string(m_parts.ownership->revision());
+    m_writer.Put({{std::string(kSettledEpochKey), epoch}}, [] {});
   }
 }
 
@@ -123,6 +133,11 @@
     m_recorded = DecodeWorkers(item.value);
     return;
   }
+  if (prefix == kSettledEpochKey) {
+    // Owners with a lower epoch had stopped before this daemon's claim.
+    m_earlier.RecordBound(m_started_at, ParseNumber<std::uint64_t>(item.value).value_or(0));
+    return;
+  }
   if (prefix == kWavePrefix) {
     if (const auto number = ParseNumber<std::int64_t>(id)) {
       m_wave_progress[*number] = DecodeWaveProgress(item.value);
@@ -196,12 +211,9 @@
   takeover.epoch = m_parts.ownership->revision();
   takeover.generation = m_parts.ownership->record() ? m_parts.ownership->record()->generation : 0;
   takeover.workers = std::move(m_recorded);
-  takeover.unreconciled_bound = m_started_at + ScheduleOwnership::kAuthority +
-                                m_scheduler->LongestLease() + kUnreconciledMargin;
+  takeover.unreconciled_bound =
+      std::max(m_earlier.act_until(), m_started_at) + m_scheduler->LongestLease();
   m_scheduler->Begin(now, takeover);
-  if (m_earlier_ended) {
-    m_scheduler->EarlierOwnerEnded(*m_earlier_ended);
-  }
   m_records.clear();
   m_progress.clear();
   m_ready = true;
@@ -252,6 +264,7 @@
   m_scheduler->SetAuthority({m_parts.ownership->confirmed(), m_parts.ownership->authority_until()});
   m_scheduler->SetRegistrationsKnownUntil(m_workers.confirmed_at());
   UpdateLoad(now.time);
+  ApplyEarlierOwners(now.time);
   m_scheduler->Tick(now);
   if (m_scheduler->ConfirmationWanted()) {
     m_parts.ownership->RequestConfirmation(now.time);
--- a/packages/entry/src/schedule_ownership.cc
+++ b/packages/entry/src/schedule_ownership.cc
@@ -21,18 +21,34 @@
 }  // namespace
 
 std::string EncodeOwnership(const OwnershipRecord& record) {
+  json earlier = json::array();
+  for (const EarlierOwner& owner : record.earlier) {
+    earlier.push_back({owner.vm, owner.address, owner.incarnation, owner.epoch});
+  }
   return json{{"owner", record.owner},
               {"address", record.address},
               {"incarnation", record.incarnation},
-              {"generation", record.generation}}
+              {"generation", record.generation},
+              {"earlier", earlier}}
       .dump();
 }
 
 std::optional<OwnershipRecord> DecodeOwnership(std::string_view value) {
   const json fields = json::parse(value, nullptr, false);
   try {
-    return OwnershipRecord{fields.at("owner"), fields.at("address"), fields.at("incarnation"),
-                           fields.at("generation")};
+    OwnershipRecord record{fields.at("owner"),
+                           fields.at("address"),
+                           fields.at("incarnation"),
+                           fields.at("generation"),
+                           {}};
+    if (!fields.contains("earlier")) {
+      record.earlier.push_back(UnknownOwner(0));
+      return record;
+    }
+    for (const json& row : fields.at("earlier")) {
+      record.earlier.push_back({row.at(0), row.at(1), row.at(2), row.at(3)});
+    }
+    return record;
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -107,8 +123,8 @@
     return;
   }
   m_claiming = true;
-  m_predecessor = m_record;
   OwnershipRecord claim = m_self;
+  claim.earlier = OwnersBefore(now);
   claim.generation = m_record ? m_record->generation + 1 : 0;
   KvTransaction transaction;
   transaction.preconditions.push_back({m_key, m_revision});
@@ -124,6 +140,18 @@
   });
 }
 
+std::vector<EarlierOwner> ScheduleOwnership::OwnersBefore(TimePoint now) const {
+  if (m_revision == 0) {
+    return {};
+  }
+  if (!m_record) {
+    return {UnknownOwner(m_revision)};  // The record could not be read.
+  }
+  return OwnersBeforeClaim(
+      {m_record->owner, m_record->address, m_record->incarnation, m_revision}, m_record->earlier,
+      std::chrono::duration_cast<Duration>(now - m_record_changed_at), kAuthority);
+}
+
 void ScheduleOwnership::OnClaimReply(TimePoint now, TimePoint sent, const OwnershipRecord& claim,
                                      const KvCommitReply& reply) {
   LogLine(LogLevel::kInfo, "claim_answered").Field("status", ToString(reply.status));
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -39,7 +39,7 @@
   TimePoint now{std::chrono::seconds(50)};
   FakeKeyValueStore store;
   ScheduleOwnership ownership{
-      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0}};
+      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0, {}}};
   SilentLink link;
   Scheduler scheduler{SchedulerSettings{}, &link};
   StateWriter writer{&store, &ownership, &scheduler};
@@ -69,7 +69,7 @@
   OwnerFixture fixture;
   REQUIRE(fixture.ownership.owned());
   ScheduleOwnership other(&fixture.store, "duty/schedule",
-                          {"vm-2", "127.0.0.1:7001", "incarnation-2", 0});
+                          {"vm-2", "127.0.0.1:7001", "incarnation-2", 0, {}});
   other.Read(fixture.now);
   fixture.store.Deliver(fixture.now);
   other.Claim(fixture.now);
@@ -105,7 +105,7 @@
 TEST_CASE("a claim starts only one ownership if it is read before its reply arrives") {
   OwnerFixture fixture;
   ScheduleOwnership other(&fixture.store, "duty/schedule",
-                          {"vm-2", "127.0.0.1:7001", "incarnation-2", 0});
+                          {"vm-2", "127.0.0.1:7001", "incarnation-2", 0, {}});
   int acquired = 0;
   other.signal_acquired().connect([&](TimePoint) { ++acquired; });
   other.Read(fixture.now);
--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -101,7 +101,7 @@
   int clock_ms = 1'000;
   FakeKeyValueStore store;
   ScheduleOwnership ownership{
-      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0}};
+      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0, {}}};
   KeepingLink link;
   KeepingVmControl machines;
   WaveFormat format;
--- a/packages/entry/tests/registrations_test.cc
+++ b/packages/entry/tests/registrations_test.cc
@@ -123,7 +123,7 @@
 
  private:
   ScheduleOwnership m_ownership{
-      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0}};
+      &store, "duty/schedule", {"vm-1", "127.0.0.1:7000", "incarnation-1", 0, {}}};
   StateFormat m_format;
   std::unique_ptr<ScheduleOwner> m_owner;
 };
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -112,9 +112,9 @@
 
   /// Begins to act as owner; jobs must have been loaded with `LoadJob`.
   void Begin(Now now, const Takeover& takeover);
-  /// Reports that the process of the earlier owner has ended, so no lease it granted is newer than
-  /// `now`.
-  void EarlierOwnerEnded(TimePoint now);
+  /// Reports that all earlier owners stop acting by `act_until`, so no lease that they granted is
+  /// newer.
+  void SetEarlierOwnersBound(TimePoint act_until);
   /// Returns the longest time on this daemon's clock for which a lease granted by an owner lasts.
   Duration LongestLease() const;
   void SetAuthority(const Authority& authority) { m_authority = authority; }
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -108,12 +108,15 @@
   m_schedule_needed = true;
 }
 
-void Scheduler::EarlierOwnerEnded(TimePoint now) {
-  const TimePoint bound = now + LongestLease();
+void Scheduler::SetEarlierOwnersBound(TimePoint act_until) {
+  const TimePoint bound = act_until + LongestLease();
   if (bound >= m_unreconciled_bound) {
     return;
   }
-  LogLine(LogLevel::kInfo, "earlier_owner_ended").Field("unheard_workers", m_unreconciled.size());
+  LogLine(LogLevel::kInfo, "earlier_owners_bound")
+      .Field("unheard_workers", m_unreconciled.size())
+      .Field("sooner_ms",
+             std::chrono::duration_cast<Duration>(m_unreconciled_bound - bound).count());
   m_unreconciled_bound = bound;
   for (auto& [id, worker] : m_workers) {
     if (!worker.reconciled) {
