Use nothing of a worker's earlier incarnation after a sign of its restart

Cause: after a worker had registered again, the owner went on to place tasks with deadlines by the clock of the earlier incarnation, until a list was in; a renewal that waited delayed it by up to 1.45 s. Such a deadline lies far ahead on the new clock, so that the worker holds its runs for the longest lease that it grants (6 s), while the owner reckoned with 3 s; so did the next owner.

Change: from the registration of another incarnation, or a reply to a start whose clock lies behind, until a list that was asked for later, the worker gets no start, deadline or acknowledgement (SuspectRestart). Where a deadline by an earlier clock may be in force, the bound is the longest lease. The record of workers names the incarnation whose clock deadlines are on, so that a new owner uses the long bound only for workers that restarted lately. Simulated workers shorten deadlines to the longest lease, as the platform's do.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -66,6 +66,7 @@
 struct RecordedWorker {
   std::string id;
   std::string pool;
+  std::int64_t clock_start_unix_ms = 0;  ///< As in `Worker`; 0 if it is not known.
 };
 
 /// State that a new owner takes over from the store.
@@ -117,6 +118,9 @@
   void SetEarlierOwnersBound(TimePoint act_until);
   /// Returns the longest time on this daemon's clock for which a lease granted by an owner lasts.
   Duration LongestLease() const;
+  /// Returns the same for an order by the clock of an earlier incarnation of the worker, counted
+  /// from the time when it took effect.
+  Duration LongestEarlierLease() const;
   void SetAuthority(const Authority& authority) { m_authority = authority; }
   const Authority& authority() const { return m_authority; }
   /// Returns whether the lease of a run has ended that lasts until `bound` at most. Time alone does
@@ -230,6 +234,8 @@
   bool MayStart(TimePoint now) const { return MayAct(now) && now < StartsUntil(); }
   /// Logs when starts pause because the registrations are old, and when they resume.
   void LogPause(TimePoint now);
+  /// Sets the clock that the earlier owner's deadlines on the worker are on.
+  void SetRecordedClock(Worker* worker);
   const QueueConfig& QueueOfJob(const Job& job);
   const QueueConfig& FindOrAddQueue(const Job& job);
 
@@ -244,6 +250,10 @@
   void OnRenewalFailed(TimePoint now, Worker* worker, const RenewalInFlight& renewal,
                        CallOutcome outcome);
   void BeginIncarnation(TimePoint now, Worker* worker, std::int64_t started_unix_ms);
+  /// Asks for a list, because the worker may have restarted since the newest one.
+  void SuspectRestart(TimePoint now, Worker* worker);
+  /// Records that deadlines by the clock of an earlier incarnation are no longer in force.
+  void ForgetEarlierClock(TimePoint now, Worker* worker);
   static void MarkRecentStartsUncertain(Worker* worker);
   /// Lets the tasks of all runs on a restarted worker wait for a confirmation. The worker has
   /// forgotten whether a successor acknowledged their ends.
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -104,6 +104,13 @@
   bool kept_for_trials = false;     ///< Kept for suspect tasks in the last pass that had some.
   bool has_drained = false;         ///< This incarnation announced its end.
   std::optional<TaskRef> trial;     ///< Suspect task whose run began there a short while ago.
+  /// When a registration or a reply first showed another incarnation than the newest list. Until a
+  /// list confirms one, nothing that belongs to an incarnation is used: no start, no deadline, no
+  /// acknowledgement.
+  std::optional<TimePoint> restart_suspected_at;
+  std::int64_t registered_start_unix_ms = 0;  ///< Start of the incarnation that is registered.
+  /// Start of the incarnation whose clock all deadlines are on that may be in force there.
+  std::int64_t clock_start_unix_ms = 0;
   int failed_renewals = 0;
   /// The newest list contained runs that are not counted in `used`.
   bool has_untracked_runs = false;
@@ -140,6 +147,9 @@
   bool MayBeTakenDown(TimePoint confirmed) const {
     return idle() && (reconciled || confirmed > lease_bound);
   }
+  /// Returns whether a deadline by the clock of an earlier incarnation may be in force. It lies far
+  /// ahead on the present clock, so the worker shortens it to the longest lease that it grants.
+  bool MayHoldEarlierDeadline() const { return clock_start_unix_ms != info.started_unix_ms; }
   /// Returns the runs of the step of `step`; its index is not used.
   RunRange RunsOfStep(const TaskRef& step) const;
 };
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -74,6 +74,7 @@
     worker.fence = m_epoch * kFencesPerEpoch;
     worker.recorded = m_recorded.contains(id);
     worker.lease_bound = m_unreconciled_bound;
+    SetRecordedClock(&worker);
   }
   m_record_changed = true;
   m_share_refilled = now.time;
@@ -129,6 +130,18 @@
   return MaxLocalDuration(std::min(m_settings.lease, m_settings.max_lease)) + kLeaseMargin;
 }
 
+Duration Scheduler::LongestEarlierLease() const {
+  return MaxLocalDuration(m_settings.max_lease) + kLeaseMargin;
+}
+
+void Scheduler::SetRecordedClock(Worker* worker) {
+  const auto recorded = m_unreconciled.find(worker->info.id);
+  // No order reached an earlier incarnation of a worker that is not recorded.
+  worker->clock_start_unix_ms = recorded == m_unreconciled.end()
+                                    ? worker->info.started_unix_ms
+                                    : recorded->second.clock_start_unix_ms;
+}
+
 const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
   if (job.queue == nullptr) {
     // Entries of the map are changed in place and never removed, so the address stays valid.
@@ -182,12 +195,18 @@
     worker.fence = m_epoch * kFencesPerEpoch;
     worker.recorded = m_recorded.contains(info.id);
     worker.lease_bound = m_unreconciled.contains(info.id) ? m_unreconciled_bound : TimePoint{};
+    SetRecordedClock(&worker);
     m_record_changed = true;
   }
   if (restarted) {
     // A list of the new incarnation confirms the restart; until then the old one may still run.
     worker.info.started_unix_ms = known_start;
-    worker.next_renewal = now.time;
+  }
+  // The registration of an incarnation that a list has shown may arrive after that list.
+  const bool newly_registered = worker.registered_start_unix_ms != info.started_unix_ms;
+  worker.registered_start_unix_ms = info.started_unix_ms;
+  if (restarted && newly_registered) {
+    SuspectRestart(now.time, &worker);
   }
   m_schedule_needed = true;
 }
@@ -437,7 +456,7 @@
   std::vector<RecordedWorker> workers;
   for (const auto& [id, worker] : m_workers) {
     if (worker.recorded || worker.failed_renewals == 0 || !worker.runs.empty()) {
-      workers.push_back({id, worker.info.pool});
+      workers.push_back({id, worker.info.pool, worker.clock_start_unix_ms});
     }
   }
   for (const auto& [id, worker] : m_unreconciled) {
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -267,8 +267,8 @@
   m_usable_workers = 0;
   for (auto& [id, worker] : m_workers) {
     const bool trusted = worker.IsConfirmed(m_authority.confirmed) && worker.recorded &&
-                         worker.clock.known && worker.failed_renewals == 0 &&
-                         !worker.has_untracked_runs;
+                         worker.clock.known && !worker.restart_suspected_at &&
+                         worker.failed_renewals == 0 && !worker.has_untracked_runs;
     if (trusted && worker.registered && !worker.info.draining && !m_closed.contains(id)) {
       PoolPass& pass = passes[worker.info.pool];
       const bool for_trials = worker.trial || worker.kept_for_trials;
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -54,7 +54,8 @@
   order.call = ++m_last_call;
   order.not_after = m_authority.until;
   order.fence = worker->fence;
-  const bool trusted = worker->reconciled && worker->clock.known && worker->failed_renewals == 0;
+  const bool trusted = worker->reconciled && worker->clock.known && !worker->restart_suspected_at &&
+                       worker->failed_renewals == 0;
   // A restarted worker numbers its ended runs from 1 again, so an old acknowledgement could hide
   // new ended runs. It is therefore not sent again once confirmed, nor after or beside a call
   // without a reply, which may be the first sign of a restart. Such a call raises the fence, so an
@@ -103,6 +104,9 @@
   if (reply.started_unix_ms != 0 && reply.started_unix_ms != worker->info.started_unix_ms) {
     BeginIncarnation(now, worker, reply.started_unix_ms);
   }
+  if (worker->restart_suspected_at && renewal.sent >= *worker->restart_suspected_at) {
+    worker->restart_suspected_at.reset();
+  }
   if (worker->failed_renewals > 0) {
     m_record_changed = m_record_changed || !worker->recorded;
     LogLine(LogLevel::kInfo, "worker_answers")
@@ -118,12 +122,12 @@
   }
   worker->clock = {reply.clock_ms, now, true};
   if (!worker->reconciled && renewal.fence >= worker->fence) {
-    // The worker refuses orders of earlier owners from now on, so no lease is longer than one
-    // granted now.
+    // The worker refuses earlier orders from now on, so no lease is longer than one granted now.
     worker->reconciled = true;
     worker->reconciled_at = now;
     WantConfirmation(now);
-    worker->lease_bound = now + LongestLease();
+    worker->lease_bound =
+        now + (worker->MayHoldEarlierDeadline() ? LongestEarlierLease() : LongestLease());
     m_unreconciled.erase(id);
   }
   // The list in this reply reflects the ended runs in it, but not necessarily runs that were
@@ -188,6 +192,7 @@
     RecordLostRuns(now, *worker);
   }
   worker->info.started_unix_ms = started_unix_ms;
+  worker->restart_suspected_at.reset();
   m_crashes.AddStart(worker->info);
   worker->has_drained = worker->info.draining;
   worker->first_seen = now;
@@ -214,6 +219,31 @@
   }
 }
 
+void Scheduler::SuspectRestart(TimePoint now, Worker* worker) {
+  if (worker->restart_suspected_at) {
+    return;
+  }
+  LogLine(LogLevel::kInfo, "worker_restart_suspected")
+      .Field("worker", worker->info.id)
+      .Field("born", worker->info.started_unix_ms)
+      .Field("registered_born", worker->registered_start_unix_ms);
+  worker->restart_suspected_at = now;
+  if (worker->lease_until_ms > 0) {
+    // Deadlines that were granted may have reached the new incarnation.
+    worker->lease_bound = std::max(worker->lease_bound, now + LongestEarlierLease());
+  }
+  worker->next_renewal = now;
+  SendRenewal(now, worker);  // One that is under way may wait for the earlier incarnation.
+}
+
+void Scheduler::ForgetEarlierClock(TimePoint now, Worker* worker) {
+  if (worker->MayHoldEarlierDeadline() && worker->reconciled &&
+      now > worker->reconciled_at + LongestEarlierLease()) {
+    worker->clock_start_unix_ms = worker->info.started_unix_ms;
+    m_record_changed = true;
+  }
+}
+
 /// Marks as uncertain every run that is not known to run, or was placed since the last list was
 /// requested. The restarted worker has not yet seen a fence, so it may have accepted these starts
 /// or may still do so. Only a lease renewal with a higher fence resolves them.
@@ -475,6 +505,7 @@
 void Scheduler::ExpireWorkers(TimePoint now) {
   for (auto it = m_workers.begin(); it != m_workers.end();) {
     Worker& worker = it->second;
+    ForgetEarlierClock(now, &worker);
     const bool silent = worker.failed_renewals > 0 || !worker.reconciled;
     const bool expired = silent && HasExpired(worker.lease_bound);
     const bool in_use = worker.recorded || !worker.registered || !worker.runs.empty();
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -16,6 +16,8 @@
 constexpr Duration kAvoidFirst{300};
 constexpr Duration kAvoidMax{8'000};
 constexpr int kStreakBeforeAvoiding = 2;
+/// A worker's clock that is further behind its estimate than this began anew.
+constexpr Duration kClockLag{500};
 
 Duration AvoidTime(int streak) {
   const int doublings = std::clamp(streak - kStreakBeforeAvoiding, 0, 5);
@@ -220,6 +222,11 @@
   if (worker == nullptr || task.job == nullptr || !m_active) {
     return;
   }
+  const std::int64_t least_clock_ms =
+      order.lease_until_ms - std::min(m_settings.lease, m_settings.max_lease).count();
+  if (reply.clock_ms > 0 && reply.clock_ms + kClockLag.count() < least_clock_ms) {
+    SuspectRestart(now, worker);
+  }
   const auto it = worker->runs.find(task);
   if (it == worker->runs.end() || it->second.run != order.run ||
       it->second.phase == RunPhase::kRunning) {
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -24,6 +24,9 @@
   double late = 0;         ///< Executed seconds later, no reply.
 };
 
+/// Longest lease that a worker grants.
+constexpr Duration kLongestLease{6'000};
+
 /// Time after which a caller gives up an order, beyond the wait that the order asks for.
 constexpr Duration kAnswerTimeout{450};
 
@@ -271,7 +274,7 @@
     }
     worker.fence = order.fence;
     const std::string name = order.task.Name();
-    worker.deadline_ms = std::max(worker.deadline_ms, order.lease_until_ms);
+    Extend(&worker, order.lease_until_ms);
     const auto present = worker.runs.find(name);
     if (present != worker.runs.end()) {
       return present->second.run == order.run ? CallOutcome::kOk : CallOutcome::kStaleRun;
@@ -313,7 +316,7 @@
     }
     worker.fence = order.fence;
     if (order.lease_until_ms) {
-      worker.deadline_ms = std::max(worker.deadline_ms, *order.lease_until_ms);
+      Extend(&worker, *order.lease_until_ms);
     }
     std::erase_if(worker.ends, [&](const EndedRun& end) {
       if (end.number > order.acknowledged) {
@@ -355,6 +358,12 @@
   /// Time from a crash until the registration of the old id is removed.
   static constexpr Duration kRegistrationLifetime{4'500};
 
+  /// A lease is shortened to the longest one. It never gets shorter by an order.
+  void Extend(SimulatedWorker* worker, std::int64_t deadline_ms) const {
+    const std::int64_t latest_ms = ClockMs(*worker) + kLongestLease.count();
+    worker->deadline_ms = std::max(worker->deadline_ms, std::min(deadline_ms, latest_ms));
+  }
+
   void PollForEnd(const std::string& id, const LeaseRenewalOrder& order, TimePoint until,
                   std::int64_t started_unix_ms,
                   const std::function<void(const LeaseRenewalReply*)>& report) {
