Ask the advice service about further workers while tasks of a step wait

Cause: each call named the first thirty usable workers by id, and no other was asked about before the answer expired; then the same thirty were. A policy that allows none of them, or too few for a gang, starved the step.

Change: AdviceCache keeps the answer for each worker. Workers that were not granted are not asked about again in their incarnation; while tasks still wait after an attempt to place them, the next call names workers not asked about yet and those whose tickets ran out, with room for a task first. A refused ticket concerns its worker only.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -327,6 +327,11 @@
   void Schedule(TimePoint now);
   std::vector<WaitingStep> CollectWaiting(TimePoint now);
   void PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass);
+  /// Places the tasks of a step for which not all workers of its pool are equal.
+  void PlaceOn(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> workers,
+               PoolPass* pass);
+  /// Asks the advice service about further workers if tasks of the step still wait.
+  void AskForAdvice(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> workers);
   void PlaceTasks(TimePoint now, const WaitingStep& waiting, const StepPlaces& places,
                   PoolPass* pass);
   void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable);
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -20,8 +20,6 @@
 
 namespace {
 
-/// Maximum number of workers in one call to the advice service.
-constexpr std::size_t kMaxAdvisedWorkers = 30;
 /// A start that is sent may reach the worker this much later.
 constexpr Duration kStartDelivery{600};
 /// Registrations can be used for this long even where workers drain for a shorter time.
@@ -336,37 +334,63 @@
   std::vector<Worker*> usable = pass->usable;
   std::erase_if(usable,
                 [&](const Worker* worker) { return !HasLabel(worker->info, spec.required_label); });
-  const std::string step_name = queue.advice ? step.Id().StepName() : std::string();
-  if (queue.advice) {
-    std::vector<std::string> ids;
-    for (const Worker* worker : usable) {
-      if (ids.size() < kMaxAdvisedWorkers) {
-        ids.push_back(worker->info.id);
-      }
-    }
-    AdviceOrder order;
-    if (!m_advice.Answered(now, step_name) &&
-        m_advice.Prepare(now, *queue.advice, step.Id(), std::move(ids), &order)) {
-      m_link->Advise(order);
-    }
-    std::erase_if(usable, [&](const Worker* worker) {
-      return m_advice.Ticket(now, step_name, worker->info.id).empty();
-    });
+  if (!queue.advice) {
+    PlaceOn(now, waiting, usable, pass);
+    return;
   }
+  const std::string step_name = step.Id().StepName();
+  std::vector<Worker*> permitted = usable;
+  std::erase_if(permitted, [&](const Worker* worker) {
+    return m_advice.Ticket(now, step_name, worker->info).empty();
+  });
+  PlaceOn(now, waiting, permitted, pass);
+  AskForAdvice(now, waiting, usable);
+}
+
+void Scheduler::PlaceOn(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> workers,
+                        PoolPass* pass) {
+  const TaskRef& step = waiting.step;
+  const StepSpec& spec = step.spec();
   if (spec.gang) {
-    PlaceGang(now, waiting, usable);
+    PlaceGang(now, waiting, workers);
     pass->candidates.clear();
     return;
   }
-  std::vector<WorkerCandidate> candidates = CandidatesOf(now, usable, step);
-  std::string rack = spec.same_rack ? RackInUse(usable, step) : std::string();
+  std::vector<WorkerCandidate> candidates = CandidatesOf(now, workers, step);
+  std::string rack = spec.same_rack ? RackInUse(workers, step) : std::string();
   if (spec.same_rack && rack.empty()) {
     rack = RackWithMostFreeCpu(candidates);
   }
-  PlaceTasks(now, waiting, {usable, candidates, rack}, pass);
+  PlaceTasks(now, waiting, {workers, candidates, rack}, pass);
   pass->candidates.clear();  // The starts are not counted there.
 }
 
+void Scheduler::AskForAdvice(TimePoint now, const WaitingStep& waiting,
+                             std::span<Worker* const> workers) {
+  const TaskRef& step = waiting.step;
+  const StepSpec& spec = step.spec();
+  const std::vector<JobTaskState>& tasks = step.step_state()->tasks;
+  const bool any_due = std::any_of(tasks.begin(), tasks.end(),
+                                   [&](const JobTaskState& task) { return IsDue(now, task); });
+  if (!any_due || !WithinCap(*step.job, spec.per_task)) {
+    return;
+  }
+  std::vector<AdviceCandidate> candidates;
+  candidates.reserve(workers.size());
+  for (const Worker* worker : workers) {
+    AdviceCandidate candidate;
+    candidate.worker = &worker->info;
+    candidate.has_room = spec.Footprint().FitsIn(worker->free()) &&
+                         (spec.max_per_vm == 0 || RunsOfStep(*worker, step) < spec.max_per_vm);
+    candidate.near_data = worker->info.rack == spec.preferred_rack;
+    candidates.push_back(candidate);
+  }
+  AdviceOrder order;
+  if (m_advice.Prepare(now, *waiting.queue->advice, step.Id(), candidates, &order)) {
+    m_link->Advise(order);
+  }
+}
+
 void Scheduler::PlaceTasks(TimePoint now, const WaitingStep& waiting, const StepPlaces& places,
                            PoolPass* pass) {
   const TaskRef& step = waiting.step;
@@ -392,7 +416,7 @@
     }
     Worker* worker = places.workers[static_cast<std::size_t>(chosen)];
     const int run = std::max(state.last_run, m_run_base) + 1;
-    if (!StartTask(now, worker, task, run, m_advice.Ticket(now, step_name, worker->info.id))) {
+    if (!StartTask(now, worker, task, run, m_advice.Ticket(now, step_name, worker->info))) {
       break;
     }
     --m_starts_left;
@@ -444,7 +468,7 @@
   for (task.index = 0; task.index < spec.count; ++task.index) {
     Worker* worker = usable[static_cast<std::size_t>(chosen[static_cast<std::size_t>(task.index)])];
     state.tasks[static_cast<std::size_t>(task.index)].saved = saved;
-    if (StartTask(now, worker, task, run + 1, m_advice.Ticket(now, step_name, worker->info.id))) {
+    if (StartTask(now, worker, task, run + 1, m_advice.Ticket(now, step_name, worker->info))) {
       line.Add(task.index, run + 1, worker->info.id);
     }
   }
