Answer "no such job" only after a confirmation sent later than the call

Cause: an owner may act for 8 s without a confirmation, and answered calls about jobs that it does not know from memory, though its successor had accepted one.

Change: such calls (cancel, state) wait for a confirmation of the ownership that was sent later, which is asked for at once; without one within 400 ms the caller's daemon is told to try again. If the ownership is lost they go on to the new owner. Known jobs are answered as before.

--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cranberryplank/entry/key_value_store.h"
 #include "cranberryplank/entry/owner_load_meter.h"
@@ -79,6 +80,13 @@
     int jobs = 0;
   };
 
+  /// A call about a job that is not known here.
+  struct UnknownJobCall {
+    TimePoint asked{};
+    OwnerCall call;
+    Callback done;
+  };
+
   struct LoadedProgress {
     JobProgress progress;
     std::uint64_t revision = 0;
@@ -97,7 +105,14 @@
   /// Returns a recent count of the jobs of a queue without a started task.
   int WaitingJobs(TimePoint now, const std::string& queue);
   void Submit(Now now, const OwnerCall& call, Callback done);
+  void Cancel(Now now, const OwnerCall& call, Callback done);
   void Answer(std::uint64_t waiting, const OwnerReply& reply);
+  /// Returns whether the job that the call is about is known and in the call's queue.
+  bool Knows(const OwnerCall& call) const;
+  /// Answers the calls about unknown jobs. A daemon may have taken over and accepted the job, so
+  /// "no such job" is answered only after a confirmation of the ownership that was sent later than
+  /// the call arrived. Without one, the caller is told soon to ask again.
+  void AnswerUnknownJobs(Now now);
   std::uint64_t AddWaitingCall(Callback done);
   /// Limits the starts of the next placement pass by the load, and logs the load.
   void UpdateLoad(TimePoint now);
@@ -124,6 +139,7 @@
   bool m_stored_settled = false;  ///< It was stored that no earlier owner acts any more.
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
+  std::vector<UnknownJobCall> m_unknown_job_calls;       ///< They wait for a confirmation.
   std::map<std::string, WaitingCount> m_waiting_counts;  ///< By queue.
   OwnerLoadMeter m_load;
   std::uint64_t m_reported_starts = 0;
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -23,6 +23,8 @@
     kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kWorkersKey,
     kWavePrefix, kCursorKey,      kSettledEpochKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
+/// Longest time that a call about an unknown job waits for a confirmation of the ownership.
+constexpr Duration kConfirmationWait{400};
 
 Duration WorkerWatchWait(const SchedulerSettings& settings) {
   return std::max(settings.drain_time / kConfirmationsPerDrain, kLeastWatchWait);
@@ -273,6 +275,7 @@
     m_fleet->Tick(now.time);
   }
   m_writer.Tick(now);
+  AnswerUnknownJobs(now);
 }
 
 void ScheduleOwner::UpdateLoad(TimePoint now) {
@@ -327,6 +330,31 @@
   for (const auto& [id, done] : waiting) {
     done(now, ReplyOf(OwnerStatus::kUnknown, "the schedule has another owner"));
   }
+  for (const UnknownJobCall& waiting_call : std::exchange(m_unknown_job_calls, {})) {
+    waiting_call.done(now, ReplyOf(OwnerStatus::kNotOwner, "the schedule has another owner"));
+  }
+}
+
+bool ScheduleOwner::Knows(const OwnerCall& call) const {
+  return m_scheduler->QueueOf(call.job) == call.queue &&
+         (call.kind == OwnerCallKind::kCancel || m_scheduler->StateOf(call.job));
+}
+
+void ScheduleOwner::AnswerUnknownJobs(Now now) {
+  for (UnknownJobCall& waiting : std::exchange(m_unknown_job_calls, {})) {
+    if (Knows(waiting.call)) {
+      Handle(now, waiting.call, std::move(waiting.done));
+    } else if (m_parts.ownership->confirmed() > waiting.asked) {
+      waiting.done(now.time, ReplyOf(OwnerStatus::kNoSuchJob));
+    } else if (now.time - waiting.asked > kConfirmationWait) {
+      waiting.done(now.time, ReplyOf(OwnerStatus::kNotReady, "the ownership is not confirmed"));
+    } else {
+      m_unknown_job_calls.push_back(std::move(waiting));
+    }
+  }
+  if (!m_unknown_job_calls.empty()) {
+    m_parts.ownership->RequestConfirmation(now.time);
+  }
 }
 
 void ScheduleOwner::Submit(Now now, const OwnerCall& call, Callback done) {
@@ -353,6 +381,13 @@
   }
 }
 
+void ScheduleOwner::Cancel(Now now, const OwnerCall& call, Callback done) {
+  const std::uint64_t waiting = AddWaitingCall(std::move(done));
+  m_scheduler->Cancel(now, call.job, [this, waiting](bool stored) {
+    Answer(waiting, ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kUnknown));
+  });
+}
+
 void ScheduleOwner::Handle(Now now, const OwnerCall& call, Callback done) {
   OwnerReply reply = ReplyOf(OwnerStatus::kOk);
   switch (call.kind) {
@@ -363,26 +398,21 @@
     case OwnerCallKind::kSubmit:
       Submit(now, call, std::move(done));
       return;
-    case OwnerCallKind::kGetState: {
-      const auto state = m_scheduler->StateOf(call.job);
-      reply.status = state && m_scheduler->QueueOf(call.job) == call.queue
-                         ? OwnerStatus::kOk
-                         : OwnerStatus::kNoSuchJob;
-      reply.state = state.value_or(JobState::kQueued);
+    case OwnerCallKind::kGetState:
+      if (!Knows(call)) {
+        m_unknown_job_calls.push_back({now.time, call, std::move(done)});
+        return;
+      }
+      reply.state = *m_scheduler->StateOf(call.job);
       done(now.time, reply);
       return;
-    }
-    case OwnerCallKind::kCancel: {
-      if (m_scheduler->QueueOf(call.job) != call.queue) {
-        done(now.time, ReplyOf(OwnerStatus::kNoSuchJob));
+    case OwnerCallKind::kCancel:
+      if (!Knows(call)) {
+        m_unknown_job_calls.push_back({now.time, call, std::move(done)});
         return;
       }
-      const std::uint64_t waiting = AddWaitingCall(std::move(done));
-      m_scheduler->Cancel(now, call.job, [this, waiting](bool stored) {
-        Answer(waiting, ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kUnknown));
-      });
+      Cancel(now, call, std::move(done));
       return;
-    }
     case OwnerCallKind::kCountWaiting:
       reply.waiting = WaitingJobs(now.time, call.queue);
       done(now.time, reply);
