Send a second read of the ownership beside one that hangs

Decisions wait for a confirmation of the ownership since the last commits. A read that was sent in the last moments of a silent outage of the store, or on a connection that went silent for good, held them back until its timeout (1 s), though the store answered again. Another read is sent after 300 ms; at most two are under way, and the reply to an earlier one never replaces that to a later.

--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -43,7 +43,7 @@
 
   /// Reads the record if it is unknown or may be out of date.
   void Tick(TimePoint now);
-  /// Reads the record again.
+  /// Reads the record again, unless a read is under way that was sent a short while ago.
   void Read(TimePoint now);
   /// Reads the record soon, because a decision waits for a confirmation.
   void RequestConfirmation(TimePoint now);
@@ -101,7 +101,9 @@
   bool m_known = false;
   bool m_owned = false;
   bool m_stepped_down = false;
-  bool m_reading = false;
+  int m_reads_in_flight = 0;
+  TimePoint m_read_sent{};      ///< Of the newest read.
+  TimePoint m_read_answered{};  ///< Sending time of the newest read that was answered.
   bool m_claiming = false;
   TimePoint m_confirmed{};
   TimePoint m_record_changed_at{};
--- a/packages/entry/src/schedule_ownership.cc
+++ b/packages/entry/src/schedule_ownership.cc
@@ -15,6 +15,10 @@
 constexpr Duration kReadRetry{150};
 /// An owner reads the record when no transaction has confirmed its ownership for this long.
 constexpr Duration kConfirmInterval{700};
+/// A read that was sent in an outage, or on a connection that went silent, stays unanswered until
+/// its timeout. After this time another one is sent beside it.
+constexpr Duration kHangingRead{300};
+constexpr int kMaxReads = 2;
 /// Minimum time between two reads for decisions that wait for a confirmation.
 constexpr Duration kRequestedReadInterval{50};
 
@@ -79,16 +83,19 @@
 }
 
 void ScheduleOwnership::Read(TimePoint now) {
-  if (m_reading) {
+  const bool hangs = now - m_read_sent >= kHangingRead;
+  if (m_reads_in_flight >= kMaxReads || (m_reads_in_flight > 0 && !hangs)) {
     return;
   }
-  m_reading = true;
-  m_next_read = now + kReadRetry;
+  ++m_reads_in_flight;
+  m_read_sent = m_next_read = now;
+  m_next_read += kReadRetry;
   m_store->Get(m_key, [this, now](TimePoint at, const KvReadReply& reply) {
-    m_reading = false;
-    if (reply.status != KvStatus::kOk) {
+    --m_reads_in_flight;
+    if (reply.status != KvStatus::kOk || now < m_read_answered) {
       return;
     }
+    m_read_answered = now;
     m_store_answered = std::max(m_store_answered, now);
     OnRecord(at, now, reply.items.empty() ? KvItem{} : reply.items.front());
   });
--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -77,6 +77,19 @@
     send_reply(now);
   }
 
+  int queued_replies() const { return static_cast<int>(m_queued_replies.size()); }
+  /// Holds back the replies to all calls under way.
+  void Hold() {
+    m_held.insert(m_held.end(), m_queued_replies.begin(), m_queued_replies.end());
+    m_queued_replies.clear();
+  }
+  /// Delivers the replies that were held back.
+  void DeliverHeld(TimePoint now) {
+    for (const auto& send_reply : std::exchange(m_held, {})) {
+      send_reply(now);
+    }
+  }
+
   /// Delivers the replies in reverse order of the calls.
   void DeliverNewestFirst(TimePoint now) {
     std::reverse(m_queued_replies.begin(), m_queued_replies.end());
@@ -125,6 +138,7 @@
 
   TransactionTable m_table;
   std::vector<std::function<void(TimePoint)>> m_queued_replies;
+  std::vector<std::function<void(TimePoint)>> m_held;
   std::vector<KvTransaction> m_late;
   ReadCallback m_watch;
 };
