Add a random model of partitions and planned stops of owners

Three owners and more: an owner is cut off with one or two of four workers, another daemon takes over after a second of silence, the store is back before the rest, owners are stopped as planned, workers restart. An owner that was replaced hears of it only when its authority has ended. The owners of the model wait for earlier ones by EarlierOwners, as the daemons do.

--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cranberryplank/scheduler/earlier_owners.h"
 #include "cranberryplank/scheduler/scheduler.h"
 #include "simulated_workers.h"
 
@@ -18,6 +20,7 @@
 
 /// Time for which an owner may act after it last confirmed its claim.
 constexpr Duration kAuthority{8'000};
+constexpr Duration kAuthorityMargin{300};
 
 inline std::shared_ptr<const ClusterConfig> TestConfig() {
   ClusterConfig config;
@@ -36,6 +39,8 @@
 /// Store contents; only the owner with the newest claim may write.
 struct DurableState {
   std::uint64_t epoch = 0;
+  TimePoint claimed_at{};
+  std::vector<EarlierOwner> earlier;  ///< Owners that might act at the time of the claim.
   int claims = 0;
   std::map<std::string, std::string> records;
   std::map<std::string, std::string> progress;
@@ -48,8 +53,14 @@
   Owner(TimePoint now, SimulatedWorkers* workers, DurableState* store)
       : m_link(workers), m_scheduler(SchedulerSettings{}, &m_link), m_store(store), m_now(now) {
     m_link.Connect(&m_scheduler, &m_now);
+    if (store->epoch > 0) {
+      const auto known_for = std::chrono::duration_cast<Duration>(now - store->claimed_at);
+      store->earlier = OwnersBeforeClaim(IdentityOf(store->epoch), store->earlier, known_for,
+                                         kAuthority + kAuthorityMargin);
+    }
+    m_earlier = EarlierOwners(store->earlier, now + kAuthority + kAuthorityMargin);
     m_epoch = ++store->epoch;
-    m_confirmed = now;
+    m_claimed_at = store->claimed_at = m_confirmed = now;
     m_scheduler.SetConfig(Present(), TestConfig());
     for (const auto& [id, worker] : workers->workers()) {
       if (worker.registered) {
@@ -65,7 +76,7 @@
     Takeover takeover;
     takeover.epoch = m_epoch;
     takeover.generation = store->claims++;
-    takeover.unreconciled_bound = now + kAuthority + m_scheduler.LongestLease() + Duration(300);
+    takeover.unreconciled_bound = now + kAuthority + kAuthorityMargin + m_scheduler.LongestLease();
     takeover.workers = store->workers;
     m_scheduler.Begin(Present(), takeover);
   }
@@ -75,7 +86,7 @@
     if (m_reaches_store && m_store->epoch == m_epoch) {
       m_confirmed = now;
     }
-    m_scheduler.SetAuthority({m_confirmed, m_confirmed + kAuthority});
+    m_scheduler.SetAuthority({m_confirmed, authority_until()});
     m_scheduler.Tick(Present());
     if (m_reaches_store && m_store->epoch == m_epoch) {
       Store();
@@ -88,6 +99,19 @@
     m_link.CutOff(std::move(cut_off));
   }
   std::uint64_t epoch() const { return m_epoch; }
+  TimePoint authority_until() const {
+    return m_stepped_down ? TimePoint{} : m_confirmed + kAuthority;
+  }
+  /// Ends the authority of an owner that hands over.
+  void StepDown() { m_stepped_down = true; }
+  static EarlierOwner IdentityOf(std::uint64_t epoch) {
+    return {fmt::format("vm{}", epoch), "address", fmt::format("incarnation{}", epoch), epoch};
+  }
+  EarlierOwners& earlier() { return m_earlier; }
+  /// Shortens the wait for workers of earlier owners by what is known of these.
+  void ApplyEarlierOwners() {
+    m_scheduler.SetEarlierOwnersBound(std::max(m_earlier.act_until(), m_claimed_at));
+  }
 
   void SetRegistration(TimePoint now, const SimulatedWorkers::SimulatedWorker& worker) {
     m_now = now;
@@ -141,7 +165,10 @@
   TimePoint m_now;
   std::uint64_t m_epoch = 0;
   bool m_reaches_store = true;
+  bool m_stepped_down = false;
   TimePoint m_confirmed{};
+  TimePoint m_claimed_at{};
+  EarlierOwners m_earlier;
 };
 
 /// Simulated workers in one pool, the store and the owners of the schedule.
