Do not wait for unheard workers whose VMs are shut down or removed

Cause: a new owner holds back loaded jobs of a pool until the last lease of each worker that it has not heard of must have ended, since the earlier owner may be cut off together with it. Both were gone, so nothing shortened the wait.

Change: the platform's list of VMs shows the end of a worker, which is one life of a VM: shut down, moved, in upkeep, with another worker, or not listed for 3 s. After a confirmation of the ownership that worker is not waited for. The record of workers names the VM.

--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -67,6 +67,8 @@
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
   bool MayTakeDown(const std::string& worker) const;
+  /// Reports the workers of earlier owners that the newest list shows to have ended.
+  void RecordEndedWorkers(TimePoint now);
   std::vector<UpkeepCandidate> CandidatesOf(const WaveProgress& wave,
                                             std::span<const JobPoolLoad> loads) const;
   std::map<std::string, std::vector<std::string>> MovableVms() const;
@@ -78,6 +80,7 @@
   UpkeepWaves m_waves;
   VmOperations m_operations;
   std::uint64_t m_last_token = 0;
+  TimePoint m_checked_list{};  ///< Request of the newest list that was checked for ended workers.
   TimePoint m_next_plan{};
   TimePoint m_next_advance{};
   TimePoint m_next_log{};
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -43,7 +43,7 @@
 std::string EncodeWorkers(std::span<const RecordedWorker> workers) {
   json rows = json::array();
   for (const RecordedWorker& worker : workers) {
-    rows.push_back({worker.id, worker.pool, worker.clock_start_unix_ms});
+    rows.push_back({worker.id, worker.pool, worker.clock_start_unix_ms, worker.vm});
   }
   return rows.dump();
 }
@@ -52,8 +52,15 @@
   std::vector<RecordedWorker> workers;
   try {
     for (const json& row : json::parse(value)) {
-      // An earlier version does not store the third field.
-      workers.push_back({row.at(0), row.at(1), row.size() > 2 ? row.at(2).get<std::int64_t>() : 0});
+      // Earlier versions store only the first fields.
+      RecordedWorker worker{row.at(0), row.at(1), 0, {}};
+      if (row.size() > 2) {
+        worker.clock_start_unix_ms = row.at(2);
+      }
+      if (row.size() > 3) {
+        worker.vm = row.at(3);
+      }
+      workers.push_back(std::move(worker));
     }
   } catch (const json::exception& error) {
     LogLine(LogLevel::kError, "unreadable_state")
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -22,6 +22,13 @@
 /// The number of VMs divided by this is the maximum number of moves in progress.
 constexpr std::size_t kMovingDivisor = 2;
 
+/// Returns whether a worker that ran on the VM has ended. A worker that is cut off stays listed. A
+/// VM that is up without a worker is about to list the one that it has.
+bool HasLeft(const ListedVm& vm, std::string_view worker) {
+  const bool unlisted = vm.state == ListedVmState::kUp && vm.worker.empty();
+  return vm.worker != worker && !unlisted;
+}
+
 }  // namespace
 
 VmFleet::VmFleet(const VmFleetParts& parts, const VmFleetSettings& settings, TimePoint begun)
@@ -52,6 +59,7 @@
   if (!m_list.listed()) {
     return;
   }
+  RecordEndedWorkers(now);
   if (now >= m_next_plan) {
     m_next_plan = now + kPlanInterval;
     const std::vector<JobPoolLoad> loads = m_parts.scheduler->PoolLoads(now);
@@ -242,6 +250,22 @@
   return known == nullptr || known->MayBeTakenDown(m_parts.scheduler->authority().confirmed);
 }
 
+void VmFleet::RecordEndedWorkers(TimePoint now) {
+  if (m_checked_list == m_list.sent()) {
+    return;
+  }
+  m_checked_list = m_list.sent();
+  for (const auto& [id, worker] : m_parts.scheduler->unreconciled()) {
+    const auto vm = m_list.vms().find(worker.vm);
+    const bool ended = vm == m_list.vms().end()
+                           ? !worker.vm.empty() && m_list.IsRemoved(now, worker.vm)
+                           : HasLeft(vm->second, id);
+    if (ended) {
+      m_parts.scheduler->RecordWorkerEnded(now, id);
+    }
+  }
+}
+
 void VmFleet::Advance(TimePoint now) {
   std::vector<std::string> ended;
   for (auto& [vm, operation] : m_operations) {
--- a/packages/entry/tests/owner_chain_test.cc
+++ b/packages/entry/tests/owner_chain_test.cc
@@ -128,8 +128,9 @@
     step.estimate_ms = 500;
     spec.steps.push_back(step);
     m_store.Put(JobKey("job"), EncodeJob(spec));
-    m_store.Put(std::string(kWorkersKey), EncodeWorkers(std::vector<RecordedWorker>{
-                                              {"servers/near", "pool"}, {"servers/far", "pool"}}));
+    m_store.Put(std::string(kWorkersKey),
+                EncodeWorkers(std::vector<RecordedWorker>{{"servers/near", "pool", 0, {}},
+                                                          {"servers/far", "pool", 0, {}}}));
   }
 
   std::size_t Starts() const {
--- a/packages/entry/tests/unknown_job_test.cc
+++ b/packages/entry/tests/unknown_job_test.cc
@@ -43,7 +43,7 @@
     call.kind = kind;
     call.job = "job";
     call.queue = "queue";
-    const auto status = std::make_shared<std::optional<OwnerStatus>>();
+    auto status = std::make_shared<std::optional<OwnerStatus>>();
     m_owner->Handle({m_now, 0}, call,
                     [status](TimePoint, const OwnerReply& reply) { *status = reply.status; });
     return status;
--- a/packages/entry/tests/vm_fleet_test.cc
+++ b/packages/entry/tests/vm_fleet_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cranberryplank/jobs/job_codec.h"
 #include "fleet_fixture.h"
 
 namespace cranberryplank {
@@ -50,7 +51,7 @@
   Takeover takeover;
   takeover.epoch = fixture.ownership.revision();
   takeover.unreconciled_bound = fixture.now + Duration(10'000);
-  takeover.workers.push_back({"worker-0", "pool"});
+  takeover.workers.push_back({"worker-0", "pool", 0, FleetFixture::VmOf("worker-0")});
   fixture.Begin(takeover);
   fixture.fleet->SetWave(fixture.now, {1, {FleetFixture::VmOf("worker-0")}, Duration(1'000), 1});
   for (int i = 0; i < 20; ++i) {
@@ -88,4 +89,40 @@
   CHECK(fixture.machines.moved == std::vector<std::string>{"vm-spare"});
 }
 
+// Guards against jobs that a new owner holds back until the last lease of a worker that it does not
+// reach must have ended, although the worker's VM is shut down.
+TEST_CASE("a new owner does not wait for a worker whose VM is shut down or removed") {
+  enum class VmOfWorker { kCutOff, kShutDown, kRemoved };
+  const VmOfWorker state =
+      GENERATE(VmOfWorker::kCutOff, VmOfWorker::kShutDown, VmOfWorker::kRemoved);
+  FleetFixture fixture;
+  JobSpec spec;
+  spec.id = "job";
+  spec.queue = "queue";
+  spec.pool = "pool";
+  StepSpec step;
+  step.count = 1;
+  step.per_task = {10, 1, 0};
+  step.estimate_ms = 500;
+  spec.steps.push_back(step);
+  fixture.scheduler.LoadJob(fixture.At(), "job", *DecodeJob("job", EncodeJob(spec)), {});
+  Takeover takeover;
+  takeover.epoch = fixture.ownership.revision();
+  takeover.unreconciled_bound = fixture.now + Duration(10'000);
+  const std::string vm = FleetFixture::VmOf("worker-0");
+  takeover.workers.push_back({"worker-gone", "pool", 0, vm});
+  for (ListedVm& listed : fixture.machines.vms) {
+    if (listed.id == vm) {
+      listed.state = state == VmOfWorker::kShutDown ? ListedVmState::kDown : ListedVmState::kUp;
+      listed.worker = state == VmOfWorker::kShutDown ? "" : "worker-gone";
+    }
+  }
+  if (state == VmOfWorker::kRemoved) {
+    std::erase_if(fixture.machines.vms, [&](const ListedVm& listed) { return listed.id == vm; });
+  }
+  fixture.Begin(takeover);
+  fixture.Run(50);
+  CHECK(fixture.link.starts.empty() == (state == VmOfWorker::kCutOff));
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -67,6 +67,7 @@
   std::string id;
   std::string pool;
   std::int64_t clock_start_unix_ms = 0;  ///< As in `Worker`; 0 if it is not known.
+  std::string vm;                        ///< Empty if it is not known.
 };
 
 /// State that a new owner takes over from the store.
@@ -204,6 +205,11 @@
                std::string_view reason);
   /// Reports that the worker's VM was shut down, so nothing runs there any more.
   void RetireWorker(TimePoint now, const std::string& id);
+  /// Workers of earlier owners that this owner has not heard of, by id.
+  const std::map<std::string, RecordedWorker>& unreconciled() const { return m_unreconciled; }
+  /// Reports that a worker that this owner has not heard of has ended: its VM is shut down or has
+  /// another worker. Its tasks need not be waited for once the ownership is confirmed again.
+  void RecordWorkerEnded(TimePoint now, const std::string& id);
   /// Orders the runs on a worker to stop as far as that is allowed now: a long-running task only
   /// while its step's limit of unavailable tasks permits it, other tasks only if `all` is set.
   void VacateWorker(TimePoint now, const std::string& id, bool all);
@@ -272,6 +278,8 @@
   /// Takes the runs as lost whose leases have ended on workers that do not answer.
   void ExpireWorkers(TimePoint now);
   void ExpireSilentWorker(TimePoint now, Worker* worker);
+  /// Ends the wait for workers of earlier owners that have ended, or whose leases have.
+  void ExpireUnreconciled(TimePoint now);
   /// Returns whether the task waits for a start and may be started now.
   bool IsDue(TimePoint now, const JobTaskState& task) const;
   void UpdateRun(TimePoint now, const Worker& worker, PlacedRun* run, const TaskRef& task,
@@ -371,6 +379,7 @@
   std::set<std::string> m_closed;
   /// Recorded by the earlier owner and not reconciled yet.
   std::map<std::string, RecordedWorker> m_unreconciled;
+  std::map<std::string, TimePoint> m_ended_unreconciled;  ///< When these were found to have ended.
   std::set<std::string> m_recorded;
   bool m_record_changed = false;
   bool m_active = false;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -456,7 +456,7 @@
   std::vector<RecordedWorker> workers;
   for (const auto& [id, worker] : m_workers) {
     if (worker.recorded || worker.failed_renewals == 0 || !worker.runs.empty()) {
-      workers.push_back({id, worker.info.pool, worker.clock_start_unix_ms});
+      workers.push_back({id, worker.info.pool, worker.clock_start_unix_ms, worker.info.vm});
     }
   }
   for (const auto& [id, worker] : m_unreconciled) {
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -523,6 +523,19 @@
       ++it;
     }
   }
+  ExpireUnreconciled(now);
+}
+
+void Scheduler::ExpireUnreconciled(TimePoint now) {
+  for (auto it = m_ended_unreconciled.begin(); it != m_ended_unreconciled.end();) {
+    if (!HasExpired(it->second)) {
+      ++it;
+      continue;
+    }
+    m_unreconciled.erase(it->first);
+    it = m_ended_unreconciled.erase(it);
+    m_record_changed = m_schedule_needed = true;
+  }
   if (m_unreconciled.empty()) {
     return;
   }
--- a/packages/scheduler/tests/worker_restart_test.cc
+++ b/packages/scheduler/tests/worker_restart_test.cc
@@ -66,7 +66,7 @@
     Takeover takeover;
     takeover.epoch = 5;
     takeover.unreconciled_bound = now + Duration(1'000);
-    takeover.workers = {{"a", "pool", 1}, {"b", "pool", 1}};
+    takeover.workers = {{"a", "pool", 1, {}}, {"b", "pool", 1, {}}};
     scheduler.Begin(At(), takeover);
   }
 
