Split restarts and expiry of workers from the scheduler's lease renewals

What follows a restart is in scheduler_restarts.cc, what follows an expired lease in scheduler_expiry.cc; no function is changed. The tests of the scheduler share one link that records orders, which stood in three files.

--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -73,13 +73,6 @@
   m_schedule_needed = true;
 }
 
-void Scheduler::RecordWorkerEnded(TimePoint now, const std::string& id) {
-  if (m_unreconciled.contains(id) && m_ended_unreconciled.emplace(id, now).second) {
-    LogLine(LogLevel::kInfo, "unheard_worker_ended").Field("worker", id);
-    WantConfirmation(now);
-  }
-}
-
 void Scheduler::VacateWorker(TimePoint now, const std::string& id, bool all) {
   Worker* worker = FindWorker(id);
   if (worker == nullptr || worker->failed_renewals > 0) {
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -186,89 +186,6 @@
   worker->next_renewal = now + std::min(kFirstRetry * (1 << doublings), kMaxRetry);
 }
 
-void Scheduler::BeginIncarnation(TimePoint now, Worker* worker, std::int64_t started_unix_ms) {
-  const bool restarted = worker->info.started_unix_ms != 0 && worker->reconciled;
-  if (restarted) {
-    RecordLostRuns(now, *worker);
-  }
-  worker->info.started_unix_ms = started_unix_ms;
-  worker->restart_suspected_at.reset();
-  m_crashes.AddStart(worker->info);
-  worker->has_drained = worker->info.draining;
-  worker->first_seen = now;
-  worker->last_ended_number = worker->acknowledged = 0;
-  worker->acknowledged_sent = worker->acknowledged_by_worker = 0;
-  worker->pending_acknowledgements.clear();
-  worker->untracked_stops.clear();
-  worker->lease_until_ms = worker->heard_clock_ms = 0;
-  worker->failure_streak = 0;
-  if (restarted) {
-    ++m_counters.restarted_workers;
-    LogLine(LogLevel::kInfo, "worker_reborn")
-        .Field("worker", worker->info.id)
-        .Field("born", started_unix_ms)
-        .Field("lost_runs", worker->runs.size());
-    // Orders meant for the earlier incarnation, including late renewals that acknowledge its ended
-    // runs, must have no effect in this one. The worker is used again once it has received a higher
-    // fence.
-    ++worker->fence;
-    worker->reconciled = false;
-    MarkRecentStartsUncertain(worker);
-    WaitForConfirmation(now, *worker);
-    LoseRuns(now, worker, "the worker restarted");
-  }
-}
-
-void Scheduler::SuspectRestart(TimePoint now, Worker* worker) {
-  if (worker->restart_suspected_at) {
-    return;
-  }
-  LogLine(LogLevel::kInfo, "worker_restart_suspected")
-      .Field("worker", worker->info.id)
-      .Field("born", worker->info.started_unix_ms)
-      .Field("registered_born", worker->registered_start_unix_ms);
-  worker->restart_suspected_at = now;
-  if (worker->lease_until_ms > 0) {
-    // Deadlines that were granted may have reached the new incarnation.
-    worker->lease_bound = std::max(worker->lease_bound, now + LongestEarlierLease());
-  }
-  worker->next_renewal = now;
-  SendRenewal(now, worker);  // One that is under way may wait for the earlier incarnation.
-}
-
-void Scheduler::ForgetEarlierClock(TimePoint now, Worker* worker) {
-  if (worker->MayHoldEarlierDeadline() && worker->reconciled &&
-      now > worker->reconciled_at + LongestEarlierLease()) {
-    worker->clock_start_unix_ms = worker->info.started_unix_ms;
-    m_record_changed = true;
-  }
-}
-
-/// Marks as uncertain every run that is not known to run, or was placed since the last list was
-/// requested. The restarted worker has not yet seen a fence, so it may have accepted these starts
-/// or may still do so. Only a lease renewal with a higher fence resolves them.
-void Scheduler::MarkRecentStartsUncertain(Worker* worker) {
-  const auto recent = [&](const PlacedRun& run) {
-    return run.phase != RunPhase::kRunning || run.placed_at >= worker->last_list_sent;
-  };
-  for (auto& [task, run] : worker->runs) {
-    if (recent(run)) {
-      run.phase = RunPhase::kUncertain;
-      run.fence_needed = worker->fence;
-      run.began_clock_ms = 0;  // If it is present, it began in the new incarnation.
-    }
-  }
-}
-
-void Scheduler::WaitForConfirmation(TimePoint now, const Worker& worker) {
-  WantConfirmation(now);
-  for (const auto& [task, run] : worker.runs) {
-    if (JobTaskState* state = task.state()) {
-      state->lost_at = now;
-    }
-  }
-}
-
 void Scheduler::ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply) {
   // One line for all of a reply's runs, because a line for each run would be most of the log of an
   // owner that ends a thousand runs per second.
@@ -451,24 +368,6 @@
   m_link->Stop(worker->info, {*id, listed.run, worker->fence, m_authority.until});
 }
 
-void Scheduler::LoseRuns(TimePoint now, Worker* worker, std::string_view reason) {
-  std::vector<TaskRef> lost;
-  for (const auto& [task, run] : worker->runs) {
-    // A start without a reply may still take effect until the lease that it carries has expired.
-    if (run.phase == RunPhase::kRunning || now > worker->lease_bound) {
-      lost.push_back(task);
-    }
-  }
-  for (const TaskRef& task : lost) {
-    ++m_counters.runs_lost;
-    LogLine(LogLevel::kInfo, "run_lost")
-        .Field("task", task.Id().Name())
-        .Field("worker", worker->info.id)
-        .Field("reason", reason);
-    RemoveRun(now, worker, task);
-  }
-}
-
 void Scheduler::ReleaseAcknowledged(TimePoint now) {
   for (auto& [id, worker] : m_workers) {
     ReleaseAcknowledged(now, &worker);
@@ -488,66 +387,4 @@
   }
 }
 
-void Scheduler::ExpireSilentWorker(TimePoint now, Worker* worker) {
-  if (!worker->runs.empty()) {
-    RecordLostRuns(now, *worker);
-    LoseRuns(now, worker, "the lease expired on an unresponsive worker");
-    m_schedule_needed = true;
-  }
-  if (worker->recorded) {
-    // Nothing runs there, so the next owner need not wait for the worker.
-    worker->recorded = false;
-    m_recorded.erase(worker->info.id);
-    m_record_changed = true;
-  }
-}
-
-void Scheduler::ExpireWorkers(TimePoint now) {
-  for (auto it = m_workers.begin(); it != m_workers.end();) {
-    Worker& worker = it->second;
-    ForgetEarlierClock(now, &worker);
-    const bool silent = worker.failed_renewals > 0 || !worker.reconciled;
-    const bool expired = silent && HasExpired(worker.lease_bound);
-    const bool in_use = worker.recorded || !worker.registered || !worker.runs.empty();
-    if (expired) {
-      ExpireSilentWorker(now, &worker);
-    } else if (silent && in_use && now > worker.lease_bound) {
-      WantConfirmation(worker.lease_bound);
-    }
-    if (expired && !worker.registered && worker.runs.empty()) {
-      LogLine(LogLevel::kInfo, "worker_gone").Field("worker", it->first);
-      m_unreconciled.erase(it->first);
-      m_record_changed = true;
-      it = m_workers.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  ExpireUnreconciled(now);
-}
-
-void Scheduler::ExpireUnreconciled(TimePoint now) {
-  for (auto it = m_ended_unreconciled.begin(); it != m_ended_unreconciled.end();) {
-    if (!HasExpired(it->second)) {
-      ++it;
-      continue;
-    }
-    m_unreconciled.erase(it->first);
-    it = m_ended_unreconciled.erase(it);
-    m_record_changed = m_schedule_needed = true;
-  }
-  if (m_unreconciled.empty()) {
-    return;
-  }
-  if (now > m_unreconciled_bound) {
-    WantConfirmation(m_unreconciled_bound);
-  }
-  if (HasExpired(m_unreconciled_bound)) {
-    LogLine(LogLevel::kInfo, "unheard_workers_expired").Field("workers", m_unreconciled.size());
-    m_unreconciled.clear();
-    m_record_changed = true;
-    m_schedule_needed = true;
-  }
-}
-
 }  // namespace cranberryplank
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -4,28 +4,12 @@
 #include <vector>
 
 #include "cranberryplank/scheduler/scheduler.h"
+#include "recording_link.h"
 
 namespace cranberryplank {
 
 namespace {
 
-/// Records the orders of the scheduler.
-class RecordingLink : public WorkerLink {
- public:
-  void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
-    renewals.push_back(order);
-    renewed_workers.push_back(worker.id);
-  }
-  void Start(const WorkerInfo&, const StartOrder& order) override { starts.push_back(order); }
-  void Stop(const WorkerInfo&, const StopOrder&) override {}
-  void Throttle(const WorkerInfo&, const ThrottleOrder&) override {}
-  void Advise(const AdviceOrder&) override {}
-
-  std::vector<LeaseRenewalOrder> renewals;
-  std::vector<std::string> renewed_workers;  ///< Workers of the renewals.
-  std::vector<StartOrder> starts;
-};
-
 struct AcknowledgementFixture {
   RecordingLink link;
   Scheduler scheduler{SchedulerSettings{}, &link};
@@ -91,10 +75,10 @@
   /// @param started_unix_ms start of the incarnation that replies; 0 if not given
   void Answer(std::vector<ListedRun> running, std::vector<EndedRun> ended,
               std::int64_t started_unix_ms = 0) {
-    const auto newest =
-        std::find(link.renewed_workers.rbegin(), link.renewed_workers.rend(), "worker");
+    const auto newest = std::find_if(link.renewals.rbegin(), link.renewals.rend(),
+                                     [](const auto& sent) { return sent.first == "worker"; });
     LeaseRenewalReply reply;
-    reply.call = (link.renewals.rbegin() + (newest - link.renewed_workers.rbegin()))->call;
+    reply.call = newest->second.call;
     reply.outcome = CallOutcome::kOk;
     reply.clock_ms = clock_ms;
     reply.started_unix_ms = started_unix_ms;
@@ -107,7 +91,7 @@
   /// Confirms the newest start; there must have been `count` starts.
   void ConfirmStart(std::size_t count) {
     REQUIRE(link.starts.size() == count);
-    scheduler.OnStart(now, "worker", link.starts.back(), {CallOutcome::kOk, 0});
+    scheduler.OnStart(now, "worker", link.starts.back().second, {CallOutcome::kOk, 0});
   }
 };
 
@@ -119,11 +103,11 @@
   fixture.Tick();
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 0);
   fixture.Store();
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 1);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 1);
 }
 
 // Guards against an order that is sent after the authority has ended, because the process was
@@ -131,9 +115,9 @@
 TEST_CASE("each order carries the time at which the authority ends") {
   AcknowledgementFixture fixture;
   REQUIRE(fixture.link.starts.size() == 1);
-  CHECK(fixture.link.starts.back().not_after == fixture.scheduler.authority().until);
-  CHECK(fixture.link.renewals.back().not_after > fixture.now);
-  CHECK(fixture.link.renewals.back().not_after <= fixture.scheduler.authority().until);
+  CHECK(fixture.link.starts.back().second.not_after == fixture.scheduler.authority().until);
+  CHECK(fixture.link.renewals.back().second.not_after > fixture.now);
+  CHECK(fixture.link.renewals.back().second.not_after <= fixture.scheduler.authority().until);
 }
 
 // Guards against acknowledging an ended run before the cancellation of its job is stored. The next
@@ -145,11 +129,11 @@
   fixture.Tick();
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 0);
   fixture.Store();
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 1);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 1);
 }
 
 // Guards against an acknowledgement that reaches a later incarnation of the worker. After a renewal
@@ -161,14 +145,14 @@
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
   LeaseRenewalReply lost;
-  lost.call = fixture.link.renewals.back().call;
+  lost.call = fixture.link.renewals.back().second.call;
   fixture.scheduler.OnLeaseRenewal(fixture.now, "worker", lost);
   fixture.Store();
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 0);
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 1);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 1);
 }
 
 // Guards against an acknowledgement that hides an end nobody has seen: the worker restarted at once
@@ -185,14 +169,16 @@
   REQUIRE(fixture.link.starts.size() == 3);
   fixture.Store();
   const std::size_t renewals = fixture.link.renewals.size();
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[1], {CallOutcome::kOk, 0});
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[2],
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[1].second,
+                            {CallOutcome::kOk, 0});
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts[2].second,
                             {CallOutcome::kUnknown, 0});
   REQUIRE(fixture.link.renewals.size() == renewals + 1);
-  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 0);
 
-  const TaskId ended = fixture.link.starts[1].task;
-  fixture.Answer({}, {{1, ended.Name(), fixture.link.starts[1].run, RunEndKind::kDone, ""}}, 2);
+  const TaskId ended = fixture.link.starts[1].second.task;
+  fixture.Answer({}, {{1, ended.Name(), fixture.link.starts[1].second.run, RunEndKind::kDone, ""}},
+                 2);
   CHECK(fixture.scheduler.counters().tasks_done == 2);
 }
 
@@ -209,13 +195,13 @@
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Store();
   const std::size_t renewals = fixture.link.renewals.size();
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back(),
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back().second,
                             {CallOutcome::kUnknown, 0});
   REQUIRE(fixture.link.renewals.size() == renewals + 1);
-  CHECK(fixture.link.renewals.back().acknowledged == 0);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 0);
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 1);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 1);
 }
 
 // Guards against a worker whose ended runs are never acknowledged: its list of 500 ended runs, the
@@ -234,12 +220,12 @@
     ends.push_back({number, "gone.0.0." + std::to_string(number), 1, RunEndKind::kDone, ""});
   }
   fixture.Answer({{"job.0.0.0", 1, "", 10, 0}}, ends);
-  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back(),
+  fixture.scheduler.OnStart(fixture.now, "worker", fixture.link.starts.back().second,
                             {CallOutcome::kUnknown, 0});
   fixture.Store();
   fixture.Answer({{"job.0.0.0", 1, "", 10, 0}}, ends);
   fixture.Tick();
-  CHECK(fixture.link.renewals.back().acknowledged == 500);
+  CHECK(fixture.link.renewals.back().second.acknowledged == 500);
 }
 
 // Guards against an owner that spends its processor time on idle workers: with 3,003 workers only
@@ -258,8 +244,8 @@
   fixture.Answer({}, {{1, "job.0.0.0", 1, RunEndKind::kDone, ""}});
   fixture.Store();
   const auto renewals = [&] {
-    return std::count(fixture.link.renewed_workers.begin(), fixture.link.renewed_workers.end(),
-                      "worker");
+    return std::count_if(fixture.link.renewals.begin(), fixture.link.renewals.end(),
+                         [](const auto& sent) { return sent.first == "worker"; });
   };
   fixture.Tick();
   fixture.Answer({}, {});
--- a/packages/scheduler/tests/advice_test.cc
+++ b/packages/scheduler/tests/advice_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cranberryplank/scheduler/scheduler.h"
+#include "recording_link.h"
 
 namespace cranberryplank {
 
@@ -17,24 +18,6 @@
 /// Most workers that one call may name.
 constexpr std::size_t kMaxNamed = 100;
 
-/// Records the orders to workers and to the advice service.
-class RecordingLink : public WorkerLink {
- public:
-  void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
-    renewals.emplace_back(worker.id, order);
-  }
-  void Start(const WorkerInfo& worker, const StartOrder& order) override {
-    starts.emplace_back(worker.id, order);
-  }
-  void Stop(const WorkerInfo&, const StopOrder&) override {}
-  void Throttle(const WorkerInfo&, const ThrottleOrder&) override {}
-  void Advise(const AdviceOrder& order) override { calls.push_back(order); }
-
-  std::vector<std::pair<std::string, LeaseRenewalOrder>> renewals;
-  std::vector<std::pair<std::string, StartOrder>> starts;
-  std::vector<AdviceOrder> calls;
-};
-
 std::string WorkerName(int number) { return fmt::format("worker-{:03}", number); }
 
 /// An owner whose queue has a policy that allows only some workers of the pool.
--- a/packages/scheduler/tests/stale_owner_test.cc
+++ b/packages/scheduler/tests/stale_owner_test.cc
@@ -42,7 +42,7 @@
 std::string RunTaskBesidePartition(SimulatedCluster* cluster) {
   cluster->Run(Duration(500));
   cluster->Submit(OneTask("job"), kTaskTime);
-  const std::string runs = cluster->RunUntilStarted(kTask);
+  std::string runs = cluster->RunUntilStarted(kTask);
   REQUIRE_FALSE(runs.empty());
   cluster->Run(Duration(500));
   cluster->owner(0).Partition(false, {runs});
--- a/packages/scheduler/tests/worker_restart_test.cc
+++ b/packages/scheduler/tests/worker_restart_test.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "recording_link.h"
 #include "simulated_owner.h"
 
 namespace cranberryplank {
@@ -25,23 +26,6 @@
   return spec;
 }
 
-/// Records the orders to workers.
-class RecordingLink : public WorkerLink {
- public:
-  void RenewLease(const WorkerInfo& worker, const LeaseRenewalOrder& order) override {
-    renewals.emplace_back(worker.id, order);
-  }
-  void Start(const WorkerInfo& worker, const StartOrder& order) override {
-    starts.emplace_back(worker.id, order);
-  }
-  void Stop(const WorkerInfo&, const StopOrder&) override {}
-  void Throttle(const WorkerInfo&, const ThrottleOrder&) override {}
-  void Advise(const AdviceOrder&) override {}
-
-  std::vector<std::pair<std::string, LeaseRenewalOrder>> renewals;
-  std::vector<std::pair<std::string, StartOrder>> starts;
-};
-
 /// An owner with two workers. Worker "a" restarts and falls silent; "b" answers all the time.
 struct RestartFixture {
   RecordingLink link;
