--- a/packages/scheduler/src/advice_cache.cc
+++ b/packages/scheduler/src/advice_cache.cc
@@ -38,8 +38,10 @@
     return {};
   }
   const Verdict* verdict = FindVerdict(entry->second, worker);
-  const bool valid = verdict != nullptr && verdict->granted && now < verdict->valid_until;
-  return valid ? std::string_view(verdict->ticket) : std::string_view();
+  if (verdict == nullptr || !verdict->granted || now >= verdict->valid_until) {
+    return {};
+  }
+  return verdict->ticket;
 }
 
 std::vector<const WorkerInfo*> AdviceCache::ChooseWorkers(
--- a/packages/scheduler/tests/advice_test.cc
+++ b/packages/scheduler/tests/advice_test.cc
@@ -32,7 +32,7 @@
   std::vector<std::vector<std::string>> asked;  ///< Workers that each call named.
   std::vector<std::string> started_on;
 
-  AdviceFixture(int workers, std::set<int> allowed_numbers) {
+  AdviceFixture(int workers, const std::set<int>& allowed_numbers) {
     ClusterConfig config;
     QueueConfig queue;
     queue.name = "queue";
--- a/packages/scheduler/tests/earlier_owners_test.cc
+++ b/packages/scheduler/tests/earlier_owners_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration kAuthority{8'000};
-const TimePoint kClaimed{std::chrono::seconds(100)};
+constexpr TimePoint kClaimed{std::chrono::seconds(100)};
 
 EarlierOwner OwnerWithEpoch(std::uint64_t epoch) {
   const std::string number = std::to_string(epoch);
--- a/packages/scheduler/tests/stale_owner_test.cc
+++ b/packages/scheduler/tests/stale_owner_test.cc
@@ -12,7 +12,7 @@
 constexpr Duration kTaskTime{3'000};
 /// Time from the begin of a partition until another daemon owns the schedule.
 constexpr Duration kTakeOverTime{1'200};
-const std::string kTask = "job.0.0.0";
+constexpr const char* kTask = "job.0.0.0";
 
 JobSpec OneTask(const std::string& id) {
   JobSpec spec;
