Ignore answers of earlier owners to questions under an earlier epoch

By reading: the answer to a question that was sent under an earlier ownership could mark an owner as stopped that had owned the schedule again since. Entry tests 70 of 70, linter clean.

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -38,6 +38,14 @@
 
 double CoresOf(const JobSettings& settings) { return settings.cpu_share * settings.cpu_speed; }
 
+/// Returns whether a reply to a ping shows that an earlier owner has stopped acting. A reply from
+/// another process means that the earlier one has ended. The same process replies kNotOwner only
+/// after it has stopped.
+bool HasStopped(const EarlierOwner& owner, const OwnerReply& reply) {
+  return !reply.incarnation.empty() &&
+         (reply.incarnation != owner.incarnation || reply.status == OwnerStatus::kNotOwner);
+}
+
 std::string AddressText(const Endpoint& endpoint) {
   return fmt::format("{}:{}", endpoint.host, endpoint.port);
 }
@@ -175,18 +183,17 @@
   OwnerCall ping;
   ping.kind = OwnerCallKind::kPing;
   ping.config_version = m_operators.config_version();
+  const std::uint64_t epoch = m_ownership.revision();
   for (const EarlierOwner& owner : m_owner->earlier_owners()->Askable(now)) {
-    m_owner_client.Call(owner.address, ping, kTakeOverTimeout,
-                        [this, owner](TimePoint at, const OwnerReply& reply) {
-                          // A reply from another process means that the earlier one has ended. The
-                          // same process replies kNotOwner only after it has stopped acting.
-                          const bool stopped = !reply.incarnation.empty() &&
-                                               (reply.incarnation != owner.incarnation ||
-                                                reply.status == OwnerStatus::kNotOwner);
-                          if (stopped && m_owner) {
-                            m_owner->earlier_owners()->RecordStopped(at, owner.incarnation);
-                          }
-                        });
+    m_owner_client.Call(
+        owner.address, ping, kTakeOverTimeout,
+        [this, owner, epoch](TimePoint at, const OwnerReply& reply) {
+          // Since a question under an earlier epoch the other daemon may have owned
+          // the schedule again.
+          if (m_owner && m_ownership.revision() == epoch && HasStopped(owner, reply)) {
+            m_owner->earlier_owners()->RecordStopped(at, owner.incarnation);
+          }
+        });
   }
 }
 
