--- a/review/standin-2/soak/cases.cc
+++ b/review/standin-2/soak/cases.cc
@@ -51,8 +51,8 @@
 
 json JobOf(const json& steps) { return {{"spec", "(text)"}, {"steps", steps}}; }
 
-/// The owner of the schedule is killed, and another daemon takes over.
-void KillOwner(Stage* stage, int signal) {
+/// The owner of the schedule gets the signal, and another daemon takes over.
+void SignalOwner(Stage* stage, int signal) {
   const int owner = stage->Owner();
   if (owner < 0) {
     throw StageFailure("no daemon acts as the owner");
@@ -60,7 +60,8 @@
   stage->Signal(owner, signal);
 }
 
-/// A tenant is at its cap, a worker is cut off with the tenant's tasks, and the owner is killed.
+/// A tenant is at its cap, a worker is cut off with the tenant's tasks, and the owner is stopped as
+/// planned.
 bool KeepsCap(Stage* stage, bool trouble) {
   constexpr std::int64_t kCap = 40'000;
   constexpr int kTaskCpu = 4'000;
@@ -88,7 +89,7 @@
         fmt::format("{} is cut off with {} runs, and runs on", busiest, cut->running.size()));
     cut->cut = true;
     stage->RunFor(Duration(100));
-    KillOwner(stage, SIGKILL);
+    SignalOwner(stage, SIGTERM);
     stage->RunFor(Duration(50));
   }
   stage->Submit(next, "/pay/" + second, JobOf(json::array({Step(kTasks, kTaskCpu, 30'000)})));
@@ -106,7 +107,7 @@
   return most <= allowed;
 }
 
-/// A queue's service changes twice, a worker is cut off, and the owner is killed.
+/// A queue's service changes twice, a worker is cut off, and the owner is stopped as planned.
 bool RunsOnce(Stage* stage, bool trouble) {
   for (int i = 0; i < 3; ++i) {
     stage->workers().Add(fmt::format("a{}", i), "exportbell", "a");
@@ -139,7 +140,7 @@
     stage->Log(fmt::format("{} is cut off, and runs on", where));
     stage->workers().Find(where)->cut = true;
     stage->RunFor(Duration(100));
-    KillOwner(stage, SIGKILL);
+    SignalOwner(stage, SIGTERM);
   }
   const bool twice =
       stage->RunUntil([&] { return stage->workers().WorkersOf(task).size() > 1; }, Duration(8'000));
@@ -171,7 +172,7 @@
   stage->Configure(Config(4, json::array({other}), {"cooppay"}, 0));
   stage->RunFor(Duration(2'500));
   if (trouble) {
-    KillOwner(stage, SIGTERM);
+    SignalOwner(stage, SIGTERM);
   }
   stage->Expect([&] { return stage->workers().WorkersOf(job + ".0.0.0").empty(); },
                 Duration(20'000), "the first step does not end");
@@ -183,7 +184,7 @@
   return begun;
 }
 
-/// The cloud carries an upkeep order out late, and the owner that sent it is killed.
+/// The cloud carries an upkeep order out late, and the owner that sent it is stopped as planned.
 bool KeepsWaveLimit(Stage* stage, bool trouble) {
   constexpr int kMachines = 8;
   constexpr int kMachinesOfWave = 4;
@@ -211,7 +212,7 @@
     stage->Expect([&] { return !stage->late_orders().empty(); }, Duration(5'000),
                   "no upkeep is ordered");
     const int next = stage->OtherThan(stage->Owner());
-    KillOwner(stage, SIGKILL);
+    SignalOwner(stage, SIGTERM);
     stage->RunFor(Duration(50));
     json step = Step(1, 1'000, 20'000);
     step["requires"] = "a";
