--- a/review/standin-2/soak/stage.cc
+++ b/review/standin-2/soak/stage.cc
@@ -309,6 +309,7 @@
   m_most_down_at_begin = std::max(m_most_down_at_begin, down);
   Log(fmt::format("upkeep of {} begins (token {}), {} machines of the wave are down for theirs",
                   machine, token, down));
+  ++m_upkeeps;
   entry.kept = true;
   entry.state = "upkeep";
   entry.back = Clock::now() + kUpkeep;
--- a/review/standin-2/soak/stage.h
+++ b/review/standin-2/soak/stage.h
@@ -108,6 +108,7 @@
   /// The next upkeep order gets no answer and is carried out after this time.
   void DelayNextUpkeep(Duration delay) { m_delay_next = delay; }
   const std::vector<StageLateOrder>& late_orders() const { return m_late; }
+  int upkeeps() const { return m_upkeeps; }
   /// Most machines that were down for their upkeep when another one began.
   int most_down_at_begin() const { return m_most_down_at_begin; }
 
@@ -141,6 +142,7 @@
   std::vector<StageLateOrder> m_late;
   std::vector<Exchange> m_unanswered;
   int m_most_down_at_begin = 0;
+  int m_upkeeps = 0;
   int m_lives = 0;
 };
 
--- a/review/standin-2/soak/stage_workers.h
+++ b/review/standin-2/soak/stage_workers.h
@@ -77,11 +77,9 @@
   void OnSilent(std::function<void(const std::string& id)> silent) { m_silent = std::move(silent); }
   /// Ends everything on the worker at once. It does not answer any more.
   void Crash(StageWorker* worker);
-  /// The same, and its connections are reset and refused, as at the end of a process.
-  void CrashWithReset(StageWorker* worker);
-  /// Starts a worker that crashed again, under the same id and at the same address. It knows
-  /// nothing of before.
-  void StartAgain(StageWorker* worker);
+  /// The worker ends and starts again behind a cut, under the same id and at the same address. It
+  /// knows nothing of before.
+  void RestartBehindCut(StageWorker* worker);
   void Tick(TimePoint now);
 
   /// Names of the workers on which the task runs now.
