--- a/review/standin-2/soak/cases.cc
+++ b/review/standin-2/soak/cases.cc
@@ -78,7 +78,7 @@
   const std::string first = "00000000000000a1";
   const std::string second = "00000000000000a2";
   for (const std::string& job : {first, second}) {
-    stage->workers().SetTask(job + ".0", {Duration(30'000), kTenant, kTaskCpu, ""});
+    stage->workers().SetTask(job + ".0", {Duration(30'000), kTenant, kTaskCpu, "", 0});
   }
   stage->Configure(Config(1, json::array({Route("pay", "cooppay")}), {"cooppay"}, kCap));
   stage->StartDaemons(kDaemonsOfStage);
@@ -121,8 +121,8 @@
   }
   const std::string job = "00000000000000b1";
   const std::string task = job + ".0.1.0";
-  stage->workers().SetTask(job + ".0", {Duration(2'500), kTenant, 1'000, ""});
-  stage->workers().SetTask(job + ".1", {Duration(15'000), kTenant, 1'000, ""});
+  stage->workers().SetTask(job + ".0", {Duration(2'500), kTenant, 1'000, "", 0});
+  stage->workers().SetTask(job + ".1", {Duration(15'000), kTenant, 1'000, "", 0});
   const std::vector<std::string> services{"exportbell", "cooppay"};
   const auto to = [&](int version, const std::string& service) {
     stage->Configure(Config(version, json::array({Route("pay", service)}), services, 0));
@@ -156,38 +156,56 @@
   return !twice;
 }
 
-/// A route with a policy is removed, and the owner's process is replaced.
+/// Two routes are removed, one with a policy and one with four attempts, and the owner is stopped
+/// as planned. The second route is added again later.
 bool RunsAccepted(Stage* stage, bool trouble) {
+  constexpr int kFirstStep = 10'000;
   for (int i = 0; i < 4; ++i) {
     stage->workers().Add(fmt::format("w{}", i), "cooppay", "a");
   }
-  const std::string job = "00000000000000c1";
-  stage->workers().SetTask(job + ".0", {Duration(12'000), kTenant, 1'000, "ticket-"});
-  stage->workers().SetTask(job + ".1", {Duration(1'000), kTenant, 1'000, "ticket-"});
-  json route = Route("pay", "cooppay");
-  route["advice"] = {{"decideMs", 20}, {"eachMs", 1}, {"validMs", 20'000}};
-  const json other = Route("calc", "cooppay");
-  stage->Configure(Config(1, json::array({route, other}), {"cooppay"}, 0));
+  const std::string with_policy = "00000000000000c1";
+  const std::string failing = "00000000000000c2";
+  stage->workers().SetTask(with_policy + ".0",
+                           {Duration(kFirstStep), kTenant, 1'000, "ticket-", 0});
+  stage->workers().SetTask(with_policy + ".1", {Duration(1'000), kTenant, 1'000, "ticket-", 0});
+  stage->workers().SetTask(failing + ".0", {Duration(kFirstStep), kTenant, 1'000, "", 0});
+  stage->workers().SetTask(failing + ".1", {Duration(300), kTenant, 1'000, "", 3});
+  json pay = Route("pay", "cooppay");
+  pay["advice"] = {{"decideMs", 20}, {"eachMs", 1}, {"validMs", 20'000}};
+  const json scan = Route("scan", "cooppay");
+  const json calc = Route("calc", "cooppay");
+  stage->Configure(Config(1, json::array({pay, scan, calc}), {"cooppay"}, 0));
   stage->StartDaemons(kDaemonsOfStage);
   stage->RunFor(Duration(1'500));
   json last = Step(1, 1'000, 1'000);
   last["after"] = {0};
-  stage->Submit(0, "/pay/" + job, JobOf(json::array({Step(1, 1'000, 12'000), last})));
-  stage->Expect([&] { return !stage->workers().WorkersOf(job + ".0.0.0").empty(); },
-                Duration(3'000), "the first step does not run");
-  stage->Configure(Config(4, json::array({other}), {"cooppay"}, 0));
+  const json job = JobOf(json::array({Step(1, 1'000, kFirstStep), last}));
+  stage->Submit(0, "/pay/" + with_policy, job);
+  stage->Submit(0, "/scan/" + failing, job);
+  const auto first_steps = [&] {
+    return (stage->workers().WorkersOf(with_policy + ".0.0.0").empty() ? 0 : 1) +
+           (stage->workers().WorkersOf(failing + ".0.0.0").empty() ? 0 : 1);
+  };
+  stage->Expect([&] { return first_steps() == 2; }, Duration(3'000), "the first steps do not run");
+  stage->Configure(Config(4, json::array({calc}), {"cooppay"}, 0));
   stage->RunFor(Duration(2'500));
   if (trouble) {
     SignalOwner(stage, SIGTERM);
   }
-  stage->Expect([&] { return stage->workers().WorkersOf(job + ".0.0.0").empty(); },
-                Duration(20'000), "the first step does not end");
-  const bool begun = stage->RunUntil(
-      [&] { return !stage->workers().WorkersOf(job + ".0.1.0").empty(); }, Duration(20'000));
-  stage->Log(fmt::format("the second step {}; {} starts were refused",
-                         begun ? "has begun" : "has not begun in 20 s, with four workers idle",
+  stage->Expect([&] { return first_steps() == 0; }, Duration(20'000), "the first steps do not end");
+  const bool begun =
+      stage->RunUntil([&] { return !stage->workers().WorkersOf(with_policy + ".0.1.0").empty(); },
+                      Duration(15'000));
+  stage->Log(fmt::format("the second step of {} {}; {} starts were refused", with_policy,
+                         begun ? "has begun" : "has not begun in 15 s, with four workers idle",
                          stage->workers().refused_starts()));
-  return begun;
+  stage->Configure(Config(9, json::array({scan, calc}), {"cooppay"}, 0));
+  stage->RunFor(Duration(2'500));
+  const std::string state =
+      stage->Call(1, HttpMethod::kGet, "/scan/" + failing).body.value("state", "");
+  stage->Log(fmt::format("{} is shown as '{}' after {} failed runs; its queue has 4 attempts",
+                         failing, state, stage->workers().FailedRuns(failing + ".0.1.0")));
+  return begun && state != "failed";
 }
 
 /// The cloud carries an upkeep order out late, and the owner that sent it is stopped as planned.
@@ -205,7 +223,7 @@
       names.push_back(machine);
     }
   }
-  stage->workers().SetTask(busy_after + ".0", {Duration(20'000), kTenant, 1'000, ""});
+  stage->workers().SetTask(busy_after + ".0", {Duration(20'000), kTenant, 1'000, "", 0});
   stage->Configure(Config(1, json::array({Route("pay", "cooppay")}), {"cooppay"}, 0));
   stage->StartDaemons(kDaemonsOfStage);
   stage->RunFor(Duration(4'500));
@@ -247,7 +265,7 @@
   int accepted = 0;
   for (int i = 0; i < kJobs; ++i) {
     jobs.push_back(fmt::format("00000000000000e{}", i));
-    stage->workers().SetTask(jobs.back() + ".0", {Duration(20'000), kTenant, 1'000, ""});
+    stage->workers().SetTask(jobs.back() + ".0", {Duration(20'000), kTenant, 1'000, "", 0});
     json step = Step(1, 1'000, 20'000);
     step["requires"] = "b";
     stage->Send(stage->OtherThan(owner), HttpMethod::kPost, "/scan/" + jobs.back(),
@@ -282,7 +300,7 @@
   }
   const std::string job = "00000000000000f1";
   const std::string task = job + ".0.0.0";
-  stage->workers().SetTask(job + ".0", {Duration(4'000), kTenant, 1'000, ""});
+  stage->workers().SetTask(job + ".0", {Duration(4'000), kTenant, 1'000, "", 0});
   stage->Configure(Config(1, json::array({Route("pay", "cooppay")}), {"cooppay"}, 0));
   stage->StartDaemons(kDaemonsOfStage);
   stage->RunFor(Duration(2'500));
--- a/review/standin-2/soak/stage_workers.cc
+++ b/review/standin-2/soak/stage_workers.cc
@@ -293,7 +293,9 @@
       if (lapsed) {
         ends.emplace_back(task, "lapsed");
       } else if (now - run.began >= TaskOf(task).work) {
-        ends.emplace_back(task, "done");
+        const bool fails = FailedRuns(task) < TaskOf(task).failures;
+        m_failed[task] += fails ? 1 : 0;
+        ends.emplace_back(task, fails ? "failed" : "done");
       }
     }
     for (const auto& [task, how] : ends) {
--- a/review/standin-2/soak/stage_workers.h
+++ b/review/standin-2/soak/stage_workers.h
@@ -23,6 +23,7 @@
   std::string customer;
   std::int64_t cpu_millis = 0;
   std::string ticket;  ///< Needed for a start; empty if the queue has no policy.
+  int failures = 0;    ///< That many runs of each task end as failed.
 };
 
 /// One run on a worker.
@@ -88,6 +89,11 @@
   bool HasBegun(const std::string& job) const { return m_begun.contains(job); }
   /// What the customer has running now, on all workers that are up.
   std::int64_t RunningCpu(const std::string& customer) const;
+  /// Returns how many runs of the task have ended as failed.
+  int FailedRuns(const std::string& task) const {
+    const auto found = m_failed.find(task);
+    return found == m_failed.end() ? 0 : found->second;
+  }
   int refused_starts() const { return m_refused_starts; }
 
  private:
@@ -117,6 +123,7 @@
   std::map<std::string, std::unique_ptr<StageWorker>> m_workers;
   std::map<std::string, StageTask> m_tasks;
   std::set<std::string> m_begun;
+  std::map<std::string, int> m_failed;  ///< Runs that ended as failed, by task.
   std::vector<WaitingHold> m_holds;
   std::vector<Exchange> m_unanswered;
   int m_refused_starts = 0;
