--- a/review/standin-2/soak/cases.cc
+++ b/review/standin-2/soak/cases.cc
@@ -22,6 +22,17 @@
 
 constexpr int kDaemonsOfStage = 3;
 constexpr const char* kTenant = "tenant-1";
+/// Longest disruptions of the kinds in the site file of onds-fes.
+constexpr Duration kNodeCut{5'500};
+constexpr Duration kDarkCrash{7'700};
+constexpr Duration kMargin{100};
+
+/// Fails if a disruption has lasted longer than the pages allow.
+void ExpectWithin(TimePoint begun, Duration limit) {
+  if (Clock::now() - begun > limit) {
+    throw StageFailure("the disruption has lasted too long");
+  }
+}
 
 json Route(const std::string& name, const std::string& service) {
   return {{"name", name},       {"host", "127.0.0.1"}, {"prefix", "/" + name + "/"},
@@ -115,7 +126,7 @@
 
 /// A queue's service changes twice, a worker is cut off, and the owner is stopped as planned.
 bool RunsOnce(Stage* stage, bool trouble) {
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < 6; ++i) {
     stage->workers().Add(fmt::format("a{}", i), "exportbell", "a");
     stage->workers().Add(fmt::format("b{}", i), "cooppay", "a");
   }
@@ -141,15 +152,25 @@
   stage->RunFor(Duration(500));
   to(7, "exportbell");
   stage->RunFor(Duration(2'000));
+  StageWorker* const worker = stage->workers().Find(stage->workers().WorkersOf(task).front());
+  const TimePoint cut_at = Clock::now();
   if (trouble) {
-    const std::string where = stage->workers().WorkersOf(task).front();
-    stage->Log(fmt::format("{} is cut off, and runs on", where));
-    stage->workers().Find(where)->cut = Disrupts();
+    stage->Log(fmt::format("{} is cut off, and runs on", worker->id));
+    worker->cut = Disrupts();
     stage->RunFor(Duration(100));
     SignalOwner(stage, SIGTERM);
   }
-  const bool twice =
-      stage->RunUntil([&] { return stage->workers().WorkersOf(task).size() > 1; }, Duration(8'000));
+  bool twice = false;
+  stage->RunUntil(
+      [&] {
+        twice = twice || stage->workers().WorkersOf(task).size() > 1;
+        if (worker->cut && Clock::now() - cut_at >= kNodeCut - kMargin) {
+          stage->Log(fmt::format("the cut of {} ends", worker->id));
+          worker->cut = false;
+        }
+        return twice;
+      },
+      Duration(8'000));
   for (const std::string& where : stage->workers().WorkersOf(task)) {
     stage->Log(fmt::format("{} runs on {}", task, where));
   }
@@ -258,6 +279,7 @@
   stage->StartDaemons(kDaemonsOfStage);
   stage->RunFor(Duration(2'500));
   const int owner = stage->Owner();
+  const TimePoint crashed_at = Clock::now();
   if (trouble) {
     stage->workers().Crash(stage->workers().Find("w0"));
   }
@@ -284,11 +306,17 @@
   for (int i = 0; i < 2; ++i) {
     const auto before = not_begun();
     const StageAnswer answer = stage->Call(stage->OtherThan(owner), HttpMethod::kGet, "/scan/");
-    const std::int64_t told = answer.body.value("waiting", -1);
+    if (answer.status != http_status::kOk || !answer.body.contains("waiting")) {
+      throw StageFailure("the number of waiting jobs is not given");
+    }
+    const std::int64_t told = answer.body.at("waiting");
     stage->Log(fmt::format("waiting is given as {}; {} jobs have not begun", told, not_begun()));
-    held = held && (answer.status != http_status::kOk || 2 * told >= std::min(before, not_begun()));
+    held = held && 2 * told >= std::min(before, not_begun());
     stage->RunFor(Duration(500));
   }
+  if (trouble) {
+    ExpectWithin(crashed_at, kDarkCrash);
+  }
   return held;
 }
 
@@ -313,11 +341,13 @@
     stage->RunFor(Duration(100));
     StageWorker* worker = stage->workers().Find("w0");
     stage->Log("w0 is cut off, and runs on");
+    const TimePoint cut_at = Clock::now();
     worker->cut = true;
     stage->Expect([&] { return !runs(); }, Duration(4'500), "the run does not lapse");
     stage->RunFor(Duration(800));
     stage->workers().RestartBehindCut(worker);
     stage->RunFor(Duration(500));
+    ExpectWithin(cut_at, kNodeCut);
     stage->Log("the cut of w0 ends");
     worker->cut = false;
   }
--- a/review/standin-2/soak/stage.cc
+++ b/review/standin-2/soak/stage.cc
@@ -126,6 +126,9 @@
   for (StageDaemon& daemon : m_daemons) {
     Spawn(&daemon);
   }
+  if (!m_workers.AllListen()) {
+    throw StageFailure("a worker cannot bind its address");
+  }
   Expect([this] { return Owner() >= 0; }, Duration(15'000), "no daemon acts as the owner");
 }
 
@@ -359,7 +362,7 @@
                       {"pool", machine.pool},
                       {"state", machine.state},
                       {"zone", "fes-medina"},
-                      {"labels", {worker->kind, "r1-1"}},
+                      {"labels", {worker->kind, "r1-" + worker->kind}},
                       {"capacity", {{"cpu", 64'000}, {"memMb", 131'072}, {"gpu", 0}}},
                       {"id", machine.state == "up" ? machine.worker : ""}});
     }
--- a/review/standin-2/soak/stage_workers.cc
+++ b/review/standin-2/soak/stage_workers.cc
@@ -126,7 +126,7 @@
                    {"born", worker->born_unix_ms},
                    {"machine", worker->machine},
                    {"capacity", {{"cpu", kCores}, {"memMb", kMemoryMb}, {"gpu", 0}}},
-                   {"labels", {worker->kind, "r1-1"}}};
+                   {"labels", {worker->kind, "r1-" + worker->kind}}};
   m_store->Put("servers/" + worker->id, entry.dump());
 }
 
@@ -319,6 +319,11 @@
   });
 }
 
+bool StageWorkers::AllListen() const {
+  return std::all_of(m_workers.begin(), m_workers.end(),
+                     [](const auto& item) { return item.second->listening; });
+}
+
 std::vector<std::string> StageWorkers::WorkersOf(const std::string& task) const {
   std::vector<std::string> names;
   for (const auto& [id, worker] : m_workers) {
--- a/review/standin-2/soak/stage_workers.h
+++ b/review/standin-2/soak/stage_workers.h
@@ -71,6 +71,8 @@
 
   StageWorker* Add(const std::string& id, const std::string& pool, const std::string& kind,
                    const std::string& machine = {});
+  /// Returns whether every worker could bind its address.
+  bool AllListen() const;
   StageWorker* Find(const std::string& id) { return m_workers.at(id).get(); }
   /// Sets what the tasks of a step do, by JOB.STEP.
   void SetTask(const std::string& step, const StageTask& task) { m_tasks[step] = task; }
