Store the settings and pools of queues with unfinished jobs

Cause: an owner knows a queue from configurations. The store keeps the newest one only, so a later owner did not know the pools that a queue had in between, and made up the settings of a removed queue.

Change: the store has a record of each queue with unfinished jobs, with its settings and each pool in which a run may be. Jobs are run by what the store has: changed settings are stored before they are used, and a job is stored with its queue's record or after it. A new owner loads the records and waits for unheard workers of all their pools. A submission carries the queue for an owner that does not know it. Queues without unfinished jobs cause no call.

--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -8,6 +8,7 @@
 
 #include "cranberryplank/jobs/job.h"
 #include "cranberryplank/model/time.h"
+#include "cranberryplank/scheduler/cluster_config.h"
 
 namespace cranberryplank {
 
@@ -29,6 +30,10 @@
   double cores = 0;                       ///< Processing power of the sender's VM.
   int state_format = kProgressLogFormat;  ///< Newest format of the state that the sender reads.
   std::optional<JobSpec> spec;            ///< For a submission.
+  /// For a submission: the job's queue as the sender knows it. The owner may have begun after the
+  /// queue was removed, or may not have received the configuration that added it. Daemons of
+  /// earlier versions send none.
+  std::optional<QueueConfig> queue_config;
   /// Of an owner that hands over: how much longer the owners before it may act. Nothing if it does
   /// not say.
   std::optional<Duration> earlier_owners_act_for;
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -78,6 +78,7 @@
     std::vector<JobChange> changes;
     bool writes_workers = false;
     std::vector<RecordedWorker> workers;
+    std::vector<QueueRecord> queues;
     std::vector<ExtraWrites> extra;
     std::string log_key;  ///< Entry of the progress log that the transaction writes.
     std::vector<std::string> log_removals;
@@ -86,6 +87,7 @@
   /// Builds the next transaction of a slot. @return false if there is nothing to store
   bool Build(TimePoint now, Slot* slot);
   void AddWorkers(TimePoint now, Slot* slot, std::size_t* room);
+  void AddQueues(Slot* slot, std::size_t* room);
   void AddExtra(Slot* slot, std::size_t* room);
   /// Adds the collected changes of jobs. @return progress for the log
   static std::vector<StoredProgress> AddChanges(Slot* slot);
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -155,6 +155,7 @@
       return;
     }
     pending.call.spec = std::move(spec);
+    pending.call.queue_config = *queue;
   }
   Duration caller_timeout = m_format->CallerTimeoutOf(request);
   if (caller_timeout <= Duration(0)) {
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cranberryplank/entry/queue_codec.h"
 #include "cranberryplank/jobs/job_codec.h"
 #include "cranberryplank/jobs/message_pack.h"
 
@@ -11,6 +12,18 @@
 
 using nlohmann::json;
 
+json ToJson(const std::optional<QueueConfig>& queue) {
+  return queue ? json(EncodeQueue({*queue, {}, false})) : json(nullptr);
+}
+
+std::optional<QueueConfig> QueueFromJson(const json& value) {
+  if (value.is_null()) {
+    return std::nullopt;
+  }
+  const auto record = DecodeQueue(value.get<std::string>());
+  return record ? std::optional(record->queue) : std::nullopt;
+}
+
 }  // namespace
 
 std::string_view ToString(OwnerStatus status) {
@@ -36,7 +49,8 @@
       {static_cast<int>(call.kind), call.incarnation, call.job, call.queue, call.sender,
        call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores,
        call.state_format,
-       call.earlier_owners_act_for ? json(call.earlier_owners_act_for->count()) : json(nullptr)}));
+       call.earlier_owners_act_for ? json(call.earlier_owners_act_for->count()) : json(nullptr),
+       ToJson(call.queue_config)}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
@@ -54,6 +68,9 @@
     if (fields.size() > 9 && !fields.at(9).is_null()) {
       call.earlier_owners_act_for = Duration(fields.at(9).get<std::int64_t>());
     }
+    if (fields.size() > 10) {
+      call.queue_config = QueueFromJson(fields.at(10));
+    }
     if (!fields.at(6).is_null()) {
       const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
       if (!record || !record->spec) {
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "cranberryplank/entry/queue_codec.h"
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/model/text.h"
 
@@ -19,9 +20,9 @@
 constexpr Duration kCountInterval{300};
 /// Added to the time for which earlier owners may act, because clocks may differ in speed.
 constexpr Duration kAuthorityMargin{300};
-constexpr std::array<std::string_view, 7> kPrefixes{
-    kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kWorkersKey,
-    kWavePrefix, kCursorKey,      kSettledEpochKey};
+constexpr std::array<std::string_view, 8> kPrefixes{
+    kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kQueuePrefix,
+    kWorkersKey, kWavePrefix,     kCursorKey,         kSettledEpochKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 /// Longest time that a call about an unknown job waits for a confirmation of the ownership.
 constexpr Duration kConfirmationWait{400};
@@ -152,6 +153,12 @@
       m_records[id] = *record;
       readable = true;
     }
+  } else if (prefix == kQueuePrefix) {
+    const auto record = DecodeQueue(item.value);
+    readable = record.has_value();
+    if (record) {
+      m_scheduler->LoadQueue(*record);
+    }
   } else if (prefix == kProgressPrefix) {
     readable = LoadProgress(id, item.value, item.revision);
   } else {
@@ -370,12 +377,13 @@
     return;
   }
   const std::uint64_t waiting = AddWaitingCall(std::move(done));
-  const bool taken = m_scheduler->Submit(now, *call.spec, [this, waiting](bool stored) {
+  const auto answer = [this, waiting](bool stored) {
     OwnerReply reply = ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kRefused,
                                stored ? "" : "the store refused the job");
     reply.retry_after_ms = stored ? 0 : kRetryWhenStoreFails;
     Answer(waiting, reply);
-  });
+  };
+  const bool taken = m_scheduler->Submit(now, *call.spec, answer, call.queue_config);
   if (!taken) {
     Answer(waiting, ReplyOf(OwnerStatus::kNotOwner));
   }
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cranberryplank/entry/queue_codec.h"
 #include "cranberryplank/model/log.h"
 
 namespace cranberryplank {
@@ -26,6 +27,8 @@
 constexpr Duration kWorkersInterval{80};
 /// Excludes the preconditions on the ownership record and the cursor, and the write of the cursor.
 constexpr std::size_t kEntriesForState = kMaxTransactionEntries - 3;
+/// Records of queues in one transaction; a new configuration may change hundreds of queues.
+constexpr std::size_t kQueueRecords = 14;
 /// Entries of the progress log that one transaction removes.
 constexpr std::size_t kLogRemovals = 4;
 /// Removals alone are no reason for a transaction before there are this many.
@@ -124,12 +127,14 @@
   room -= slot->log_removals.size();
   slot->extra.clear();
   slot->writes_workers = false;
+  slot->queues.clear();
   if (slot == &m_slots.front()) {
     // These replace earlier values, so only one transaction at a time may write them.
     AddWorkers(now, slot, &room);
+    AddQueues(slot, &room);
     AddExtra(slot, &room);
   }
-  slot->changes = m_scheduler->CollectChanges(now, room);
+  slot->changes = m_scheduler->CollectChanges(now, room, slot->queues);
   const std::vector<StoredProgress> progress = AddChanges(slot);
   if (slot->transaction.writes.empty() && progress.empty() && !HasEnoughRemovals(*slot)) {
     m_progress_log.Return(slot->log_removals);
@@ -170,6 +175,19 @@
   --*room;
 }
 
+void StateWriter::AddQueues(Slot* slot, std::size_t* room) {
+  slot->queues = m_scheduler->CollectQueues(std::min(kQueueRecords, *room));
+  *room -= slot->queues.size();
+  for (const QueueRecord& record : slot->queues) {
+    const std::string key = QueueKey(record.queue.name);
+    if (record.remove) {
+      slot->transaction.removals.push_back(key);
+    } else {
+      slot->transaction.writes.push_back({key, EncodeQueue(record)});
+    }
+  }
+}
+
 void StateWriter::AddExtra(Slot* slot, std::size_t* room) {
   while (!m_extra.empty() && m_extra.front().writes.size() <= *room) {
     const std::vector<KvWrite>& writes = m_extra.front().writes;
@@ -298,6 +316,7 @@
   for (const ExtraWrites& extra : slot->extra) {
     extra.done();
   }
+  m_scheduler->OnQueuesStored(slot->queues);
   m_scheduler->OnStored({now, UnixMilliseconds()}, slot->changes);
   // After a full transaction more changes may be waiting, so the next one is sent immediately.
   if (HasFullTransaction(*slot) && Build(now, slot)) {
@@ -320,6 +339,7 @@
   slot->built = false;
   m_extra.insert(m_extra.begin(), slot->extra.begin(), slot->extra.end());
   m_progress_log.Return(slot->log_removals);
+  m_scheduler->ReleaseQueues(slot->queues);
   m_scheduler->ReleaseChanges(slot->changes);
   for (const JobChange& change : slot->changes) {
     m_scheduler->Withdraw(change.job);
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -275,8 +275,13 @@
   call.job = "a";
   call.queue = "queue";
   call.spec = TestJob("a");
+  CHECK_FALSE(DecodeOwnerCall(EncodeOwnerCall(call))->queue_config);
+  call.queue_config = QueueConfig{};
+  call.queue_config->name = "queue";
+  call.queue_config->max_attempts = 4;
   const auto decoded = DecodeOwnerCall(EncodeOwnerCall(call));
   REQUIRE(decoded);
+  CHECK(decoded->queue_config->max_attempts == 4);
   CHECK(decoded->state_format == kProgressLogFormat);
   CHECK(decoded->spec->queue == "queue");
   OwnerReply reply;
--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -125,6 +125,7 @@
     config.pools["pool"] = {"pool", false, false};
     config.pools["standby"] = {"standby", false, true};
     scheduler.SetConfig(At(), std::make_shared<const ClusterConfig>(config));
+    scheduler.LoadQueue({queue, {queue.pool}, false});
     for (int i = 0; i < kVms; ++i) {
       const std::string worker = "worker-" + std::to_string(i);
       WorkerInfo info;
--- a/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
@@ -18,6 +18,8 @@
   Duration base_time{0};
   Duration time_per_worker{0};
   Duration ticket_lifetime{0};
+
+  bool operator==(const AdvicePolicy&) const = default;
 };
 
 /// Configuration of a queue: its routing and how its jobs are run.
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -20,6 +20,7 @@
 #include "cranberryplank/scheduler/job_order.h"
 #include "cranberryplank/scheduler/job_table.h"
 #include "cranberryplank/scheduler/pool_planner.h"
+#include "cranberryplank/scheduler/queue_table.h"
 #include "cranberryplank/scheduler/worker_link.h"
 #include "cranberryplank/scheduler/worker_table.h"
 
@@ -138,6 +139,8 @@
 
   void LoadJob(Now now, const std::string& id, const JobRecord& record,
                const JobProgress& progress);
+  /// Takes over a queue's record from the store. To be called before `Begin`.
+  void LoadQueue(const QueueRecord& record) { m_queues.Load(record); }
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
   const ClusterConfig* config() const { return m_config.get(); }
   void SetWorker(Now now, const WorkerInfo& info);
@@ -146,8 +149,12 @@
 
   /// Accepts a new job, or finds the existing one with the same id.
   /// @param done called once with whether the job is stored; not called if false is returned
+  /// @param queue the job's queue, as the daemon that received the job knows it. It is used if no
+  ///   configuration of this owner has the queue. If it is missing too, the job is run with usual
+  ///   settings in the pool of its spec.
   /// @return false if the job is not known and the scheduler can not accept it
-  bool Submit(Now now, JobSpec spec, std::function<void(bool stored)> done);
+  bool Submit(Now now, JobSpec spec, std::function<void(bool stored)> done,
+              const std::optional<QueueConfig>& queue = {});
   /// Withdraws a job that certainly was never stored, and calls `done` of its submission with
   /// false.
   void Withdraw(const std::string& id);
@@ -164,9 +171,17 @@
   /// Executes all due work. Must be called every few milliseconds.
   void Tick(Now now);
 
+  /// Collects records of queues to store. They must be stored one after the other.
+  std::vector<QueueRecord> CollectQueues(std::size_t max) { return m_queues.Collect(max, m_jobs); }
+  /// Reports that collected records of queues were certainly not stored.
+  void ReleaseQueues(std::span<const QueueRecord> queues) { m_queues.Release(queues); }
+  void OnQueuesStored(std::span<const QueueRecord> queues);
   /// Collects changes to store, oldest first, with at most `max_entries` keys in total. Further
-  /// changes of their jobs are collected only after `OnStored` or `ReleaseChanges`.
-  std::vector<JobChange> CollectChanges(TimePoint now, std::size_t max_entries);
+  /// changes of their jobs are collected only after `OnStored` or `ReleaseChanges`. A new job waits
+  /// until the store has the newest settings of its queue.
+  /// @param queues records of queues in the same transaction
+  std::vector<JobChange> CollectChanges(TimePoint now, std::size_t max_entries,
+                                        std::span<const QueueRecord> queues = {});
   /// Reports that collected changes were certainly not stored.
   void ReleaseChanges(std::span<const JobChange> changes);
   /// Returns the number of jobs with changes to collect.
@@ -197,6 +212,7 @@
   bool fenced() const { return m_fenced; }
   const SchedulerCounters& counters() const { return m_counters; }
   const JobTable& job_table() const { return m_jobs; }
+  const QueueTable& queues() const { return m_queues; }
   const std::map<std::string, Worker>& workers() const { return m_workers; }
 
   /// Orders a run to stop; its task is started again, preferably on another worker, unless its job
@@ -242,8 +258,8 @@
   void LogPause(TimePoint now);
   /// Sets the clock that the earlier owner's deadlines on the worker are on.
   void SetRecordedClock(Worker* worker);
+  /// Returns by which settings the job is run.
   const QueueConfig& QueueOfJob(const Job& job);
-  const QueueConfig& FindOrAddQueue(const Job& job);
 
   // Leases and lists of runs.
   void SendRenewals(TimePoint now);
@@ -347,10 +363,11 @@
   bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                  std::string_view ticket);
   bool WithinCap(const Job& job, const Resources& more) const;
-  /// Returns whether no task of the step may still run on a worker that was not heard of since an
-  /// earlier owner.
+  /// Returns whether the store has the settings by which the job is run, and no task of the step
+  /// may still run on a worker that was not heard of since an earlier owner.
   bool MayPlace(const WaitingStep& waiting) const;
-  bool PoolReconciled(std::string_view pool) const;
+  /// Returns the pools with workers that were not heard of since an earlier owner.
+  std::set<std::string, std::less<>> UnheardPools() const;
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
 
@@ -364,8 +381,7 @@
   SchedulerSettings m_settings;
   WorkerLink* m_link;
   std::shared_ptr<const ClusterConfig> m_config;
-  /// Newest known configuration, including removed queues.
-  std::map<std::string, QueueConfig, std::less<>> m_queues;
+  QueueTable m_queues;
   JobTable m_jobs;
   std::map<std::string, Worker> m_workers;
   std::map<std::string, Resources, std::less<>> m_usage;  ///< Running, by customer.
@@ -375,7 +391,8 @@
   std::map<std::string, ArrivalRate, std::less<>> m_arrivals;  ///< By pool.
   AdviceCache m_advice;
   CrashLedger m_crashes;
-  bool m_suspects_wait = false;  ///< A suspect task may wait for a start.
+  std::set<std::string, std::less<>> m_unheard_pools;  ///< In the current placement pass.
+  bool m_suspects_wait = false;                        ///< A suspect task may wait for a start.
   std::set<std::string> m_closed;
   /// Recorded by the earlier owner and not reconciled yet.
   std::map<std::string, RecordedWorker> m_unreconciled;
--- /dev/null
+++ b/packages/scheduler/src/queue_table.cc
@@ -0,0 +1,219 @@
+#include "cranberryplank/scheduler/queue_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "cranberryplank/model/log.h"
+
+namespace cranberryplank {
+
+namespace {
+
+/// Names of queues with unfinished jobs, and the pools that their jobs had when they were accepted.
+/// Only jobs in the store may have runs.
+struct QueueUse {
+  bool has_stored_job = false;
+  std::set<std::string_view> accepted_pools;
+};
+
+std::map<std::string_view, QueueUse> QueuesInUse(const JobTable& jobs) {
+  std::map<std::string_view, QueueUse> uses;
+  for (const auto& [id, job] : jobs.jobs()) {
+    if (job->ended_record) {
+      continue;
+    }
+    QueueUse& use = uses[job->spec.queue];
+    use.has_stored_job = use.has_stored_job || job->stored;
+    if (job->loaded_from_store) {
+      use.accepted_pools.insert(job->spec.pool);
+    }
+  }
+  return uses;
+}
+
+auto RunSettings(const QueueConfig& queue) {
+  return std::tie(queue.pool, queue.priority, queue.max_attempts, queue.stretch, queue.objective,
+                  queue.advice);
+}
+
+}  // namespace
+
+bool RunsJobsAlike(const QueueConfig& left, const QueueConfig& right) {
+  return RunSettings(left) == RunSettings(right);
+}
+
+const QueueTable::Queue* QueueTable::Find(std::string_view name) const {
+  const auto it = m_queues.find(name);
+  return it == m_queues.end() ? nullptr : &it->second;
+}
+
+void QueueTable::SetNewest(const QueueConfig& config, Queue* queue) {
+  queue->newest = config;
+  if (!queue->stored) {
+    queue->used = config;
+  }
+}
+
+void QueueTable::SetConfig(const ClusterConfig& config, const JobTable& jobs) {
+  for (auto& [name, queue] : m_queues) {
+    queue.configured = false;
+  }
+  std::vector<std::string_view> changed;
+  for (const QueueConfig& configured : config.queues) {
+    Queue& queue = m_queues[configured.name];
+    queue.configured = true;
+    SetNewest(configured, &queue);
+    if (!queue.recorded()) {
+      changed.push_back(configured.name);
+    }
+  }
+  if (changed.empty()) {
+    return;
+  }
+  std::set<std::string_view> in_use;
+  for (const auto& [id, job] : jobs.active()) {
+    in_use.insert(job->spec.queue);
+  }
+  for (const std::string_view name : changed) {
+    if (in_use.contains(name)) {
+      m_to_store.emplace(name);
+    }
+  }
+}
+
+void QueueTable::AddUnconfigured(const QueueConfig& queue) {
+  const auto [it, added] = m_queues.try_emplace(queue.name);
+  if (added) {
+    SetNewest(queue, &it->second);
+  }
+}
+
+void QueueTable::Load(const QueueRecord& record) {
+  const auto [it, added] = m_queues.try_emplace(record.queue.name);
+  Queue& queue = it->second;
+  if (added) {
+    queue.newest = record.queue;
+  }
+  queue.used = record.queue;
+  queue.pools = record.pools;
+  queue.stored = true;
+}
+
+void QueueTable::Use(const std::string& name) {
+  if (!m_queues.at(name).recorded()) {
+    m_to_store.insert(name);
+  }
+}
+
+const QueueConfig& QueueTable::Used(std::string_view name) const {
+  return m_queues.find(name)->second.used;
+}
+
+bool QueueTable::HasRecord(std::string_view name) const {
+  const Queue* queue = Find(name);
+  return queue != nullptr && queue->stored;
+}
+
+bool QueueTable::IsRecorded(std::string_view name,
+                            std::span<const QueueRecord> being_stored) const {
+  const Queue* queue = Find(name);
+  if (queue == nullptr) {
+    return false;
+  }
+  return queue->recorded() ||
+         std::any_of(being_stored.begin(), being_stored.end(), [&](const QueueRecord& record) {
+           return record.queue.name == name && !record.remove &&
+                  RunsJobsAlike(record.queue, queue->newest);
+         });
+}
+
+bool QueueTable::MayRunIn(std::string_view name, std::string_view pool) const {
+  const Queue* queue = Find(name);
+  if (queue == nullptr) {
+    return true;
+  }
+  // A daemon of an earlier version, which writes no records, may have started tasks in the newest
+  // pool.
+  return queue->newest.pool == pool || queue->used.pool == pool || queue->pools.contains(pool);
+}
+
+std::vector<QueueRecord> QueueTable::Collect(std::size_t max, const JobTable& jobs) {
+  std::vector<QueueRecord> records;
+  if (m_to_store.empty()) {
+    return records;
+  }
+  const std::map<std::string_view, QueueUse> uses = QueuesInUse(jobs);
+  for (auto it = m_to_store.begin(); it != m_to_store.end() && records.size() < max;) {
+    Queue& queue = m_queues.at(*it);
+    if (queue.being_stored) {
+      ++it;
+      continue;
+    }
+    const auto use = uses.find(*it);
+    QueueRecord record;
+    record.queue = queue.newest;
+    record.queue.name = *it;
+    record.pools.insert(queue.newest.pool);
+    record.remove = use == uses.end();
+    if (use != uses.end() && use->second.has_stored_job) {
+      record.pools.insert(queue.pools.begin(), queue.pools.end());
+      record.pools.insert(use->second.accepted_pools.begin(), use->second.accepted_pools.end());
+    }
+    it = m_to_store.erase(it);
+    const bool needed = record.remove ? queue.stored && !queue.configured : !queue.recorded();
+    if (needed) {
+      queue.being_stored = true;
+      queue.stored = queue.stored && !record.remove;  // A new job waits for a record again.
+      records.push_back(std::move(record));
+    }
+  }
+  return records;
+}
+
+void QueueTable::Release(std::span<const QueueRecord> records) {
+  for (const QueueRecord& record : records) {
+    Queue& queue = m_queues.at(record.queue.name);
+    queue.being_stored = false;
+    queue.stored = queue.stored || record.remove;
+    m_to_store.insert(record.queue.name);
+  }
+}
+
+void QueueTable::OnStored(std::span<const QueueRecord> records) {
+  for (const QueueRecord& record : records) {
+    Queue& queue = m_queues.at(record.queue.name);
+    queue.being_stored = false;
+    queue.stored = !record.remove;
+    queue.used = record.queue;
+    queue.pools = record.pools;
+    LogLine(LogLevel::kInfo, record.remove ? "queue_record_removed" : "queue_recorded")
+        .Field("queue", record.queue.name)
+        .Field("pool", record.queue.pool)
+        .Field("pools", record.pools.size())
+        .Field("attempts", record.queue.max_attempts);
+    if (!queue.recorded()) {
+      m_to_store.insert(record.queue.name);  // A newer change, or a job that has come meanwhile.
+    }
+  }
+}
+
+void QueueTable::FindOutdated(const JobTable& jobs) {
+  std::vector<std::string_view> removed;
+  for (const auto& [name, queue] : m_queues) {
+    if (queue.stored && !queue.configured && !queue.being_stored) {
+      removed.push_back(name);
+    }
+  }
+  if (removed.empty()) {
+    return;
+  }
+  const std::map<std::string_view, QueueUse> uses = QueuesInUse(jobs);
+  for (const std::string_view name : removed) {
+    if (!uses.contains(name)) {
+      m_to_store.emplace(name);
+    }
+  }
+}
+
+}  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -53,6 +53,19 @@
   return change;
 }
 
+/// Returns a queue for a job of which neither a configuration nor a record in the store has one:
+/// daemons of earlier versions did not store the queues that are removed later.
+QueueConfig UnrecordedQueueOf(const JobSpec& spec) {
+  QueueConfig queue;
+  queue.name = spec.queue;
+  queue.pool = spec.pool;
+  queue.priority = 1;
+  queue.max_attempts = 3;
+  queue.stretch = 2;
+  queue.objective = Duration(1'000);
+  return queue;
+}
+
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerSettings& settings, WorkerLink* link)
@@ -91,6 +104,10 @@
       DropSuspects(now.time, m_crashes.TakeOfIncarnation(worker.info));
     }
   }
+  for (const auto& [id, job] : m_jobs.active()) {
+    m_queues.AddUnconfigured(UnrecordedQueueOf(job->spec));
+    m_queues.Use(job->spec.queue);
+  }
 }
 
 void Scheduler::LoadJob(Now now, const std::string& id, const JobRecord& record,
@@ -103,9 +120,7 @@
 
 void Scheduler::SetConfig(Now /*now*/, std::shared_ptr<const ClusterConfig> config) {
   m_config = std::move(config);
-  for (const QueueConfig& queue : m_config->queues) {
-    m_queues[queue.name] = queue;
-  }
+  m_queues.SetConfig(*m_config, m_jobs);
   m_schedule_needed = true;
 }
 
@@ -144,29 +159,11 @@
 
 const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
   if (job.queue == nullptr) {
-    // Entries of the map are changed in place and never removed, so the address stays valid.
-    m_jobs.Find(job.spec.id)->queue = &FindOrAddQueue(job);
+    m_jobs.Find(job.spec.id)->queue = &m_queues.Used(job.spec.queue);
   }
   return *job.queue;
 }
 
-const QueueConfig& Scheduler::FindOrAddQueue(const Job& job) {
-  const auto it = m_queues.find(job.spec.queue);
-  if (it != m_queues.end()) {
-    return it->second;
-  }
-  // The queue was removed before this owner began. The job still runs in the pool that was set when
-  // it was accepted.
-  QueueConfig& queue = m_queues[job.spec.queue];
-  queue.name = job.spec.queue;
-  queue.pool = job.spec.pool;
-  queue.priority = 1;
-  queue.max_attempts = 3;
-  queue.stretch = 2;
-  queue.objective = Duration(1'000);
-  return queue;
-}
-
 void Scheduler::SetWorker(Now now, const WorkerInfo& info) {
   auto [it, added] = m_workers.try_emplace(info.id);
   Worker& worker = it->second;
@@ -227,7 +224,8 @@
   return it == m_workers.end() ? nullptr : &it->second;
 }
 
-bool Scheduler::Submit(Now now, JobSpec spec, std::function<void(bool stored)> done) {
+bool Scheduler::Submit(Now now, JobSpec spec, std::function<void(bool stored)> done,
+                       const std::optional<QueueConfig>& queue) {
   m_unix_ms = now.unix_ms;
   if (Job* known = m_jobs.Find(spec.id)) {
     if (known->stored) {
@@ -240,12 +238,14 @@
   if (!m_active || m_fenced) {
     return false;
   }
+  m_queues.AddUnconfigured(queue ? *queue : UnrecordedQueueOf(spec));
   const std::string customer = spec.customer;
   constexpr double kMillicoreMsPerCoreS = 1e6;
   if (!spec.timed() && !spec.steps.front().long_running) {
     m_arrivals[spec.pool].Add(now.time, spec.WorkEstimate() / kMillicoreMsPerCoreS);
   }
   Job* job = m_jobs.Add(now.time, std::move(spec));
+  m_queues.Use(job->spec.queue);
   job->on_stored.push_back(std::move(done));
   const CustomerConfig* config = m_config ? m_config->FindCustomer(customer) : nullptr;
   if (config != nullptr && config->weight > 0) {
@@ -362,13 +362,22 @@
     job->outdated = true;
     m_jobs.MarkChanged(now.time, job);
   }
+  m_queues.FindOutdated(m_jobs);
+}
+
+void Scheduler::OnQueuesStored(std::span<const QueueRecord> queues) {
+  m_queues.OnStored(queues);
+  m_schedule_needed = true;
 }
 
-std::vector<JobChange> Scheduler::CollectChanges(TimePoint now, std::size_t max_entries) {
+std::vector<JobChange> Scheduler::CollectChanges(TimePoint now, std::size_t max_entries,
+                                                 std::span<const QueueRecord> queues) {
   std::vector<Job*> jobs;
   std::vector<PendingChange> pending;
   for (const auto& [number, job] : m_jobs.changed()) {
-    if (job->being_stored) {
+    const bool waits =
+        !job->stored && !IsFinal(job->state) && !m_queues.IsRecorded(job->spec.queue, queues);
+    if (job->being_stored || waits) {
       continue;
     }
     jobs.push_back(job);
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -219,6 +219,7 @@
     return;
   }
   m_advice.Expire(now);
+  m_unheard_pools = UnheardPools();
   m_starts_left = m_start_limit;
   const std::vector<WaitingStep> all_waiting = CollectWaiting(now);
   if (all_waiting.empty()) {
@@ -251,13 +252,21 @@
 
 bool Scheduler::MayPlace(const WaitingStep& waiting) const {
   const Job& job = *waiting.step.job;
+  if (!m_queues.HasRecord(job.spec.queue)) {
+    return false;
+  }
   return !job.loaded_from_store ||
-         (PoolReconciled(job.spec.pool) && PoolReconciled(waiting.queue->pool));
+         std::none_of(m_unheard_pools.begin(), m_unheard_pools.end(), [&](const auto& pool) {
+           return pool == job.spec.pool || m_queues.MayRunIn(job.spec.queue, pool);
+         });
 }
 
-bool Scheduler::PoolReconciled(std::string_view pool) const {
-  return std::none_of(m_unreconciled.begin(), m_unreconciled.end(),
-                      [&](const auto& item) { return item.second.pool == pool; });
+std::set<std::string, std::less<>> Scheduler::UnheardPools() const {
+  std::set<std::string, std::less<>> pools;
+  for (const auto& [id, worker] : m_unreconciled) {
+    pools.insert(worker.pool);
+  }
+  return pools;
 }
 
 std::map<std::string_view, Scheduler::PoolPass> Scheduler::UsableWorkersByPool() {
--- a/packages/scheduler/tests/acknowledgement_test.cc
+++ b/packages/scheduler/tests/acknowledgement_test.cc
@@ -68,6 +68,7 @@
     if (const auto workers = scheduler.WorkersToRecord()) {
       scheduler.OnWorkersRecorded(*workers);
     }
+    scheduler.OnQueuesStored(scheduler.CollectQueues(29));
     scheduler.OnStored(At(), scheduler.CollectChanges(now, 29));
   }
 
--- a/packages/scheduler/tests/advice_test.cc
+++ b/packages/scheduler/tests/advice_test.cc
@@ -83,6 +83,7 @@
     if (const auto workers = scheduler.WorkersToRecord()) {
       scheduler.OnWorkersRecorded(*workers);
     }
+    scheduler.OnQueuesStored(scheduler.CollectQueues(29));
     scheduler.OnStored(At(), scheduler.CollectChanges(now, 29));
     AnswerCalls();
     AnswerStarts();
@@ -209,6 +210,7 @@
     fixture.now += Duration(50);
     fixture.scheduler.SetAuthority({fixture.now, fixture.now + Duration(8'000)});
     fixture.scheduler.Tick(fixture.At());
+    fixture.scheduler.OnQueuesStored(fixture.scheduler.CollectQueues(29));
     fixture.scheduler.OnStored(fixture.At(), fixture.scheduler.CollectChanges(fixture.now, 29));
     for (const AdviceOrder& order : std::exchange(fixture.link.calls, {})) {
       fixture.scheduler.OnAdvice(fixture.now, order, {true, {{WorkerName(7), "old"}}, Duration(0)});
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -45,6 +45,8 @@
   std::map<std::string, std::string> records;
   std::map<std::string, std::string> progress;
   std::vector<RecordedWorker> workers;
+  std::map<std::string, QueueRecord> queues;
+  std::shared_ptr<const ClusterConfig> config = TestConfig();  ///< The operators' newest one.
 };
 
 /// One owner of the schedule, with its scheduler, its link and its access to the store.
@@ -61,7 +63,10 @@
     m_earlier = EarlierOwners(store->earlier, now + kAuthority + kAuthorityMargin);
     m_epoch = ++store->epoch;
     m_claimed_at = store->claimed_at = m_confirmed = now;
-    m_scheduler.SetConfig(Present(), TestConfig());
+    m_scheduler.SetConfig(Present(), store->config);
+    for (const auto& [name, record] : store->queues) {
+      m_scheduler.LoadQueue(record);
+    }
     for (const auto& [id, worker] : workers->workers()) {
       if (worker.registered) {
         m_scheduler.SetWorker(Present(), worker.info);
@@ -141,6 +146,7 @@
       m_store->workers = *workers;
       m_scheduler.OnWorkersRecorded(*workers);
     }
+    StoreQueues();
     const std::vector<JobChange> changes = m_scheduler.CollectChanges(m_now, 29);
     for (const JobChange& change : changes) {
       if (change.record) {
@@ -159,6 +165,17 @@
     m_scheduler.OnStored(Present(), changes);
   }
 
+  void StoreQueues() {
+    const std::vector<QueueRecord> queues = m_scheduler.CollectQueues(29);
+    for (const QueueRecord& record : queues) {
+      m_store->queues.erase(record.queue.name);
+      if (!record.remove) {
+        m_store->queues.emplace(record.queue.name, record);
+      }
+    }
+    m_scheduler.OnQueuesStored(queues);
+  }
+
   SimulatedLink m_link;
   Scheduler m_scheduler;
   DurableState* m_store;
@@ -199,6 +216,12 @@
   /// Adds an owner that takes over. Earlier owners tick until their authority expires.
   void ReplaceOwner() { m_owners.push_back(std::make_unique<Owner>(m_now, &m_workers, &m_store)); }
 
+  /// The operators store a configuration, which the newest owner receives at once.
+  void Configure(const ClusterConfig& config) {
+    m_store.config = std::make_shared<const ClusterConfig>(config);
+    scheduler().SetConfig({m_now, UnixMs()}, m_store.config);
+  }
+
   void Cancel(const std::string& job) {
     scheduler().Cancel({m_now, UnixMs()}, job, [](bool) {});
   }
--- a/packages/scheduler/tests/worker_restart_test.cc
+++ b/packages/scheduler/tests/worker_restart_test.cc
@@ -73,6 +73,7 @@
     if (const auto workers = scheduler.WorkersToRecord()) {
       scheduler.OnWorkersRecorded(*workers);
     }
+    scheduler.OnQueuesStored(scheduler.CollectQueues(29));
     const auto changes = scheduler.CollectChanges(now, 29);
     scheduler.OnStored(At(), changes);
     for (const auto& [id, order] : std::exchange(link.renewals, {})) {
