Keep an owner's fence for a worker that comes back

A real owner gives the schedule up, and its successor waits for unheard workers.

Cause: a worker that left for longer than its leases last is forgotten. When it comes back in the same incarnation, it has the owner's raised fence, and refuses the owner's first one. The owner takes itself for replaced.

Change: a worker that becomes known gets the highest fence of those forgotten.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -415,6 +415,7 @@
   bool m_fenced = false;
   bool m_schedule_needed = false;
   std::uint64_t m_epoch = 0;
+  std::uint64_t m_first_fence = 0;  ///< Of a worker that becomes known.
   int m_run_base = 0;
   std::uint64_t m_last_call = 0;
   Authority m_authority;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -76,6 +76,7 @@
 void Scheduler::Begin(Now now, const Takeover& takeover) {
   m_active = true;
   m_epoch = takeover.epoch;
+  m_first_fence = m_epoch * kFencesPerEpoch;
   m_run_base = takeover.generation * kRunsPerGeneration;
   m_unreconciled_bound = takeover.unreconciled_bound;
   m_unix_ms = now.unix_ms;
@@ -84,7 +85,7 @@
     m_recorded.insert(worker.id);
   }
   for (auto& [id, worker] : m_workers) {
-    worker.fence = m_epoch * kFencesPerEpoch;
+    worker.fence = m_first_fence;
     worker.recorded = m_recorded.contains(id);
     worker.lease_bound = m_unreconciled_bound;
     SetRecordedClock(&worker);
@@ -189,7 +190,7 @@
   worker.registered = true;
   if (added) {
     worker.first_seen = now.time;
-    worker.fence = m_epoch * kFencesPerEpoch;
+    worker.fence = m_first_fence;
     worker.recorded = m_recorded.contains(info.id);
     worker.lease_bound = m_unreconciled.contains(info.id) ? m_unreconciled_bound : TimePoint{};
     SetRecordedClock(&worker);
--- a/packages/scheduler/src/scheduler_expiry.cc
+++ b/packages/scheduler/src/scheduler_expiry.cc
@@ -73,6 +73,8 @@
       LogLine(LogLevel::kInfo, "worker_gone").Field("worker", it->first);
       m_unreconciled.erase(it->first);
       m_record_changed = true;
+      // It may come back with the highest fence that this owner has sent to it.
+      m_first_fence = std::max(m_first_fence, worker.fence);
       it = m_workers.erase(it);
     } else {
       ++it;
--- a/packages/scheduler/tests/worker_restart_test.cc
+++ b/packages/scheduler/tests/worker_restart_test.cc
@@ -239,4 +239,25 @@
   CHECK(cluster.workers().violations().empty());
 }
 
+// Guards against an owner that takes itself for replaced: a worker left for longer than its leases
+// last and came back, in the incarnation that had received the owner's raised fence.
+TEST_CASE("a worker that comes back after it was gone does not refuse its owner") {
+  SimulatedCluster cluster(1, 2, {16'000, 32'000, 0});
+  cluster.Run(Duration(500));
+  SimulatedWorkers::SimulatedWorker& worker = cluster.workers().workers().at("worker0");
+  cluster.workers().Restart("worker0");
+  cluster.Run(Duration(500));
+  const auto set_present = [&](bool present) {
+    worker.reachable = worker.registered = present;
+    cluster.owner(0).SetRegistration(cluster.now(), worker);
+  };
+  set_present(false);
+  cluster.Run(Duration(20'000));
+  REQUIRE(cluster.scheduler().FindWorker("worker0") == nullptr);
+  set_present(true);
+  cluster.Run(Duration(1'000));
+  CHECK_FALSE(cluster.scheduler().fenced());
+  CHECK(cluster.scheduler().FindWorker("worker0")->reconciled);
+}
+
 }  // namespace cranberryplank
