Don't count a run of an earlier owner as just begun

What callers saw: a sound job was shown as failed after its workers crashed long after its tasks' starts, under a new owner.

Cause: a run that a new owner adopts had its start set to the adoption. A crash within 200 ms of it counted as one under a task that had just begun.

Change: an adopted run counts as one whose worker has outlived its start. An owner that heard the worker fall silent right after the start has stored that.

--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -23,6 +23,9 @@
 /// Interval at which a worker with untracked runs is checked until they have ended.
 constexpr Duration kUntrackedCheckInterval{100};
 constexpr std::size_t kMaxRenewalsInFlight = 3;
+/// Start of a run that an earlier owner began. That owner has stored the run if the worker fell
+/// silent right after the start; otherwise the worker counts as having outlived it.
+constexpr std::int64_t kFirstClockMs = 1;
 
 }  // namespace
 
@@ -346,6 +349,7 @@
       .Field("worker", worker->info.id);
   task.state()->last_run = std::max(task.state()->last_run, listed.run);
   PlacedRun* run = AddRun(now, worker, task, listed.run);
+  run->began_clock_ms = kFirstClockMs;
   UpdateRun(now, *worker, run, task, listed);
   task.job->started = true;
 }
