Count a job as waiting until a worker has begun a task

Cause: a job counted as begun once its first start was sent, also if the start got no reply or was refused.

Change: a reply to the start, a list or an ended run makes a job begun.

--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -82,7 +82,7 @@
   bool progress_stored = false;    ///< The store may have an own entry of the job's progress.
   bool ended_record = false;       ///< The record has been replaced by that of an ended job.
   bool outdated = false;           ///< Ended so long ago that its record is to be removed.
-  bool started = false;            ///< A task has been started.
+  bool started = false;            ///< A worker is known to have begun a task.
   bool over_share = false;  ///< Exceeded its customer's guaranteed jobs per second on arrival.
   int placed_runs = 0;
   /// Runs whose worker fell silent soon after their start, by task and run. Kept here and not with
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -141,6 +141,7 @@
   for (const auto& [key, runs] : progress.failures) {
     if (JobTaskState* task = TaskAt(raw, key)) {
       task->failed_runs = runs;
+      job->started = true;
     }
   }
   for (const auto& [key, runs] : progress.crashes) {
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -414,7 +414,7 @@
     return;  // Entries of single jobs stay valid until there is newer progress.
   }
   for (const auto& [id, job] : m_jobs.active()) {
-    if (job->stored && job->started) {
+    if (job->stored) {
       m_jobs.MarkChanged(now, job);
     }
   }
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -212,6 +212,7 @@
   pending.number = end.number;
   if (task.job != nullptr) {
     pending.job = m_jobs.jobs().at(task.job->spec.id);
+    pending.job->started = true;
     JobTaskState* state = task.state();
     if (state != nullptr) {
       state->last_run = std::max(state->last_run, end.run);
@@ -320,6 +321,7 @@
   }
   if (run->phase != RunPhase::kRunning) {
     run->phase = RunPhase::kRunning;
+    run->job->started = true;
     run->resolved_at = now;
     run->progressed_at = now;
   }
@@ -351,7 +353,6 @@
   PlacedRun* run = AddRun(now, worker, task, listed.run);
   run->began_clock_ms = kFirstClockMs;
   UpdateRun(now, *worker, run, task, listed);
-  task.job->started = true;
 }
 
 void Scheduler::StopUntrackedRun(TimePoint now, Worker* worker, const ListedRun& listed) {
--- a/packages/scheduler/src/scheduler_runs.cc
+++ b/packages/scheduler/src/scheduler_runs.cc
@@ -205,7 +205,6 @@
   order.saved = task.spec().saves_progress ? state->saved : std::string();
   order.ticket = ticket;
   order.not_after = StartsUntil();
-  task.job->started = true;
   ++m_counters.starts;
   placed->phase = RunPhase::kStarting;
   m_link->Start(worker->info, order);
@@ -235,6 +234,7 @@
   PlacedRun& run = it->second;
   if (reply.outcome == CallOutcome::kOk) {
     run.phase = RunPhase::kRunning;
+    run.job->started = true;
     run.began_clock_ms = reply.clock_ms;
     run.resolved_at = run.progressed_at = now;
     return;
