--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -36,6 +36,20 @@
   return std::make_shared<const ClusterConfig>(config);
 }
 
+/// Returns a job with one task, for the queue of `TestConfig`.
+inline JobSpec OneTask(const std::string& id, Duration estimate) {
+  JobSpec spec;
+  spec.id = id;
+  spec.queue = "queue";
+  spec.pool = "pool";
+  StepSpec step;
+  step.count = 1;
+  step.per_task = {1'000, 1'000, 0};
+  step.estimate_ms = estimate.count();
+  spec.steps.push_back(step);
+  return spec;
+}
+
 /// Store contents; only the owner with the newest claim may write.
 struct DurableState {
   std::uint64_t epoch = 0;
--- a/packages/scheduler/tests/stale_owner_test.cc
+++ b/packages/scheduler/tests/stale_owner_test.cc
@@ -14,19 +14,6 @@
 constexpr Duration kTakeOverTime{1'200};
 constexpr const char* kTask = "job.0.0.0";
 
-JobSpec OneTask(const std::string& id) {
-  JobSpec spec;
-  spec.id = id;
-  spec.queue = "queue";
-  spec.pool = "pool";
-  StepSpec step;
-  step.count = 1;
-  step.per_task = {1'000, 1'000, 0};
-  step.estimate_ms = kTaskTime.count();
-  spec.steps.push_back(step);
-  return spec;
-}
-
 std::string OtherWorker(const std::string& id) { return id == "worker0" ? "worker1" : "worker0"; }
 
 void CheckNoViolation(const SimulatedCluster& cluster) {
@@ -41,7 +28,7 @@
 /// @return the worker that ran the task
 std::string RunTaskBesidePartition(SimulatedCluster* cluster) {
   cluster->Run(Duration(500));
-  cluster->Submit(OneTask("job"), kTaskTime);
+  cluster->Submit(OneTask("job", kTaskTime), kTaskTime);
   std::string runs = cluster->RunUntilStarted(kTask);
   REQUIRE_FALSE(runs.empty());
   cluster->Run(Duration(500));
@@ -84,7 +71,7 @@
 TEST_CASE("a replaced owner does not start loaded tasks when its wait ends by time") {
   SimulatedCluster cluster(1, 3, kCapacity);
   cluster.Run(Duration(500));
-  cluster.Submit(OneTask("job"), Duration(7'000));
+  cluster.Submit(OneTask("job", kTaskTime), Duration(7'000));
   const std::string runs = cluster.RunUntilStarted(kTask);
   REQUIRE_FALSE(runs.empty());
   std::set<std::string> others{"worker0", "worker1", "worker2"};
--- a/packages/scheduler/tests/waiting_jobs_test.cc
+++ b/packages/scheduler/tests/waiting_jobs_test.cc
@@ -7,18 +7,7 @@
 
 namespace {
 
-JobSpec OneTask(const std::string& id) {
-  JobSpec spec;
-  spec.id = id;
-  spec.queue = "queue";
-  spec.pool = "pool";
-  StepSpec step;
-  step.count = 1;
-  step.per_task = {1'000, 1'000, 0};
-  step.estimate_ms = 10'000;
-  spec.steps.push_back(step);
-  return spec;
-}
+constexpr Duration kTaskTime{10'000};
 
 }  // namespace
 
@@ -28,7 +17,7 @@
   SimulatedCluster cluster(1, 1, {16'000, 32'000, 0});
   cluster.Run(Duration(500));
   cluster.workers().workers().at("worker0").reachable = false;
-  cluster.Submit(OneTask("job"), Duration(10'000));
+  cluster.Submit(OneTask("job", kTaskTime), kTaskTime);
   cluster.Run(Duration(6'000));
   REQUIRE(cluster.scheduler().counters().starts > 0);
   CHECK(cluster.scheduler().WaitingJobs("queue") == 1);
@@ -44,7 +33,7 @@
 TEST_CASE("a job that runs is not counted as waiting by the next owner") {
   SimulatedCluster cluster(1, 1, {16'000, 32'000, 0});
   cluster.Run(Duration(500));
-  cluster.Submit(OneTask("job"), Duration(10'000));
+  cluster.Submit(OneTask("job", kTaskTime), kTaskTime);
   REQUIRE_FALSE(cluster.RunUntilStarted("job.0.0.0").empty());
   cluster.Run(Duration(100));
   cluster.ReplaceOwner();
