--- a/packages/scheduler/include/cranberryplank/scheduler/queue_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/queue_table.h
@@ -42,7 +42,6 @@
   /// Records that a queue has a job that is not finished.
   void Use(const std::string& name);
 
-  bool Contains(std::string_view name) const { return m_queues.contains(name); }
   /// Returns by which settings the jobs of a queue are run. The reference stays valid.
   const QueueConfig& Used(std::string_view name) const;
   /// Returns whether the store has a record of the queue, so that its tasks may be started.
--- a/packages/scheduler/src/queue_table.cc
+++ b/packages/scheduler/src/queue_table.cc
@@ -10,13 +10,13 @@
 
 namespace {
 
-/// Names of queues with unfinished jobs, and the pools that their jobs had when they were accepted.
-/// Only jobs in the store may have runs.
+/// The unfinished jobs of a queue.
 struct QueueUse {
-  bool has_stored_job = false;
-  std::set<std::string_view> accepted_pools;
+  bool has_stored_job = false;                ///< Only jobs in the store may have runs.
+  std::set<std::string_view> accepted_pools;  ///< Of the queue when the jobs were accepted.
 };
 
+/// Returns the queues with unfinished jobs, by name.
 std::map<std::string_view, QueueUse> QueuesInUse(const JobTable& jobs) {
   std::map<std::string_view, QueueUse> uses;
   for (const auto& [id, job] : jobs.jobs()) {
