Know a new owner by the epoch in the cursor, and repeat calls to the old one

Cause: a daemon whose owner is silent took every change of the cursor for a sign of life of that owner. After a successor had claimed, its transactions changed the cursor, so the daemon waited for the old owner for 3 s more and refused calls.

Change: only a write under the known epoch counts as a sign of life. A newer write of another epoch makes the daemon read the record of the ownership. Calls that are under way to the old owner are repeated once the schedule has another one; a failure of an earlier attempt is ignored then.

--- a/packages/entry/include/cranberryplank/entry/caller_gateway.h
+++ b/packages/entry/include/cranberryplank/entry/caller_gateway.h
@@ -54,6 +54,9 @@
               const std::shared_ptr<ApiExchange>& exchange);
   /// Retries calls that reached no owner. Must be called regularly.
   void Tick(TimePoint now);
+  /// Repeats the calls that are under way, because the schedule has another owner: the earlier one
+  /// may never answer them. Each has the same effect if it is carried out twice.
+  void RepeatCallsInFlight(TimePoint now);
   std::size_t open_requests() const { return m_pending.size(); }
   /// Begins to close: all further replies ask callers to close their connections, and requests that
   /// have no answer by `answer_by` are given up then, or refused at once if they arrive later.
@@ -73,7 +76,7 @@
   };
 
   void Send(TimePoint now, std::uint64_t id);
-  void OnReply(TimePoint now, std::uint64_t id, const OwnerReply& reply);
+  void OnReply(TimePoint now, std::uint64_t id, int attempt, const OwnerReply& reply);
   void GiveUp(TimePoint now, std::uint64_t id, std::string_view reason);
   void Finish(TimePoint now, std::uint64_t id, ApiResponse response, std::string_view reason);
   void Refuse(TimePoint now, const std::shared_ptr<ApiExchange>& exchange, int status,
--- a/packages/entry/include/cranberryplank/entry/schedule_claim.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_claim.h
@@ -33,6 +33,9 @@
   ClaimInput InputAt(TimePoint now, TimePoint store_answered);
   /// Finds out whether an owner that does not answer still writes to the store.
   void ReadCursorOfSilentOwner(TimePoint now, Duration silence);
+  /// Takes a change of the cursor for a sign of life of the owner only if the owner wrote it. A
+  /// successor's writes would otherwise hide for seconds that the owner was replaced.
+  void OnCursor(TimePoint now, const KvItem& cursor);
 
   KeyValueStore* m_store;
   ScheduleOwnership* m_ownership;
--- a/packages/entry/include/cranberryplank/entry/schedule_ownership.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_ownership.h
@@ -28,6 +28,8 @@
 /// Key of the cursor that every transaction of the owner writes. A claim writes it too, so that the
 /// new owner knows its revision.
 constexpr std::string_view kCursorKey = "schedule/cursor";
+/// Stands between the writer's epoch and the transaction's number in the cursor's value.
+constexpr char kCursorSeparator = '-';
 
 std::string EncodeOwnership(const OwnershipRecord& record);
 std::optional<OwnershipRecord> DecodeOwnership(std::string_view value);
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -179,15 +179,31 @@
   const Duration left = std::chrono::duration_cast<Duration>(pending.deadline - now);
   const OwnerCall call = pending.call;
   m_call_owner(call, std::clamp(left, Duration(1), kAttemptTimeout),
-               [this, id](TimePoint at, const OwnerReply& reply) { OnReply(at, id, reply); });
+               [this, id, attempt = pending.attempts](TimePoint at, const OwnerReply& reply) {
+                 OnReply(at, id, attempt, reply);
+               });
 }
 
-void CallerGateway::OnReply(TimePoint now, std::uint64_t id, const OwnerReply& reply) {
+void CallerGateway::RepeatCallsInFlight(TimePoint now) {
+  for (auto& [id, pending] : m_pending) {
+    if (pending.in_flight) {
+      pending.in_flight = false;
+      pending.may_have_run = true;
+      pending.retry_at = now;
+    }
+  }
+}
+
+void CallerGateway::OnReply(TimePoint now, std::uint64_t id, int attempt, const OwnerReply& reply) {
   const auto it = m_pending.find(id);
   if (it == m_pending.end()) {
     return;
   }
   Pending& pending = it->second;
+  // What an earlier attempt achieved holds; its failure says nothing about the newest one.
+  if (attempt != pending.attempts && reply.status != OwnerStatus::kOk) {
+    return;
+  }
   pending.in_flight = false;
   switch (reply.status) {
     case OwnerStatus::kOk:
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -241,6 +241,9 @@
   const std::string incarnation =
       m_ownership.known() && record && !m_ownership.owned() ? record->incarnation : std::string();
   if (incarnation != m_followed_incarnation) {
+    if (!m_followed_incarnation.empty()) {
+      m_gateway.RepeatCallsInFlight(now);
+    }
     m_followed_incarnation = incarnation;
     m_owner_client.SetOwner(now, incarnation.empty() ? std::string() : record->address);
   }
--- a/packages/entry/src/schedule_claim.cc
+++ b/packages/entry/src/schedule_claim.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cranberryplank/model/text.h"
+
 namespace cranberryplank {
 
 namespace {
@@ -11,6 +13,11 @@
 constexpr Duration kSilenceBeforeCursor{400};
 constexpr Duration kCursorReadInterval{200};
 
+/// Returns the epoch of the owner that wrote the cursor; 0 if a claim wrote it.
+std::uint64_t EpochOfCursor(std::string_view value) {
+  return ParseNumber<std::uint64_t>(value.substr(0, value.find(kCursorSeparator))).value_or(0);
+}
+
 }  // namespace
 
 void ScheduleClaim::Reset() {
@@ -34,12 +41,21 @@
     if (reply.status != KvStatus::kOk || reply.items.empty()) {
       return;
     }
-    const std::uint64_t revision = reply.items.front().revision;
-    if (m_cursor_seen && *m_cursor_seen != revision) {
+    OnCursor(now, reply.items.front());
+  });
+}
+
+void ScheduleClaim::OnCursor(TimePoint now, const KvItem& cursor) {
+  const std::uint64_t epoch = m_ownership->revision();
+  if (EpochOfCursor(cursor.value) == epoch) {
+    if (m_cursor_seen && *m_cursor_seen != cursor.revision) {
       m_owner_wrote_at = now;
     }
-    m_cursor_seen = revision;
-  });
+  } else if (cursor.revision > epoch) {
+    // Another daemon has claimed since the known record was written.
+    m_ownership->Read(now);
+  }
+  m_cursor_seen = cursor.revision;
 }
 
 ClaimInput ScheduleClaim::InputAt(TimePoint now, TimePoint store_answered) {
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -145,7 +145,7 @@
     slot->cursor_revision = m_ownership->revision();  // The claim wrote both keys.
   }
   // The epoch distinguishes the value from that of an earlier owner.
-  slot->cursor_value = fmt::format("{}-{}", m_ownership->revision(), ++m_batch);
+  slot->cursor_value = fmt::format("{}{}{}", m_ownership->revision(), kCursorSeparator, ++m_batch);
   slot->transaction.preconditions.push_back({m_ownership->key(), m_ownership->revision()});
   slot->transaction.preconditions.push_back({slot->cursor_key, slot->cursor_revision});
   slot->transaction.writes.push_back({slot->cursor_key, slot->cursor_value});
