Bound what clients can make a daemon hold

Cause: evhttp reads on while a response waits to be written. A client that sends requests ahead and does not read the responses made the daemon's input buffer grow without a bound. Nothing bounded incomplete requests over all connections, or the number of connections.

Change: while a request is being handled or its response waits, at most one further piece is read from its connection. ClientConnections counts the connections and buffered bytes of a listener. At a limit it closes the connection that holds most, or makes least progress, and never one whose request is being handled. Requests are refused while the bodies under way exceed a limit. The limits follow from [limits] memory_mb and max_descriptors.

--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cranberryplank/daemon/client_connections.h"
 #include "cranberryplank/daemon/settings.h"
 #include "cranberryplank/model/time.h"
 
@@ -43,18 +44,35 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
+/// Requests whose response is not yet written, and the sizes of their bodies.
+struct OpenRequests {
+  std::size_t count = 0;
+  std::size_t body_bytes = 0;
+};
+
 /// Counts one request as open until it is destroyed.
 class OpenRequest {
  public:
-  explicit OpenRequest(std::shared_ptr<std::size_t> count) : m_count(std::move(count)) {
-    ++*m_count;
+  /// @param connections those of the server that read the request
+  OpenRequest(std::shared_ptr<OpenRequests> all, std::size_t body_bytes,
+              ClientConnections* connections)
+      : m_all(std::move(all)), m_body_bytes(body_bytes), m_connections(connections) {
+    ++m_all->count;
+    m_all->body_bytes += m_body_bytes;
+  }
+  ~OpenRequest() {
+    --m_all->count;
+    m_all->body_bytes -= m_body_bytes;
   }
-  ~OpenRequest() { --*m_count; }
   OpenRequest(const OpenRequest&) = delete;
   OpenRequest& operator=(const OpenRequest&) = delete;
 
+  ClientConnections* connections() const { return m_connections; }
+
  private:
-  std::shared_ptr<std::size_t> m_count;
+  std::shared_ptr<OpenRequests> m_all;
+  std::size_t m_body_bytes;
+  ClientConnections* m_connections;
 };
 
 /// One HTTP request and its pending response, which may be sent at any later time, once.
@@ -96,6 +114,9 @@
   std::size_t max_header_bytes = 0;
   Duration idle_timeout{0};
   bool urgent = false;  ///< Requests run before other events of a loop with priorities.
+  ConnectionLimits connections{};
+  /// Bodies of all requests that are being handled. Further requests are refused.
+  std::size_t max_open_bytes = std::size_t{1} << 30U;
 };
 
 /// HTTP server on one event loop. A malformed or stalled request closes only its own connection.
@@ -119,9 +140,12 @@
   /// while a request is being processed, so it does not detect this itself.
   void CheckCallerConnections();
 
+  /// Returns the number of connections that were closed because of a limit.
+  std::size_t closed_connections() const { return m_connections.closed(); }
+
   /// Returns the number of requests that were read and whose response is not yet written completely
   /// to a connection that is still open.
-  std::size_t open_requests() const { return *m_open_count; }
+  std::size_t open_requests() const { return m_open_requests->count; }
 
   /// Returns the number of requests that the server refers to, of which some may have ended.
   std::size_t remembered_requests() const { return m_open.size(); }
@@ -130,13 +154,16 @@
 
  private:
   static void HandleRequest(evhttp_request* raw, void* self);
+  static bufferevent* NewStream(event_base* base, void* self);
 
   evhttp* m_http;
   evhttp_bound_socket* m_socket = nullptr;
   Handler m_handler;
   bool m_urgent;
   std::vector<std::weak_ptr<ApiExchange>> m_open;
-  std::shared_ptr<std::size_t> m_open_count = std::make_shared<std::size_t>(0);
+  std::size_t m_max_open_bytes;
+  ClientConnections m_connections;
+  std::shared_ptr<OpenRequests> m_open_requests = std::make_shared<OpenRequests>();
   std::string m_last_reason;
 };
 
--- /dev/null
+++ b/packages/daemon/include/cranberryplank/daemon/client_connections.h
@@ -0,0 +1,81 @@
+#ifndef CRANBERRYPLANK_DAEMON_CLIENT_CONNECTIONS_H_
+#define CRANBERRYPLANK_DAEMON_CLIENT_CONNECTIONS_H_
+
+#include <cstddef>
+#include <unordered_map>
+
+#include "cranberryplank/model/time.h"
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event;
+struct event_base;
+
+namespace cranberryplank {
+
+/// Limits over all connections of a server.
+struct ConnectionLimits {
+  std::size_t connections = 4'096;
+  std::size_t buffered_bytes = std::size_t{1} << 30U;  ///< Received, or waiting to be sent.
+};
+
+/// The open connections of one HTTP server. At a limit it closes those that make least progress, so
+/// that clients which open many connections, do not complete requests or do not read responses
+/// leave room for others. A connection whose request is being handled is not closed.
+class ClientConnections {
+ public:
+  ClientConnections(event_base* base, const ConnectionLimits& limits);
+  ~ClientConnections();
+  ClientConnections(const ClientConnections&) = delete;
+  ClientConnections& operator=(const ClientConnections&) = delete;
+
+  /// Returns the stream for a new connection. Closes other connections if there are too many.
+  bufferevent* Add(TimePoint now);
+  /// Reports that a request was read. Until its response is written, at most one further piece is
+  /// read from the connection. Otherwise a client could send requests ahead without a bound.
+  void BeginRequest(TimePoint now, bufferevent* stream);
+  /// Reports that the response waits to be written.
+  void BeginResponse(TimePoint now, bufferevent* stream);
+  /// Reports that the response was written, so that the next request is read.
+  void EndResponse(TimePoint now, bufferevent* stream);
+  std::size_t size() const { return m_connections.size(); }
+  std::size_t buffered_bytes() const { return m_buffered; }
+  /// Returns the number of connections that were closed because of a limit.
+  std::size_t closed() const { return m_closed; }
+
+ private:
+  struct Connection {
+    ClientConnections* owner = nullptr;
+    TimePoint last_progress{};  ///< When it was accepted, or a request or response was complete.
+    std::size_t buffered = 0;   ///< Bytes in its two buffers.
+    bool handling = false;      ///< A request was read and has no response yet.
+    bool closing = false;       ///< Closed because of a limit, and not yet ended.
+  };
+  using Table = std::unordered_map<bufferevent*, Connection>;
+
+  static void OnBufferChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* connection);
+
+  static void OnSweep(int, short, void* self);  // NOLINT(google-runtime-int): libevent's type
+
+  /// Forgets the connections that have ended, closes their sockets and releases their buffers.
+  void RemoveEnded();
+  void SetState(TimePoint now, bufferevent* stream, bool handling);
+  void EnforceByteLimit();
+  /// Returns the connection that makes least progress, or the end of the table.
+  Table::iterator LeastProgress(TimePoint now);
+  Table::iterator MostBuffered();
+  void Close(Table::iterator connection);
+
+  event_base* m_base;
+  event* m_sweep;
+  ConnectionLimits m_limits;
+  Table m_connections;
+  std::size_t m_buffered = 0;  ///< By connections that are not being closed.
+  std::size_t m_open = 0;      ///< Connections that are not being closed.
+  std::size_t m_closed = 0;
+};
+
+}  // namespace cranberryplank
+
+#endif  // CRANBERRYPLANK_DAEMON_CLIENT_CONNECTIONS_H_
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -15,6 +15,7 @@
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/model/text.h"
 #include "cranberryplank/platform/event_priority.h"
+#include "cranberryplank/platform/http_status.h"
 
 namespace cranberryplank {
 
@@ -22,6 +23,11 @@
 
 /// Room for requests in a server's list of them before it removes those that have ended.
 constexpr std::size_t kMinRemembered = 64;
+constexpr std::string_view kRetryAfterSeconds = "1";
+
+bufferevent* StreamOf(evhttp_request* raw) {
+  return evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
+}
 
 std::string_view MethodName(evhttp_cmd_type method) {
   switch (method) {
@@ -73,15 +79,26 @@
   return request;
 }
 
-void OnReplyWritten(evhttp_request* raw, void* open) {
+void OnReplyWritten(evhttp_request* raw, void* argument) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(raw), nullptr, nullptr);
-  delete static_cast<OpenRequest*>(open);
+  const std::unique_ptr<OpenRequest> open(static_cast<OpenRequest*>(argument));
+  open->connections()->EndResponse(Clock::now(), StreamOf(raw));
 }
 
 void OnClosedBeforeReply(evhttp_connection* /*connection*/, void* open) {
   delete static_cast<OpenRequest*>(open);
 }
 
+/// Refuses a request because of the memory that those under way need.
+void Refuse(ApiExchange* exchange) {
+  LogLine(LogLevel::kWarning, "request_refused").Field("reason", "memory limit");
+  ApiResponse response;
+  response.status = http_status::kUnavailable;
+  response.body = "{}";
+  response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  exchange->Reply(response);
+}
+
 }  // namespace
 
 std::string_view ApiRequest::Header(std::string_view name) const {
@@ -113,6 +130,7 @@
   evhttp_request* raw = std::exchange(m_raw, nullptr);
   // evhttp calls one of the two: the first once the reply is written, else the second.
   OpenRequest* open = m_open.release();
+  open->connections()->BeginResponse(Clock::now(), StreamOf(raw));
   evhttp_request_set_on_complete_cb(raw, &OnReplyWritten, open);
   evhttp_connection_set_closecb(evhttp_request_get_connection(raw), &OnClosedBeforeReply, open);
   evkeyvalq* headers = evhttp_request_get_output_headers(raw);
@@ -138,9 +156,8 @@
   if (m_raw == nullptr) {
     return false;
   }
-  bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_raw));
   char byte = 0;
-  return recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  return recv(bufferevent_getfd(StreamOf(m_raw)), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 void ApiExchange::ReportClosed() {
@@ -150,13 +167,18 @@
 }
 
 ApiServer::ApiServer(event_base* base, const ApiLimits& limits, Handler handler)
-    : m_http(evhttp_new(base)), m_handler(std::move(handler)), m_urgent(limits.urgent) {
+    : m_http(evhttp_new(base)),
+      m_handler(std::move(handler)),
+      m_urgent(limits.urgent),
+      m_max_open_bytes(limits.max_open_bytes),
+      m_connections(base, limits.connections) {
   evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.max_header_bytes));
   evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.max_body_bytes));
   evhttp_set_timeout(m_http, static_cast<int>(limits.idle_timeout.count() / 1000));
   evhttp_set_allowed_methods(m_http,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_gencb(m_http, &ApiServer::HandleRequest, this);
+  evhttp_set_bevcb(m_http, &ApiServer::NewStream, this);
 }
 
 ApiServer::~ApiServer() { evhttp_free(m_http); }
@@ -187,10 +209,17 @@
   }
 }
 
+bufferevent* ApiServer::NewStream(event_base* /*base*/, void* self) {
+  return static_cast<ApiServer*>(self)->m_connections.Add(Clock::now());
+}
+
 void ApiServer::HandleRequest(evhttp_request* raw, void* self) {
   auto* server = static_cast<ApiServer*>(self);
-  auto exchange = std::make_shared<ApiExchange>(
-      raw, ReadRequest(raw), std::make_unique<OpenRequest>(server->m_open_count));
+  server->m_connections.BeginRequest(Clock::now(), StreamOf(raw));
+  ApiRequest request = ReadRequest(raw);
+  auto counted = std::make_unique<OpenRequest>(server->m_open_requests, request.body.size(),
+                                               &server->m_connections);
+  auto exchange = std::make_shared<ApiExchange>(raw, std::move(request), std::move(counted));
   if (server->m_socket == nullptr) {
     // The process ends soon, so the caller must send no further request on this connection.
     evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection", "close");
@@ -198,8 +227,11 @@
   if (server->m_urgent) {
     // libevent resets the priority when a connection is accepted, so it is set from the first
     // request on.
-    bufferevent_priority_set(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)),
-                             kUrgentEvents);
+    bufferevent_priority_set(StreamOf(raw), kUrgentEvents);
+  }
+  if (server->m_open_requests->body_bytes > server->m_max_open_bytes) {
+    Refuse(exchange.get());
+    return;
   }
   std::vector<std::weak_ptr<ApiExchange>>& open = server->m_open;
   if (open.size() == open.capacity()) {
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -23,6 +23,7 @@
 constexpr Duration kOwnerRetry{60};
 constexpr Duration kAttemptTimeout{900};
 constexpr std::int64_t kDefaultRetryAfterMs = 1'000;
+constexpr std::size_t kLoggedPathBytes = 200;
 
 std::string_view HostOf(const ApiRequest& request) {
   const std::string_view host = request.Header("host");
@@ -308,7 +309,7 @@
                            int status, std::string_view reason) {
   LogLine(LogLevel::kInfo, "refused")
       .Field("method", exchange->request().method)
-      .Field("path", exchange->request().path)
+      .Field("path", std::string_view(exchange->request().path).substr(0, kLoggedPathBytes))
       .Field("status", status)
       .Field("reason", reason);
   m_metrics->Count("cranberryplank_answers_total", fmt::format("status=\"{}\"", status));
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -14,7 +14,12 @@
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr double kHourSeconds = 3'600;
 constexpr double kMaxCores = 1'000;
-constexpr std::array<std::string_view, 4> kTables{"daemon", "listen", "platform", "bounds"};
+constexpr std::int64_t kLeastMemoryMb = 64;
+constexpr std::int64_t kMostMemoryMb = 1'048'576;
+constexpr std::int64_t kLeastDescriptors = 64;
+constexpr std::int64_t kMostDescriptors = 1'048'576;
+constexpr std::array<std::string_view, 5> kTables{"daemon", "listen", "platform", "bounds",
+                                                  "limits"};
 
 void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   TableReader table(root, "listen", problems);
@@ -55,6 +60,16 @@
   table.ReportUnknownKeys();
 }
 
+void ReadLimits(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  if (!root.contains("limits")) {
+    return;
+  }
+  TableReader table(root, "limits", problems);
+  table.Number("memory_mb", kLeastMemoryMb, kMostMemoryMb, &settings->memory_mb);
+  table.Number("max_descriptors", kLeastDescriptors, kMostDescriptors, &settings->max_descriptors);
+  table.ReportUnknownKeys();
+}
+
 }  // namespace
 
 std::optional<JobSettings> JobSettingsReader::ReadText(std::string_view text) {
@@ -76,6 +91,7 @@
   ReadListen(*root, &problems, &settings);
   ReadPlatform(*root, &problems, &settings);
   ReadBounds(*root, &problems, &settings);
+  ReadLimits(*root, &problems, &settings);
   if (!problems.text().empty()) {
     m_last_reason = problems.text();
     return std::nullopt;
--- /dev/null
+++ b/tests/process/daemon_under_test.cc
@@ -0,0 +1,114 @@
+#include "daemon_under_test.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace cranberryplank {
+
+namespace {
+
+/// Returns a loopback port that is free at the time of the call.
+std::uint16_t FreePort() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  close(socket);
+  return ntohs(address.sin_port);
+}
+
+std::string TemporaryFile() {
+  std::string path = "/tmp/client-limits-XXXXXX";
+  const int file = mkstemp(path.data());
+  REQUIRE(file >= 0);
+  close(file);
+  return path;
+}
+
+[[noreturn]] void RunDaemon(const std::string& settings, const std::string& log,
+                            std::size_t max_descriptors) {
+  const rlimit limit{max_descriptors, max_descriptors};
+  setrlimit(RLIMIT_NOFILE, &limit);
+  const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  dup2(output, STDOUT_FILENO);
+  dup2(output, STDERR_FILENO);
+  execl(CRANBERRYPLANK_DAEMON, CRANBERRYPLANK_DAEMON, "--jobs", "--settings", settings.c_str(),
+        nullptr);
+  _exit(EXIT_FAILURE);
+}
+
+}  // namespace
+
+DaemonUnderTest::DaemonUnderTest(std::size_t max_descriptors, const std::string& limits)
+    : m_ports{FreePort(), FreePort(), FreePort(), FreePort()},
+      m_settings_path(TemporaryFile()),
+      m_log_path(TemporaryFile()) {
+  std::ofstream(m_settings_path) << fmt::format(
+      "[daemon]\nid = \"entry-1\"\nzone = \"zone-1\"\n"
+      "[listen]\ncallers = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\n"
+      "daemons = \"127.0.0.1:{}\"\nmetrics = \"127.0.0.1:{}\"\n"
+      "[platform]\nstore = \"127.0.0.1:{}\"\n{}",
+      port(Listener::kCallers), port(Listener::kReady), port(Listener::kDaemons),
+      port(Listener::kMetrics), FreePort(), limits);
+  m_process = fork();
+  REQUIRE(m_process >= 0);
+  if (m_process == 0) {
+    RunDaemon(m_settings_path, m_log_path, max_descriptors);
+  }
+}
+
+DaemonUnderTest::~DaemonUnderTest() {
+  kill(m_process, SIGKILL);
+  waitpid(m_process, nullptr, 0);
+  std::remove(m_settings_path.c_str());
+  std::remove(m_log_path.c_str());
+}
+
+bool DaemonUnderTest::alive() const {
+  std::ifstream stat(fmt::format("/proc/{}/stat", m_process));
+  std::string id;
+  std::string name;
+  std::string state;
+  stat >> id >> name >> state;
+  return !state.empty() && state != "Z";
+}
+
+std::size_t DaemonUnderTest::StatusField(const std::string& name) const {
+  std::ifstream status(fmt::format("/proc/{}/status", m_process));
+  std::string field;
+  std::size_t value = 0;
+  while (status >> field) {
+    if (field == name) {
+      status >> value;
+      return value;
+    }
+  }
+  return 0;
+}
+
+std::size_t DaemonUnderTest::peak_memory_kb() const { return StatusField("VmHWM:"); }
+
+std::size_t DaemonUnderTest::memory_kb() const { return StatusField("VmRSS:"); }
+
+std::size_t DaemonUnderTest::open_descriptors() const {
+  const std::filesystem::directory_iterator descriptors(fmt::format("/proc/{}/fd", m_process));
+  return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
+}  // namespace cranberryplank
