Divide the fleet among pools that want more VMs than there are

Cause: while the pools together want more VMs than there are, shortages were served largest first, so the pool with the longest backlog took the fleet. An overloaded pool never has an idle VM, so it kept what it had taken.

Change: with [overload] divide_fleet, each pool gets a share: what its long-running tasks require, then a max-min division of useful work by priority, then what is left for work that ends too late to have any value. VMs move first from idle ones. For a pool that has less than three quarters of its share, busy VMs are vacated; their batch tasks run to their end.

--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -27,6 +27,8 @@
   Duration machine_lease{3'000};
   Duration move_time{1'500};
   Duration upkeep_time{2'000};
+  /// While the pools want more VMs than there are, they get shares instead of what is free.
+  bool divide_fleet = false;
 };
 
 struct VmFleetParts {
@@ -63,7 +65,7 @@
   void AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation);
   void SendOrder(TimePoint now, const std::string& vm, VmOperation* operation);
   void OnOrder(TimePoint now, const std::string& vm, std::uint64_t token, VmOrderOutcome outcome);
-  void LogPools(TimePoint now, std::span<const JobPoolLoad> loads);
+  void LogPools(TimePoint now, std::span<const JobPoolLoad> loads, std::span<const int> targets);
   void CloseWorkers();
   bool MayOrder(TimePoint now) const;
   bool MayTakeDown(const std::string& worker) const;
@@ -71,7 +73,14 @@
   void RecordEndedWorkers(TimePoint now);
   std::vector<UpkeepCandidate> CandidatesOf(const WaveProgress& wave,
                                             std::span<const JobPoolLoad> loads) const;
-  std::map<std::string, std::vector<std::string>> MovableVms() const;
+  /// VMs of one pool that can be moved now. The next one to move is the last.
+  struct PoolVms {
+    std::vector<std::string> idle;
+    std::vector<std::string> busy;  ///< With batch tasks only; the least busy one is the last.
+  };
+  std::map<std::string, PoolVms> MovableVmsByPool() const;
+  std::vector<int> TargetsOf(std::span<const JobPoolLoad> loads) const;
+  void BeginMove(TimePoint now, const std::string& vm, const PoolMove& move);
 
   VmFleetParts m_parts;
   VmFleetSettings m_settings;
--- a/packages/entry/include/cranberryplank/entry/vm_operation.h
+++ b/packages/entry/include/cranberryplank/entry/vm_operation.h
@@ -19,6 +19,7 @@
   std::int64_t wave = 0;
   std::string pool;  ///< Target of a move.
   std::string worker;
+  bool drains = false;  ///< Batch tasks run to their end before a move; none is stopped for it.
   Phase phase = Phase::kVacating;
   TimePoint since{};
   TimePoint retry_at{};
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -18,8 +18,8 @@
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
 constexpr std::int64_t kLeastDescriptors = 64;
 constexpr std::int64_t kMostDescriptors = 1'048'576;
-constexpr std::array<std::string_view, 5> kTables{"daemon", "listen", "platform", "bounds",
-                                                  "limits"};
+constexpr std::array<std::string_view, 6> kTables{"daemon", "listen",   "platform",
+                                                  "bounds", "overload", "limits"};
 
 void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   TableReader table(root, "listen", problems);
@@ -60,6 +60,15 @@
   table.ReportUnknownKeys();
 }
 
+void ReadOverload(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  if (!root.contains("overload")) {
+    return;
+  }
+  TableReader table(root, "overload", problems);
+  table.Flag("divide_fleet", &settings->divide_fleet);
+  table.ReportUnknownKeys();
+}
+
 void ReadLimits(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   if (!root.contains("limits")) {
     return;
@@ -91,6 +100,7 @@
   ReadListen(*root, &problems, &settings);
   ReadPlatform(*root, &problems, &settings);
   ReadBounds(*root, &problems, &settings);
+  ReadOverload(*root, &problems, &settings);
   ReadLimits(*root, &problems, &settings);
   if (!problems.text().empty()) {
     m_last_reason = problems.text();
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -62,7 +62,8 @@
   RecordEndedWorkers(now);
   if (now >= m_next_plan) {
     m_next_plan = now + kPlanInterval;
-    const std::vector<JobPoolLoad> loads = m_parts.scheduler->PoolLoads(now);
+    const std::vector<JobPoolLoad> loads =
+        m_parts.scheduler->PoolLoads(now, m_settings.divide_fleet);
     PlanWaves(now, loads);
     PlanPoolMoves(now, loads);
   }
@@ -149,8 +150,9 @@
   }
 }
 
-std::map<std::string, std::vector<std::string>> VmFleet::MovableVms() const {
-  std::map<std::string, std::vector<std::string>> movable;
+std::map<std::string, VmFleet::PoolVms> VmFleet::MovableVmsByPool() const {
+  std::map<std::string, PoolVms> movable;
+  std::map<std::string, std::vector<std::pair<std::int64_t, std::string>>> busy;
   for (const auto& [id, vm] : m_list.vms()) {
     const ClusterConfig* config = m_parts.scheduler->config();
     const bool standby = config->IsStandby(vm.pool);
@@ -158,18 +160,40 @@
       continue;
     }
     if (standby) {
-      movable[vm.pool].push_back(id);
+      movable[vm.pool].idle.push_back(id);
       continue;
     }
     const Worker* worker = m_parts.scheduler->FindWorker(vm.worker);
-    if (worker != nullptr && worker->registered && !worker->info.draining && worker->reconciled &&
-        worker->idle()) {
-      movable[vm.pool].push_back(id);
+    if (worker == nullptr || !worker->registered || worker->info.draining || !worker->reconciled) {
+      continue;
+    }
+    if (worker->idle()) {
+      movable[vm.pool].idle.push_back(id);
+    } else if (worker->long_running_runs == 0) {
+      busy[vm.pool].emplace_back(-worker->used.cpu_millis, id);
+    }
+  }
+  for (auto& [pool, vms] : busy) {
+    std::sort(vms.begin(), vms.end());
+    for (auto& [used, id] : vms) {
+      movable[pool].busy.push_back(std::move(id));
     }
   }
   return movable;
 }
 
+std::vector<int> VmFleet::TargetsOf(std::span<const JobPoolLoad> loads) const {
+  if (m_settings.divide_fleet) {
+    return TargetVms(loads);
+  }
+  std::vector<int> targets;
+  targets.reserve(loads.size());
+  for (const JobPoolLoad& load : loads) {
+    targets.push_back(WantedVms(load));
+  }
+  return targets;
+}
+
 void VmFleet::PlanPoolMoves(TimePoint now, std::vector<JobPoolLoad> loads) {
   if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
     return;
@@ -186,49 +210,60 @@
       }
     }
   }
-  LogPools(now, loads);
-  auto movable = MovableVms();
-  std::map<std::string, int> counts;
+  const std::vector<int> targets = TargetsOf(loads);
+  LogPools(now, loads, targets);
+  auto movable = MovableVmsByPool();
+  std::map<std::string, MovableVms> counts;
   for (const auto& [pool, vms] : movable) {
-    counts[pool] = static_cast<int>(vms.size());
+    counts[pool].idle = static_cast<int>(vms.idle.size());
+    counts[pool].busy = m_settings.divide_fleet ? static_cast<int>(vms.busy.size()) : 0;
   }
-  for (const PoolMove& move : PlanMoves(loads, counts)) {
-    std::vector<std::string>& vms = movable[move.from];
+  for (const PoolMove& move : PlanMoves(loads, targets, counts)) {
+    PoolVms& donor = movable[move.from];
+    std::vector<std::string>& vms = move.vacate ? donor.busy : donor.idle;
     if (vms.empty() || sizes.moving >= m_list.vms().size() / kMovingDivisor) {
       continue;
     }
     const std::string vm = vms.back();
     vms.pop_back();
-    const std::string worker = m_list.vms().at(vm).worker;
     const bool to_standby = m_parts.scheduler->config()->IsStandby(move.to);
-    const Worker* known = m_parts.scheduler->FindWorker(worker);
+    const Worker* known = m_parts.scheduler->FindWorker(m_list.vms().at(vm).worker);
     if (to_standby && (known == nullptr || now - known->last_used() < kIdleBeforeStandby)) {
       continue;
     }
     ++sizes.moving;
-    VmOperation operation;
-    operation.pool = move.to;
-    operation.worker = worker;
-    operation.since = now;
-    m_operations.emplace(vm, operation);
-    LogLine(LogLevel::kInfo, "move")
-        .Field("vm", vm)
-        .Field("worker", worker)
-        .Field("from", move.from)
-        .Field("to", move.to);
+    BeginMove(now, vm, move);
   }
 }
 
-void VmFleet::LogPools(TimePoint now, std::span<const JobPoolLoad> loads) {
+void VmFleet::BeginMove(TimePoint now, const std::string& vm, const PoolMove& move) {
+  VmOperation operation;
+  operation.pool = move.to;
+  operation.worker = m_list.vms().at(vm).worker;
+  operation.drains = move.vacate;
+  operation.since = now;
+  LogLine(LogLevel::kInfo, "move")
+      .Field("vm", vm)
+      .Field("worker", operation.worker)
+      .Field("from", move.from)
+      .Field("to", move.to)
+      .Field("busy", move.vacate);
+  m_operations.emplace(vm, std::move(operation));
+}
+
+void VmFleet::LogPools(TimePoint now, std::span<const JobPoolLoad> loads,
+                       std::span<const int> targets) {
   if (now < m_next_log) {
     return;
   }
   m_next_log = now + kPoolLogInterval;
-  for (const JobPoolLoad& load : loads) {
+  for (std::size_t i = 0; i < loads.size(); ++i) {
+    const JobPoolLoad& load = loads[i];
     LogLine(LogLevel::kInfo, "pool")
         .Field("pool", load.pool)
         .Field("vms", load.vms)
         .Field("wanted", load.standby ? 0 : WantedVms(load))
+        .Field("target", load.standby ? 0 : targets[i])
         .Field("running_cores", static_cast<int>(load.running_cores))
         .Field("waiting_cores", static_cast<int>(load.waiting_cores))
         .Field("backlog_core_s", static_cast<int>(load.backlog_core_s))
@@ -284,8 +319,8 @@
 void VmFleet::AdvanceOne(TimePoint now, const std::string& vm, VmOperation* operation) {
   if (operation->phase == VmOperation::Phase::kVacating) {
     if (!MayTakeDown(operation->worker)) {
-      m_parts.scheduler->VacateWorker(now, operation->worker,
-                                      now - operation->since > VacateBound(*operation));
+      const bool stop_all = !operation->drains && now - operation->since > VacateBound(*operation);
+      m_parts.scheduler->VacateWorker(now, operation->worker, stop_all);
       return;
     }
     operation->phase = VmOperation::Phase::kOrdering;
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -44,6 +44,9 @@
 /// demand is more than it can carry.
 OrderKey OrderOf(const OrderInput& input, TimePoint now);
 
+/// Returns whether the work will end so late that its result has no value.
+bool IsWorthless(const OrderInput& input, TimePoint now);
+
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_SCHEDULER_JOB_ORDER_H_
--- a/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/pool_planner.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYPLANK_SCHEDULER_POOL_PLANNER_H_
 #define CRANBERRYPLANK_SCHEDULER_POOL_PLANNER_H_
 
+#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -19,8 +20,12 @@
   double long_running_cores = 0;  ///< Requested by long-running tasks.
   /// VMs that the step with the widest required spread of long-running tasks needs.
   int long_running_vms = 0;
-  double running_cores = 0;   ///< In use by other tasks.
-  double waiting_cores = 0;   ///< Requested by tasks that could start now.
+  double running_cores = 0;  ///< In use by other tasks.
+  double waiting_cores = 0;  ///< Requested by tasks that could start now.
+  /// The part of `waiting_cores` whose jobs end too late to have any value.
+  double worthless_cores = 0;
+  /// Of the most urgent queue with running or waiting work; 0 is the most urgent.
+  int priority = std::numeric_limits<int>::max();
   double backlog_core_s = 0;  ///< Remaining work of accepted jobs.
   double arriving_cores = 0;  ///< Recent arrival rate of work, in cores.
 };
@@ -29,18 +34,31 @@
 /// @param load a pool that is not a standby pool
 int WantedVms(const JobPoolLoad& load);
 
+/// Returns the number of VMs that each pool should have now. While the pools together want more VMs
+/// than there are, the fleet is divided among them; see `DivideFleet`.
+/// @return targets in the order of `loads`; 0 for standby pools
+std::vector<int> TargetVms(std::span<const JobPoolLoad> loads);
+
 /// A move of one VM between pools.
 struct PoolMove {
   std::string from;
   std::string to;
+  bool vacate = false;  ///< The VM is busy: it runs its tasks to their end first.
+};
+
+/// VMs of one pool that can be moved now.
+struct MovableVms {
+  int idle = 0;
+  int busy = 0;  ///< With batch tasks only.
 };
 
 /// Plans moves between pools for queues whose demand peaks at different times. VMs go to pools with
 /// a shortage, first from pools with a surplus, then from standby pools. The remaining surplus goes
 /// to a standby pool, where it costs nothing.
-/// @param movable number of VMs of each pool that can be moved now
-std::vector<PoolMove> PlanMoves(std::span<const JobPoolLoad> loads,
-                                const std::map<std::string, int>& movable);
+/// @param targets VMs that each pool should have, in the order of `loads`
+/// @param movable VMs of each pool that can be moved now
+std::vector<PoolMove> PlanMoves(std::span<const JobPoolLoad> loads, std::span<const int> targets,
+                                const std::map<std::string, MovableVms>& movable);
 
 /// Moving average of the work that arrives for a pool.
 class ArrivalRate {
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -236,7 +236,8 @@
   /// while its step's limit of unavailable tasks permits it, other tasks only if `all` is set.
   void VacateWorker(TimePoint now, const std::string& id, bool all);
   /// Returns the load of each configured pool; the numbers of VMs are left at 0.
-  std::vector<JobPoolLoad> PoolLoads(TimePoint now);
+  /// @param with_value also finds out how much of the work has lost its value
+  std::vector<JobPoolLoad> PoolLoads(TimePoint now, bool with_value);
   /// Returns the number of workers on which a run could be started in the last placement pass.
   std::size_t usable_workers() const { return m_usable_workers; }
   bool may_act(TimePoint now) const { return MayAct(now); }
@@ -361,6 +362,10 @@
 
   // Placement.
   void Schedule(TimePoint now);
+  /// Returns what the order of an occurrence depends on, except for the kind of the step.
+  /// @param ends space for the calculation, reused between calls
+  OrderInput OrderInputOf(const Job& job, const OccurrenceState& occurrence,
+                          const QueueConfig& queue, std::vector<std::int64_t>* ends) const;
   std::vector<WaitingStep> CollectWaiting(TimePoint now);
   void PlaceStep(TimePoint now, const WaitingStep& waiting, PoolPass* pass);
   /// Places the tasks of a step for which not all workers of its pool are equal.
--- a/packages/scheduler/src/job_order.cc
+++ b/packages/scheduler/src/job_order.cc
@@ -15,16 +15,8 @@
 /// Work that ends later than this many times its objective has no value.
 constexpr int kWorthlessFactor = 3;
 
-Rank RankOf(const OrderInput& input, TimePoint now) {
-  if (input.over_share) {
-    return kOverShare;
-  }
-  if (input.best_effort) {
-    return kBestEffort;
-  }
-  if (input.long_running) {
-    return kLongRunning;
-  }
+/// Returns the rank of batch work by the time at which it can end.
+Rank RankInTime(const OrderInput& input, TimePoint now) {
   TimePoint earliest_end = now + input.remaining_chain;
   if (!input.begun) {
     earliest_end += input.remaining_chain / kSpareDivisor +
@@ -39,6 +31,19 @@
   return kWorthless;
 }
 
+Rank RankOf(const OrderInput& input, TimePoint now) {
+  if (input.over_share) {
+    return kOverShare;
+  }
+  if (input.best_effort) {
+    return kBestEffort;
+  }
+  if (input.long_running) {
+    return kLongRunning;
+  }
+  return RankInTime(input, now);
+}
+
 }  // namespace
 
 OrderKey OrderOf(const OrderInput& input, TimePoint now) {
@@ -50,4 +55,8 @@
   return key;
 }
 
+bool IsWorthless(const OrderInput& input, TimePoint now) {
+  return !input.best_effort && !input.long_running && RankInTime(input, now) == kWorthless;
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -175,6 +175,24 @@
 
 }  // namespace
 
+OrderInput Scheduler::OrderInputOf(const Job& job, const OccurrenceState& occurrence,
+                                   const QueueConfig& queue,
+                                   std::vector<std::int64_t>* ends) const {
+  OrderInput input;
+  input.over_share = job.over_share;
+  input.step_delay = m_step_delay;
+  input.priority = queue.priority;
+  input.due = occurrence.due;
+  input.objective = ObjectiveOf(job.spec, queue);
+  input.remaining_chain = RemainingChain(job.spec, occurrence, ends);
+  for (const StepState& step : occurrence.steps) {
+    input.remaining_steps += step.done < static_cast<int>(step.tasks.size()) ? 1 : 0;
+    input.begun = input.begun || step.done > 0 || step.placed > 0;
+  }
+  input.serial = job.serial;
+  return input;
+}
+
 std::vector<Scheduler::WaitingStep> Scheduler::CollectWaiting(TimePoint now) {
   std::vector<WaitingStep> waiting;
   std::vector<std::int64_t> ends;
@@ -188,20 +206,9 @@
           continue;
         }
         const QueueConfig& queue = QueueOfJob(*job);
-        OrderInput input;
+        OrderInput input = OrderInputOf(*job, occurrence, queue, &ends);
         input.long_running = job->spec.steps[i].long_running;
         input.best_effort = job->spec.steps[i].uses_leftover_cpu;
-        input.over_share = job->over_share;
-        input.step_delay = m_step_delay;
-        input.priority = queue.priority;
-        input.due = occurrence.due;
-        input.objective = ObjectiveOf(job->spec, queue);
-        input.remaining_chain = RemainingChain(job->spec, occurrence, &ends);
-        for (const StepState& step : occurrence.steps) {
-          input.remaining_steps += step.done < static_cast<int>(step.tasks.size()) ? 1 : 0;
-          input.begun = input.begun || step.done > 0 || step.placed > 0;
-        }
-        input.serial = job->serial;
         waiting.push_back({OrderOf(input, now), &queue, {job, number, static_cast<int>(i), 0}});
       }
     }
--- a/packages/scheduler/src/scheduler_pools.cc
+++ b/packages/scheduler/src/scheduler_pools.cc
@@ -16,23 +16,26 @@
          (static_cast<double>(spec.per_task.cpu_millis) / kMillisPerUnit);
 }
 
-void AddJob(const Job& job, JobPoolLoad* load) {
-  for (const auto& [number, occurrence] : job.open) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const StepSpec& spec = job.spec.steps[i];
-      const double cores = static_cast<double>(spec.Footprint().cpu_millis) / kMillisPerUnit;
-      if (spec.long_running) {
-        load->long_running_cores += spec.count * cores;
-        if (spec.max_per_vm > 0) {
-          const int vms = (spec.count + spec.max_per_vm - 1) / spec.max_per_vm;
-          load->long_running_vms = std::max(load->long_running_vms, vms);
-        }
-      } else if (!spec.uses_leftover_cpu) {
-        load->backlog_core_s += RemainingWork(spec, occurrence.steps[i]);
-        load->running_cores += occurrence.steps[i].placed * cores;
-        if (job.StepReady(occurrence, i)) {
-          load->waiting_cores += std::max(occurrence.steps[i].waiting(), 0) * cores;
-        }
+/// Adds the load of one occurrence. @param worthless it will end too late to have any value
+void AddOccurrence(const Job& job, const OccurrenceState& occurrence, bool worthless,
+                   JobPoolLoad* load) {
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    const StepSpec& spec = job.spec.steps[i];
+    const StepState& state = occurrence.steps[i];
+    const double cores = static_cast<double>(spec.Footprint().cpu_millis) / kMillisPerUnit;
+    if (spec.long_running) {
+      load->long_running_cores += spec.count * cores;
+      if (spec.max_per_vm > 0) {
+        const int vms = (spec.count + spec.max_per_vm - 1) / spec.max_per_vm;
+        load->long_running_vms = std::max(load->long_running_vms, vms);
+      }
+    } else if (!spec.uses_leftover_cpu) {
+      load->backlog_core_s += RemainingWork(spec, state);
+      load->running_cores += state.placed * cores;
+      if (job.StepReady(occurrence, i)) {
+        const double waiting = std::max(state.waiting(), 0) * cores;
+        load->waiting_cores += waiting;
+        load->worthless_cores += worthless ? waiting : 0;
       }
     }
   }
@@ -102,7 +105,7 @@
   }
 }
 
-std::vector<JobPoolLoad> Scheduler::PoolLoads(TimePoint now) {
+std::vector<JobPoolLoad> Scheduler::PoolLoads(TimePoint now, bool with_value) {
   std::map<std::string, JobPoolLoad> loads;
   if (!m_config) {
     return {};
@@ -115,9 +118,20 @@
       load.arriving_cores = it->second.Current(now);
     }
   }
+  std::vector<std::int64_t> ends;
   for (const auto& [id, job] : m_jobs.active()) {
-    if (const auto it = loads.find(QueueOfJob(*job).pool); it != loads.end()) {
-      AddJob(*job, &it->second);
+    const QueueConfig& queue = QueueOfJob(*job);
+    const auto it = loads.find(queue.pool);
+    if (it == loads.end()) {
+      continue;
+    }
+    JobPoolLoad& load = it->second;
+    const bool batch = !job->spec.steps.front().long_running;
+    load.priority = batch ? std::min(load.priority, queue.priority) : load.priority;
+    for (const auto& [number, occurrence] : job->open) {
+      const bool worthless =
+          with_value && batch && IsWorthless(OrderInputOf(*job, occurrence, queue, &ends), now);
+      AddOccurrence(*job, occurrence, worthless, &load);
     }
   }
   for (const auto& [id, worker] : m_workers) {
--- a/packages/scheduler/tests/decisions_test.cc
+++ b/packages/scheduler/tests/decisions_test.cc
@@ -129,7 +129,7 @@
   loads[0].running_cores = 600;
   loads[0].waiting_cores = 400;
   loads[2].standby = true;
-  const auto moves = PlanMoves(loads, {{"idle", 12}, {"spare", 8}});
+  const auto moves = PlanMoves(loads, TargetVms(loads), {{"idle", {12, 0}}, {"spare", {8, 0}}});
   int to_busy = 0;
   int to_standby = 0;
   for (const PoolMove& move : moves) {
