Evacuate availability zones on operators' request

While op/evacuate/ZONE exists, no task is started on the zone's workers, its VMs count for no pool and are not moved, and long-running tasks are migrated within their steps' limits where another worker has room. Enabled by evacuation_ms in [bounds]; starts pause while the operators' entries are older than that allows.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -64,6 +64,8 @@
  private:
   void OnConfig(TimePoint now);
   void OnWave(TimePoint now, const UpkeepWave& wave);
+  /// Passes the evacuated zones to the owner of the schedule if this daemon is it.
+  void OnEvacuation(TimePoint now);
   void OnAcquired(TimePoint now);
   void OnLost(TimePoint now);
   void FollowOwner(TimePoint now);
@@ -94,6 +96,7 @@
   CallerGateway m_gateway;
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_owner_ended = false;
+  bool m_evacuation_ignored = false;  ///< It was logged that the setting is missing.
   std::optional<TimePoint> m_stopping_since;
   bool m_ended_accepting = false;  ///< Connections of callers, before the end of the process.
   /// Owners that stopped acting when they handed over to this daemon, by incarnation, and the time
--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -27,6 +27,9 @@
   Duration max_lease{6'000};         ///< Longest lease that workers grant.
   Duration stop_time{900};           ///< Longest time to stop a task.
   Duration drain_time{2'000};  ///< A worker accepts starts for this long after it reports to drain.
+  /// A worker must not begin a start in a zone later than this after its evacuation was requested;
+  /// nothing if such requests are ignored.
+  std::optional<Duration> evacuation_bound;
   Duration retention{120'000};  ///< How long the state of an ended job stays available.
   Duration shutdown_grace{6'000};
   Duration machine_lease{3'000};  ///< Two holders must not send orders to one VM within this time.
--- a/packages/entry/include/cranberryplank/entry/platform_format.h
+++ b/packages/entry/include/cranberryplank/entry/platform_format.h
@@ -36,6 +36,10 @@
   /// Returns whether the key is that of an upkeep wave.
   virtual bool IsWaveKey(std::string_view key) const = 0;
   virtual std::optional<UpkeepWave> DecodeWave(const KvItem& item) const = 0;
+  /// Returns whether the key requests the evacuation of an availability zone while it exists.
+  virtual bool IsEvacuationKey(std::string_view key) const = 0;
+  /// Returns the zone that such a key names. @return nothing if the key is malformed
+  virtual std::optional<std::string> EvacuatedZoneOf(std::string_view key) const = 0;
   virtual KvWrite EncodeWaveStatus(std::int64_t wave, bool done) const = 0;
 
   /// Prefix of the workers' registrations.
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -53,6 +53,10 @@
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
   void SetWave(TimePoint now, const UpkeepWave& wave);
   void SetSettings(const SchedulerSettings& settings);
+  void SetEvacuatedZones(ZoneSet zones) { m_scheduler->SetEvacuatedZones(std::move(zones)); }
+  /// Reports that every request for an evacuation acknowledged before `time` is known. Without that
+  /// no task is started where evacuations are enabled.
+  void SetEvacuationsKnownUntil(TimePoint time) { m_scheduler->SetEvacuationsKnownUntil(time); }
   /// Earlier owners that may still act. What is recorded there takes effect with the next `Tick`.
   EarlierOwners* earlier_owners() { return &m_earlier; }
   /// Returns how much longer earlier owners may act.
--- a/packages/entry/include/cranberryplank/entry/vm_operation.h
+++ b/packages/entry/include/cranberryplank/entry/vm_operation.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "cranberryplank/entry/vm_control.h"
+#include "cranberryplank/scheduler/zone_evacuation.h"
 
 namespace cranberryplank {
 
@@ -57,8 +58,10 @@
 
 /// Counts the VMs of each pool that are available for work.
 /// @param is_standby returns whether a pool is a standby pool
+/// @param evacuated zones whose VMs are not available
 PoolSizes CountPoolSizes(const std::map<std::string, ListedVm>& vms, const VmOperations& operations,
-                         const std::function<bool(const std::string& pool)>& is_standby);
+                         const std::function<bool(const std::string& pool)>& is_standby,
+                         const ZoneEvacuation& evacuated = {});
 
 }  // namespace cranberryplank
 
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -117,6 +117,8 @@
   m_ownership.signal_lost().connect(sigc::mem_fun(*this, &JobService::OnLost));
   m_operators.signal_config().connect(sigc::mem_fun(*this, &JobService::OnConfig));
   m_operators.signal_wave().connect(sigc::mem_fun(*this, &JobService::OnWave));
+  m_operators.signal_evacuation().connect(sigc::mem_fun(*this, &JobService::OnEvacuation));
+  m_operators.SetEvacuationBound(settings.evacuation_bound);
   const TimePoint now = Clock::now();
   m_operators.Start(now);
   m_ownership.Read(now);
@@ -146,6 +148,7 @@
   settings.lease = std::min(settings.lease, m_settings.max_lease);
   settings.stop_time = m_settings.stop_time;
   settings.drain_time = m_settings.drain_time;
+  settings.evacuation_bound = m_settings.evacuation_bound;
   settings.retention = m_settings.retention;
   return settings;
 }
@@ -159,11 +162,13 @@
   return settings;
 }
 
-void JobService::SetSettings(Now /*now*/, const JobSettings& settings) {
+void JobService::SetSettings(Now now, const JobSettings& settings) {
   m_settings = settings;
+  m_operators.SetEvacuationBound(settings.evacuation_bound);
   if (m_owner) {
     m_owner->SetSettings(SchedulerSettingsOf());
   }
+  OnEvacuation(now.time);
 }
 
 void JobService::OnConfig(TimePoint now) {
@@ -178,6 +183,17 @@
   }
 }
 
+void JobService::OnEvacuation(TimePoint /*now*/) {
+  const bool ignored = !m_settings.evacuation_bound && !m_operators.evacuated_zones().empty();
+  if (ignored && !std::exchange(m_evacuation_ignored, true)) {
+    LogLine(LogLevel::kWarning, "evacuation_ignored").Field("reason", "evacuation_ms is not set");
+  }
+  if (m_owner) {
+    m_owner->SetEvacuatedZones(m_settings.evacuation_bound ? m_operators.evacuated_zones()
+                                                           : ZoneSet{});
+  }
+}
+
 void JobService::OnAcquired(TimePoint now) {
   m_owner_ended = false;
   m_claim.Reset();
@@ -193,6 +209,7 @@
   if (m_operators.config()) {
     m_owner->SetConfig(at, m_operators.config());
   }
+  OnEvacuation(now);
   m_owner->Begin(at);
   m_earlier_owners_asked = now;
   EarlierOwners* earlier = m_owner->earlier_owners();
@@ -247,6 +264,9 @@
   if (m_owner && m_ownership.owned()) {
     AskEarlierOwners(now.time);
     m_owner->SetProgressInLog(now.time, AllReadProgressLog(now.time));
+    if (m_operators.loaded()) {
+      m_owner->SetEvacuationsKnownUntil(m_operators.confirmed_at());
+    }
     m_owner->Tick(now);
     if (m_owner && m_owner->fenced()) {
       m_ownership.Read(now.time);
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::int64_t kHourMs = 3'600'000;
+/// An order takes up to 600 ms, so less would leave too little time to start on confirmed data.
+constexpr std::int64_t kLeastEvacuationMs = 1'000;
 constexpr double kHourSeconds = 3'600;
 constexpr double kMaxCores = 1'000;
 constexpr std::int64_t kLeastMemoryMb = 64;
@@ -50,6 +52,10 @@
   table.Milliseconds("max_lease_ms", 500, kHourMs, &settings->max_lease);
   table.Milliseconds("stop_ms", 0, kHourMs, &settings->stop_time);
   table.Milliseconds("drain_ms", 0, kHourMs, &settings->drain_time);
+  if (table.Has("evacuation_ms")) {
+    settings->evacuation_bound.emplace();
+    table.Milliseconds("evacuation_ms", kLeastEvacuationMs, kHourMs, &*settings->evacuation_bound);
+  }
   table.Milliseconds("machine_lease_ms", 0, kHourMs, &settings->machine_lease);
   table.Milliseconds("notice_ms", 0, kHourMs, &settings->notice_time);
   table.Milliseconds("harm_ms", 0, kHourMs, &settings->harm_time);
--- a/packages/entry/src/operator_items.cc
+++ b/packages/entry/src/operator_items.cc
@@ -14,6 +14,12 @@
 constexpr Duration kRevocationMargin{400};
 constexpr Duration kOwnWatchTime{600};
 constexpr Duration kRefreshInterval{500};
+/// The items are confirmed this many times within the bound of an evacuation, so that one slow
+/// reply does not pause the starts.
+constexpr int kConfirmationsPerEvacuation = 4;
+constexpr Duration kLeastWatchWait{100};
+/// Longest part of a malformed key in a log line.
+constexpr std::size_t kLoggedKeyLength = 160;
 
 }  // namespace
 
@@ -27,6 +33,10 @@
     OnConfig(now, item);
     return;
   }
+  if (m_format->IsEvacuationKey(item.key)) {
+    OnEvacuation(now, item);
+    return;
+  }
   if (!m_format->IsWaveKey(item.key) || item.deleted) {
     return;
   }
@@ -39,6 +49,38 @@
   m_wave_changed.emit(now, *wave);
 }
 
+void OperatorItems::OnEvacuation(TimePoint now, const KvItem& item) {
+  const auto zone = m_format->EvacuatedZoneOf(item.key);
+  if (!zone) {
+    if (!m_evacuation_bound) {
+      return;
+    }
+    LogLine(LogLevel::kError, "unreadable_evacuation")
+        .Field("key", item.key.substr(0, kLoggedKeyLength))
+        .Field("key_bytes", item.key.size())
+        .Field("deleted", item.deleted);
+    return;
+  }
+  const bool changed =
+      item.deleted ? m_evacuated_zones.erase(*zone) > 0 : m_evacuated_zones.insert(*zone).second;
+  if (m_evacuation_bound) {
+    LogLine(LogLevel::kInfo, item.deleted ? "evacuation_cancelled" : "evacuation_requested")
+        .Field("zone", *zone)
+        .Field("revision", item.revision)
+        .Field("repeated", !changed);
+  }
+  if (changed) {
+    m_evacuation_changed.emit(now);
+  }
+}
+
+void OperatorItems::SetEvacuationBound(std::optional<Duration> evacuation_bound) {
+  m_evacuation_bound = evacuation_bound;
+  m_watch.SetWait(evacuation_bound ? std::clamp(*evacuation_bound / kConfirmationsPerEvacuation,
+                                                kLeastWatchWait, kConfigWatchWait)
+                                   : kConfigWatchWait);
+}
+
 void OperatorItems::OnConfig(TimePoint now, const KvItem& item) {
   const auto config = item.deleted ? std::nullopt : m_format->DecodeConfig(item);
   if (!config) {
--- a/packages/entry/src/owner_metrics.cc
+++ b/packages/entry/src/owner_metrics.cc
@@ -18,6 +18,12 @@
   metrics->SetGauge(
       "cranberryplank_registrations_age_seconds",
       std::chrono::duration<double>(owner->scheduler()->RegistrationsAge(now)).count());
+  if (owner->scheduler()->settings().evacuation_bound) {
+    metrics->SetGauge("cranberryplank_evacuated_zones",
+                      static_cast<double>(owner->scheduler()->evacuation().zones().size()));
+    metrics->SetGauge("cranberryplank_evacuated_zone_runs",
+                      owner->scheduler()->RunsInEvacuatedZones());
+  }
   const SchedulerCounters& counters = owner->scheduler()->counters();
   metrics->SetTotal("cranberryplank_task_starts_total", counters.starts);
   metrics->SetTotal("cranberryplank_task_start_failures_total", counters.start_failures);
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -154,7 +154,8 @@
   for (const auto& [id, vm] : m_list.vms()) {
     const ClusterConfig* config = m_parts.scheduler->config();
     const bool standby = config->IsStandby(vm.pool);
-    if (m_operations.contains(id) || (vm.state != ListedVmState::kUp && !standby)) {
+    if (m_operations.contains(id) || (vm.state != ListedVmState::kUp && !standby) ||
+        m_parts.scheduler->evacuation().Covers(vm.zone)) {
       continue;
     }
     if (standby) {
@@ -174,9 +175,10 @@
   if (!MayOrder(now) || m_parts.scheduler->config() == nullptr) {
     return;
   }
-  PoolSizes sizes = CountPoolSizes(m_list.vms(), m_operations, [this](const std::string& pool) {
-    return m_parts.scheduler->config()->IsStandby(pool);
-  });
+  PoolSizes sizes = CountPoolSizes(
+      m_list.vms(), m_operations,
+      [this](const std::string& pool) { return m_parts.scheduler->config()->IsStandby(pool); },
+      m_parts.scheduler->evacuation());
   for (JobPoolLoad& load : loads) {
     load.vms = sizes.vms[load.pool];
     if (load.vm_cores <= 0) {
@@ -269,8 +271,14 @@
 void VmFleet::Advance(TimePoint now) {
   std::vector<std::string> ended;
   for (auto& [vm, operation] : m_operations) {
-    AdvanceOne(now, vm, &operation);
     const auto listed = m_list.vms().find(vm);
+    // A move that was not ordered yet would bring a VM into the pool that cannot be used there.
+    if (!operation.upkeep && operation.token == 0 && listed != m_list.vms().end() &&
+        m_parts.scheduler->evacuation().Covers(listed->second.zone)) {
+      ended.push_back(vm);
+      continue;
+    }
+    AdvanceOne(now, vm, &operation);
     if (HasEnded(operation, now, m_list.sent(),
                  listed == m_list.vms().end() ? nullptr : &listed->second)) {
       ended.push_back(vm);
--- a/packages/entry/src/vm_operation.cc
+++ b/packages/entry/src/vm_operation.cc
@@ -46,7 +46,8 @@
 }
 
 PoolSizes CountPoolSizes(const std::map<std::string, ListedVm>& vms, const VmOperations& operations,
-                         const std::function<bool(const std::string& pool)>& is_standby) {
+                         const std::function<bool(const std::string& pool)>& is_standby,
+                         const ZoneEvacuation& evacuated) {
   PoolSizes sizes;
   for (const auto& [id, vm] : vms) {
     const auto operation = operations.find(id);
@@ -54,11 +55,11 @@
       // A VM that is vacated for upkeep, or in it, runs nothing for a while, so the pool needs
       // another one instead.
       if (!operation->second.upkeep) {
-        ++sizes.vms[operation->second.pool];
+        sizes.vms[operation->second.pool] += evacuated.Covers(vm.zone) ? 0 : 1;
         ++sizes.moving;
       }
-    } else if (vm.state == ListedVmState::kInUpkeep) {
-      continue;  // An earlier owner ordered it.
+    } else if (vm.state == ListedVmState::kInUpkeep || evacuated.Covers(vm.zone)) {
+      continue;  // In upkeep that an earlier owner ordered, or closed for new tasks.
     } else if (vm.state != ListedVmState::kDown || is_standby(vm.pool)) {
       ++sizes.vms[vm.pool];
     }
--- a/packages/entry/tests/fleet_fixture.h
+++ b/packages/entry/tests/fleet_fixture.h
@@ -76,6 +76,13 @@
   std::optional<ClusterConfig> DecodeConfig(const KvItem&) const override { return {}; }
   bool IsWaveKey(std::string_view) const override { return false; }
   std::optional<UpkeepWave> DecodeWave(const KvItem&) const override { return {}; }
+  bool IsEvacuationKey(std::string_view key) const override {
+    return key.starts_with("op/evacuate/");
+  }
+  std::optional<std::string> EvacuatedZoneOf(std::string_view key) const override {
+    const std::string zone(key.substr(std::string_view("op/evacuate/").size()));
+    return zone.empty() ? std::nullopt : std::optional(zone);
+  }
   KvWrite EncodeWaveStatus(std::int64_t, bool done) const override {
     return {"status/wave", done ? "done" : "running"};
   }
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -23,6 +23,7 @@
 #include "cranberryplank/scheduler/queue_table.h"
 #include "cranberryplank/scheduler/worker_link.h"
 #include "cranberryplank/scheduler/worker_table.h"
+#include "cranberryplank/scheduler/zone_evacuation.h"
 
 namespace cranberryplank {
 
@@ -34,6 +35,9 @@
   Duration retention{120'000};   ///< How long the state of an ended job is kept.
   Duration renewal_wait{1'000};  ///< How long a worker may delay its reply until a run ends.
   Duration drain_time{2'000};  ///< A worker accepts starts for this long after it reports to drain.
+  /// No worker of a zone begins a start later than this after operators requested the zone's
+  /// evacuation; nothing if zones are not evacuated.
+  std::optional<Duration> evacuation_bound;
 };
 
 /// Current time on the two clocks that decisions use.
@@ -247,6 +251,14 @@
   /// Sets the workers, besides draining ones, on which no run is started.
   void SetClosedWorkers(std::set<std::string> ids) { m_closed = std::move(ids); }
   Worker* FindWorker(const std::string& id);
+  /// Sets the availability zones in which no run is started; long-running tasks are moved
+  /// elsewhere.
+  void SetEvacuatedZones(ZoneSet zones);
+  /// Reports that every request for an evacuation acknowledged before `time` is known.
+  void SetEvacuationsKnownUntil(TimePoint time) { m_evacuation.SetKnownUntil(time); }
+  const ZoneEvacuation& evacuation() const { return m_evacuation; }
+  /// Returns the number of runs on workers in evacuated zones.
+  int RunsInEvacuatedZones() const;
 
  private:
   struct WaitingStep;
@@ -260,7 +272,8 @@
   /// Returns the time after which no start is sent.
   TimePoint StartsUntil() const;
   bool MayStart(TimePoint now) const { return MayAct(now) && now < StartsUntil(); }
-  /// Logs when starts pause because the registrations are old, and when they resume.
+  /// Logs when starts pause because the registrations or
+  /// the operators' keys are old, and when they resume.
   void LogPause(TimePoint now);
   /// Sets the clock that the earlier owner's deadlines on the worker are on.
   void SetRecordedClock(Worker* worker);
@@ -383,6 +396,14 @@
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
 
+  // Evacuation of availability zones.
+  /// Logs evacuations that begin or end, and migrates long-running tasks.
+  void EvacuateZones(TimePoint now);
+  void LogEvacuation(const std::string& zone, bool begun) const;
+  /// Stops a few long-running tasks in evacuated zones, for which there is room elsewhere, as far
+  /// as their steps' limits of unavailable tasks permit it.
+  void MigrateFromZones(TimePoint now);
+
   // Monitoring of runs.
   void WatchRuns(TimePoint now);
   /// Stops runs that stall or are too slow. Their tasks are then placed again, preferably on other
@@ -406,6 +427,7 @@
   std::set<std::string, std::less<>> m_unheard_pools;  ///< In the current placement pass.
   bool m_suspects_wait = false;                        ///< A suspect task may wait for a start.
   std::set<std::string> m_closed;
+  ZoneEvacuation m_evacuation;
   /// Recorded by the earlier owner and not reconciled yet.
   std::map<std::string, RecordedWorker> m_unreconciled;
   std::map<std::string, TimePoint> m_ended_unreconciled;  ///< When these were found to have ended.
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -339,6 +339,7 @@
     HandleCrashes(now.time);
     MoveLongRunningOffDraining(now.time);
   }
+  EvacuateZones(now.time);
   WatchRuns(now.time);
   SendStops(now.time);
   if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval) {
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -276,7 +276,8 @@
     const bool trusted = worker.IsConfirmed(m_authority.confirmed) && worker.recorded &&
                          worker.clock.known && !worker.restart_suspected_at &&
                          worker.failed_renewals == 0 && !worker.has_untracked_runs;
-    if (trusted && worker.registered && !worker.info.draining && !m_closed.contains(id)) {
+    const bool closed = m_closed.contains(id) || m_evacuation.Covers(worker.info.zone);
+    if (trusted && worker.registered && !worker.info.draining && !closed) {
       PoolPass& pass = passes[worker.info.pool];
       const bool for_trials = worker.trial || worker.kept_for_trials;
       (for_trials ? pass.trial_workers : pass.usable).push_back(&worker);
@@ -293,11 +294,15 @@
 }
 
 TimePoint Scheduler::StartsUntil() const {
+  TimePoint until = m_authority.until;
+  if (m_settings.evacuation_bound) {
+    until = std::min(until, m_evacuation.StartsUntil(*m_settings.evacuation_bound, kStartDelivery));
+  }
   if (!m_registrations_known_until) {
-    return m_authority.until;
+    return until;
   }
   const Duration usable = std::max(m_settings.drain_time - kStartDelivery, kLeastRegistrationsUse);
-  return std::min(m_authority.until, *m_registrations_known_until + usable);
+  return std::min(until, *m_registrations_known_until + usable);
 }
 
 void Scheduler::LogPause(TimePoint now) {
@@ -306,9 +311,12 @@
     return;
   }
   m_starts_paused = paused;
-  LogLine(paused ? LogLevel::kWarning : LogLevel::kInfo,
-          paused ? "starts_paused" : "starts_resumed")
-      .Field("registrations_age_ms", RegistrationsAge(now).count());
+  LogLine line(paused ? LogLevel::kWarning : LogLevel::kInfo,
+               paused ? "starts_paused" : "starts_resumed");
+  line.Field("registrations_age_ms", RegistrationsAge(now).count());
+  if (m_settings.evacuation_bound) {
+    line.Field("operators_age_ms", m_evacuation.Age(now).count());
+  }
 }
 
 bool Scheduler::WithinCap(const Job& job, const Resources& more) const {
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -124,6 +124,8 @@
   /// Sets whether replies to starts carry the worker's clock.
   void SetClockInStartReplies(bool given) { m_clock_in_start_replies = given; }
 
+  /// Sets the progress that all runs report; long-running tasks are ready at 100.
+  void SetListedPercent(int percent) { m_listed_percent = percent; }
   void SetFaults(const LinkFaults& faults) { m_faults = faults; }
   std::map<std::string, SimulatedWorker>& workers() { return m_workers; }
   const std::vector<std::string>& violations() const { return m_violations; }
@@ -334,6 +336,7 @@
       ListedRun listed;
       listed.task = name;
       listed.run = run.run;
+      listed.percent = m_listed_percent;
       reply.running.push_back(listed);
     }
     reply.ended = worker.ends;
@@ -494,6 +497,7 @@
   SeededRandom m_random;
   TimePoint m_now{};
   std::int64_t m_incarnations = 1'000'000;
+  int m_listed_percent = 0;
   LinkFaults m_faults;
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
