--- a/packages/entry/tests/evacuation_test.cc
+++ b/packages/entry/tests/evacuation_test.cc
@@ -1,12 +1,21 @@
-#include <algorithm>
+#include <event2/event.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cranberryplank/entry/job_settings.h"
 #include "cranberryplank/entry/operator_items.h"
+#include "cranberryplank/entry/state_writer.h"
 #include "cranberryplank/entry/vm_operation.h"
+#include "cranberryplank/jobs/job_codec.h"
+#include "cranberryplank/platform/http_client.h"
+#include "daemon_fixture.h"
 #include "fake_key_value_store.h"
 #include "fleet_fixture.h"
 
@@ -27,6 +36,89 @@
   return item;
 }
 
+/// Keeps starts, and answers renewals as workers without runs.
+class AnsweringLink : public KeepingLink {
+ public:
+  void SetEvents(WorkerEvents* events) override { m_events = events; }
+
+  void AnswerRenewals(TimePoint now) {
+    for (const auto& [id, order] : std::exchange(renewals, {})) {
+      LeaseRenewalReply reply;
+      reply.call = order.call;
+      reply.outcome = CallOutcome::kOk;
+      reply.clock_ms = std::chrono::duration_cast<Duration>(now.time_since_epoch()).count();
+      reply.started_unix_ms = 1;
+      m_events->OnLeaseRenewal(now, id, reply);
+    }
+  }
+
+ private:
+  WorkerEvents* m_events = nullptr;
+};
+
+/// Decodes a registration of which the value is the worker's zone.
+class ZoneFormat : public SubmissionFormat {
+ public:
+  std::optional<WorkerInfo> DecodeWorker(const KvItem& item) const override {
+    WorkerInfo info;
+    info.id = item.key;
+    info.pool = "pool";
+    info.zone = item.value;
+    info.capacity = {8'000, 8'000, 0};
+    info.started_unix_ms = 1;
+    return info;
+  }
+};
+
+/// Lets a daemon take over the schedule, of which a job has one task for each of two workers.
+/// @return the workers on which it starts tasks
+std::set<std::string> WorkersOfNewOwner(std::optional<Duration> evacuation_bound) {
+  ConfiguredStore store;
+  store.Put("op/evacuate/a", "{}");
+  store.Put("servers/1", "a");
+  store.Put("servers/2", "b");
+  JobSpec spec;
+  spec.id = "job";
+  spec.queue = "queue";
+  spec.pool = "pool";
+  StepSpec step;
+  step.count = 2;
+  step.per_task = {8'000, 100, 0};
+  step.estimate_ms = 500;
+  spec.steps.push_back(step);
+  store.Put(std::string(kJobPrefix) + "job", EncodeJob(spec));
+  const std::unique_ptr<event_base, decltype(&event_base_free)> base(event_base_new(),
+                                                                     &event_base_free);
+  HttpClient http(base.get(), HttpClientLimits{});
+  SeededRandom random(1);
+  AnsweringLink link;
+  const ZoneFormat format;
+  JobSettings settings = SettingsOf("owner");
+  settings.evacuation_bound = evacuation_bound;
+  JobService service(base.get(), settings, {&store, &link, nullptr, &format, &http, &random});
+  const std::size_t expected = evacuation_bound ? 1 : 2;
+  // One more second after the first start shows starts that come later.
+  TimePoint end = Clock::now() + Duration(4'000);
+  bool started = false;
+  while (Clock::now() < end) {
+    const Now now{Clock::now(), UnixMilliseconds()};
+    store.Deliver(now.time);
+    service.Tick(now);
+    link.AnswerRenewals(now.time);
+    event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    usleep(1'000);
+    if (!started && link.starts.size() >= expected) {
+      started = true;
+      end = Clock::now() + Duration(1'000);
+    }
+  }
+  std::set<std::string> workers;
+  for (const auto& [id, order] : link.starts) {
+    workers.insert(id);
+  }
+  return workers;
+}
+
 constexpr const char* kSettings = R"([daemon]
 id = "m-1"
 zone = "a"
@@ -134,4 +226,14 @@
   CHECK(reader.last_reason().find("evacuation_ms") != std::string::npos);
 }
 
+// Guards against a new owner that starts tasks in the zone before it knows of the evacuation.
+TEST_CASE("a new owner knows the evacuated zones before its first start") {
+  CHECK(WorkersOfNewOwner(Duration(5'000)) == std::set<std::string>{"servers/2"});
+}
+
+// Guards against keys that take effect, or starts that pause, where the setting is missing.
+TEST_CASE("without the setting the keys of evacuations are ignored") {
+  CHECK(WorkersOfNewOwner({}) == std::set<std::string>{"servers/1", "servers/2"});
+}
+
 }  // namespace cranberryplank
