--- a/packages/scheduler/tests/zone_evacuation_test.cc
+++ b/packages/scheduler/tests/zone_evacuation_test.cc
@@ -115,6 +115,22 @@
   CHECK(zones.cluster.EndOf("batch") == JobState::kDone);
 }
 
+// Guards against a trial of a suspect task on a worker in the zone that is kept for such trials.
+TEST_CASE("suspect tasks are not tried in an evacuated zone") {
+  TwoZones zones;
+  zones.cluster.workers().SetRestartTime(Duration(500));
+  zones.cluster.workers().SetDeadly("deadly.0.0.0");
+  zones.cluster.scheduler().SetEvacuatedZones({"a"});
+  zones.Submit("deadly", 1, Duration(500));
+  CHECK(zones.MostRunsIn("a", Duration(30'000)) == 0);
+  CHECK(zones.cluster.workers().Crashes("deadly.0.0.0") > 1);
+  for (const auto& [task, crashes] : zones.cluster.workers().run_crashes()) {
+    for (const SimulatedWorkers::RunCrash& crash : crashes) {
+      CHECK(crash.worker >= "worker2");
+    }
+  }
+}
+
 // Guards against starts by keys that are older than the bound allows, and against a bound that
 // counts where evacuations are not enabled.
 TEST_CASE("starts pause while the operators' keys are not confirmed") {
