Let tasks wait for the rack of their data while that is faster

The setting [placement] far_factor enables the wait, which is bounded by what a start in another rack would cost and by the objective. Without it, or at 1, tasks are placed as before. docs/design/locality-wait.md describes the rule.

--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -36,6 +36,7 @@
   Duration harm_time{4'000};    ///< Longest time that best-effort tasks may slow a serving task.
   std::size_t memory_mb = 160;  ///< Memory of the VM that the process may use.
   std::size_t max_descriptors = 4'100;  ///< Descriptors that the process may open.
+  double far_factor = 1;  ///< Duration of a task away from its data, relative to near it.
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -147,6 +147,7 @@
   settings.stop_time = m_settings.stop_time;
   settings.drain_time = m_settings.drain_time;
   settings.retention = m_settings.retention;
+  settings.far_factor = m_settings.far_factor;
   return settings;
 }
 
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -14,12 +14,13 @@
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr double kHourSeconds = 3'600;
 constexpr double kMaxCores = 1'000;
+constexpr double kMaxFarFactor = 100;
 constexpr std::int64_t kLeastMemoryMb = 64;
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
 constexpr std::int64_t kLeastDescriptors = 64;
 constexpr std::int64_t kMostDescriptors = 1'048'576;
-constexpr std::array<std::string_view, 5> kTables{"daemon", "listen", "platform", "bounds",
-                                                  "limits"};
+constexpr std::array<std::string_view, 6> kTables{"daemon", "listen", "platform",
+                                                  "bounds", "limits", "placement"};
 
 void ReadListen(const toml::table& root, ProblemList* problems, JobSettings* settings) {
   TableReader table(root, "listen", problems);
@@ -70,6 +71,15 @@
   table.ReportUnknownKeys();
 }
 
+void ReadPlacement(const toml::table& root, ProblemList* problems, JobSettings* settings) {
+  if (!root.contains("placement")) {
+    return;
+  }
+  TableReader table(root, "placement", problems);
+  table.Real("far_factor", 1, kMaxFarFactor, &settings->far_factor);
+  table.ReportUnknownKeys();
+}
+
 }  // namespace
 
 std::optional<JobSettings> JobSettingsReader::ReadText(std::string_view text) {
@@ -92,6 +102,7 @@
   ReadPlatform(*root, &problems, &settings);
   ReadBounds(*root, &problems, &settings);
   ReadLimits(*root, &problems, &settings);
+  ReadPlacement(*root, &problems, &settings);
   if (!problems.text().empty()) {
     m_last_reason = problems.text();
     return std::nullopt;
--- a/packages/entry/src/owner_metrics.cc
+++ b/packages/entry/src/owner_metrics.cc
@@ -31,6 +31,7 @@
   metrics->SetTotal("cranberryplank_reborn_workers_total", counters.restarted_workers);
   metrics->SetTotal("cranberryplank_worker_crashes_total", counters.worker_crashes);
   metrics->SetTotal("cranberryplank_crashing_tasks_total", counters.crashing_tasks);
+  metrics->SetTotal("cranberryplank_locality_waits_total", counters.locality_waits);
   metrics->SetTotal("cranberryplank_jobs_done_total", counters.jobs_done);
   metrics->SetTotal("cranberryplank_jobs_failed_total", counters.jobs_failed);
   metrics->SetTotal("cranberryplank_jobs_cancelled_total", counters.jobs_cancelled);
--- a/packages/entry/tests/entry_test.cc
+++ b/packages/entry/tests/entry_test.cc
@@ -320,6 +320,14 @@
   CHECK(reader.last_reason().find("stop_ms") != std::string::npos);
   // Guards against a misspelt table, whose bounds would silently keep their defaults.
   CHECK_FALSE(reader.ReadText(text + "[bound]\nstop_ms = 1\n").has_value());
+  // Guards against a wait for data locality on platforms that do not state the far factor, and
+  // against a factor that would make a task faster away from its data.
+  CHECK(settings->far_factor == 1);
+  const auto far = reader.ReadText(text + "[placement]\nfar_factor = 2\n");
+  REQUIRE(far);
+  CHECK(far->far_factor == 2);
+  CHECK_FALSE(reader.ReadText(text + "[placement]\nfar_factor = 0.5\n").has_value());
+  CHECK(reader.last_reason().find("far_factor") != std::string::npos);
   // Guards against characters on which the TOML library has undefined behaviour.
   CHECK_FALSE(reader.ReadText(text + "# \xc3\xa9\n").has_value());
   CHECK(reader.last_reason().find("ASCII") != std::string::npos);
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -44,6 +44,9 @@
 /// demand is more than it can carry.
 OrderKey OrderOf(const OrderInput& input, TimePoint now);
 
+/// Returns the latest time at which the waiting work counts as work that can meet its objective.
+TimePoint LatestStart(const OrderInput& input);
+
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_SCHEDULER_JOB_ORDER_H_
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -53,6 +54,8 @@
   std::vector<JobTaskState> tasks;
   int done = 0;
   int placed = 0;  ///< Tasks with at least one run placed.
+  /// When a task of it first waited for the rack of its data although others had room.
+  std::optional<TimePoint> waits_for_rack_since;
 
   int waiting() const { return static_cast<int>(tasks.size()) - done - placed; }
 };
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -34,6 +34,7 @@
   Duration retention{120'000};   ///< How long the state of an ended job is kept.
   Duration renewal_wait{1'000};  ///< How long a worker may delay its reply until a run ends.
   Duration drain_time{2'000};  ///< A worker accepts starts for this long after it reports to drain.
+  double far_factor = 1;  ///< Duration of a task away from its data; 1: none waits for its rack.
 };
 
 /// Current time on the two clocks that decisions use.
@@ -93,6 +94,7 @@
   std::uint64_t restarted_workers = 0;
   std::uint64_t worker_crashes = 0;  ///< Counted once for each run that had just begun.
   std::uint64_t crashing_tasks = 0;  ///< Given up because workers crashed under them.
+  std::uint64_t locality_waits = 0;  ///< Steps that began to wait for the rack of their data.
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
   std::uint64_t jobs_cancelled = 0;
@@ -252,6 +254,7 @@
   struct WaitingStep;
   struct PoolPass;
   struct StepPlaces;
+  struct RackPass;
 
   bool MayAct(TimePoint now) const { return m_active && !m_fenced && now < m_authority.until; }
   void WantConfirmation(TimePoint after) {
@@ -370,7 +373,13 @@
   void AskForAdvice(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> workers);
   void PlaceTasks(TimePoint now, const WaitingStep& waiting, const StepPlaces& places,
                   PoolPass* pass);
-  void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable);
+  void PlaceGang(TimePoint now, const WaitingStep& waiting, std::span<Worker* const> usable,
+                 PoolPass* pass);
+  /// Returns whether tasks of the step may wait for the rack of their data.
+  bool MayWaitForRack(const StepSpec& step, const QueueConfig& queue) const;
+  /// Returns whether `count` tasks of such a step wait now, and records that they do.
+  bool WaitsForRack(TimePoint now, const WaitingStep& waiting, const StepPlaces& places, int count,
+                    PoolPass* pass);
   std::map<std::string_view, PoolPass> UsableWorkersByPool();
   bool StartTask(TimePoint now, Worker* worker, const TaskRef& task, int run,
                  std::string_view ticket);
@@ -430,7 +439,8 @@
   int m_start_limit = std::numeric_limits<int>::max();
   std::size_t m_usable_workers = 0;
   Duration m_step_delay{0};
-  int m_starts_left = 0;  ///< In the current placement pass.
+  int m_starts_left = 0;                          ///< In the current placement pass.
+  TimePoint m_rack_wait_ends = TimePoint::max();  ///< First end of a wait for a rack.
   TimePoint m_last_watch{};
   TimePoint m_last_cleanup{};
   std::int64_t m_unix_ms = 0;
--- a/packages/scheduler/src/job_order.cc
+++ b/packages/scheduler/src/job_order.cc
@@ -15,6 +15,16 @@
 /// Work that ends later than this many times its objective has no value.
 constexpr int kWorthlessFactor = 3;
 
+/// Returns how long the work takes from its start, with the spare time that it must have.
+Duration TimeNeeded(const OrderInput& input) {
+  Duration needed = input.remaining_chain;
+  if (!input.begun) {
+    needed += input.remaining_chain / kSpareDivisor +
+              input.remaining_steps * (kStepOverhead + input.step_delay);
+  }
+  return needed;
+}
+
 Rank RankOf(const OrderInput& input, TimePoint now) {
   if (input.over_share) {
     return kOverShare;
@@ -25,11 +35,7 @@
   if (input.long_running) {
     return kLongRunning;
   }
-  TimePoint earliest_end = now + input.remaining_chain;
-  if (!input.begun) {
-    earliest_end += input.remaining_chain / kSpareDivisor +
-                    input.remaining_steps * (kStepOverhead + input.step_delay);
-  }
+  const TimePoint earliest_end = now + TimeNeeded(input);
   if (earliest_end <= input.due + input.objective) {
     return kInTime;
   }
@@ -50,4 +56,8 @@
   return key;
 }
 
+TimePoint LatestStart(const OrderInput& input) {
+  return input.due + input.objective - TimeNeeded(input);
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -341,7 +341,8 @@
   }
   WatchRuns(now.time);
   SendStops(now.time);
-  if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval) {
+  if (m_schedule_needed || now.time - m_last_schedule >= kScheduleInterval ||
+      now.time >= m_rack_wait_ends) {
     Schedule(now.time);
   }
   RemoveOldJobs(now);
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -11,13 +11,6 @@
 
 namespace cranberryplank {
 
-/// Workers on which the tasks of a step may be placed.
-struct Scheduler::StepPlaces {
-  std::span<Worker* const> workers;
-  std::span<WorkerCandidate> candidates;  ///< Those of `workers`, in the same order.
-  std::string_view rack;                  ///< Preferred; empty if there is none.
-};
-
 namespace {
 
 /// A start that is sent may reach the worker this much later.
@@ -202,7 +195,10 @@
           input.begun = input.begun || step.done > 0 || step.placed > 0;
         }
         input.serial = job->serial;
-        waiting.push_back({OrderOf(input, now), &queue, {job, number, static_cast<int>(i), 0}});
+        waiting.push_back({OrderOf(input, now), &queue, {job, number, static_cast<int>(i), 0}, {}});
+        if (MayWaitForRack(job->spec.steps[i], queue)) {
+          waiting.back().latest_start = LatestStart(input);
+        }
       }
     }
   }
@@ -214,6 +210,7 @@
 void Scheduler::Schedule(TimePoint now) {
   m_schedule_needed = false;
   m_last_schedule = now;
+  m_rack_wait_ends = TimePoint::max();
   LogPause(now);
   if (!MayStart(now) || !m_config) {
     return;
@@ -361,7 +358,7 @@
   const TaskRef& step = waiting.step;
   const StepSpec& spec = step.spec();
   if (spec.gang) {
-    PlaceGang(now, waiting, workers);
+    PlaceGang(now, waiting, workers, pass);
     pass->candidates.clear();
     return;
   }
@@ -405,6 +402,7 @@
   const TaskRef& step = waiting.step;
   const StepSpec& spec = step.spec();
   const std::string step_name = waiting.queue->advice ? step.Id().StepName() : std::string();
+  const bool may_wait = MayWaitForRack(spec, *waiting.queue);
   TaskRef task = step;
   std::vector<JobTaskState>& tasks = step.step_state()->tasks;
   StartsLine line(now, step, m_config->version, RegistrationsAge(now));
@@ -416,6 +414,10 @@
     if (m_starts_left <= 0 || !WithinCap(*step.job, spec.per_task)) {
       break;
     }
+    // A restarted task may have saved progress, so the cost of a start elsewhere is not known.
+    if (may_wait && state.last_run == 0 && WaitsForRack(now, waiting, places, 1, pass)) {
+      continue;
+    }
     SetFailedTask(places.candidates, state.failed_worker, true);
     const int chosen = ChoosePlacement(places.candidates, spec, places.rack);
     SetFailedTask(places.candidates, state.failed_worker, false);
@@ -436,7 +438,7 @@
 }
 
 void Scheduler::PlaceGang(TimePoint now, const WaitingStep& waiting,
-                          std::span<Worker* const> usable) {
+                          std::span<Worker* const> usable, PoolPass* pass) {
   const TaskRef& step = waiting.step;
   const StepSpec& spec = step.spec();
   StepState& state = *step.step_state();
@@ -446,12 +448,14 @@
   }
   Resources all;
   int run = m_run_base;
+  bool restarted = false;
   std::string saved;
   for (const JobTaskState& task : state.tasks) {
     if (!IsDue(now, task)) {
       return;
     }
     all += spec.per_task;
+    restarted = restarted || task.last_run > 0;
     run = std::max(run, task.last_run);
     saved = std::max(saved, task.saved);
   }
@@ -460,6 +464,10 @@
   }
   std::vector<WorkerCandidate> candidates = CandidatesOf(now, usable, step);
   const std::string rack = spec.same_rack ? RackWithMostFreeCpu(candidates) : std::string();
+  if (!restarted && MayWaitForRack(spec, *waiting.queue) &&
+      WaitsForRack(now, waiting, {usable, candidates, rack}, spec.count, pass)) {
+    return;
+  }
   std::vector<int> chosen;
   for (int i = 0; i < spec.count; ++i) {
     const int candidate = ChoosePlacement(candidates, spec, rack);
