--- a/packages/scheduler/tests/locality_wait_test.cc
+++ b/packages/scheduler/tests/locality_wait_test.cc
@@ -358,18 +358,20 @@
   return spec;
 }
 
-/// Two workers of one core in racks r0 and r1, of which the first is occupied until 400 ms after
-/// the constructor.
+/// Two workers of one core in racks r0 and r1, of which the first is expected to be occupied
+/// until 400 ms after the constructor.
 class TwoRacks {
  public:
-  explicit TwoRacks(double far_factor) : cluster(1, 2, kCore), m_far_factor(far_factor) {
+  /// @param first_time real time of the first run; its estimate is `kTaskTime`
+  explicit TwoRacks(double far_factor, Duration first_time = kTaskTime)
+      : cluster(1, 2, kCore), m_far_factor(far_factor) {
     int number = 0;
     for (auto& [id, worker] : cluster.workers().workers()) {
       worker.info.rack = fmt::format("r{}", number++);
     }
     SetUp();
     cluster.Run(Duration(500));
-    cluster.Submit(TaskIn("r0", "first", kTaskTime), kTaskTime);
+    cluster.Submit(TaskIn("r0", "first", kTaskTime), first_time);
     REQUIRE(cluster.RunUntilStarted("first.0.0.0") == "worker0");
     cluster.Run(Duration(600));
   }
@@ -437,6 +439,61 @@
   CHECK(racks.cluster.now() - drained <= Duration(200));
 }
 
+// Guards against a wait that is extended because the run in the rack exceeds its estimate, or that
+// is not examined again when it ends.
+TEST_CASE("a task starts elsewhere by break-even if its rack stays occupied") {
+  TwoRacks racks(1.5, Duration(20'000));
+  const TimePoint submitted = racks.cluster.now();
+  racks.cluster.Submit(TaskIn("r0", "second", 3 * kTaskTime), kTaskTime);
+  CHECK(racks.cluster.RunUntilStarted("second.0.0.0") == "worker1");
+  CHECK(racks.cluster.scheduler().counters().locality_waits == 1);
+  CHECK(racks.cluster.now() - submitted > Duration(400));
+  // One interval of the placement passes is allowed for the storing of the job and the order.
+  CHECK(racks.cluster.now() - submitted <= 3 * kTaskTime / 2 + Duration(100));
+}
+
+// Guards against tasks of one step that all wait for the same end of a run.
+TEST_CASE("tasks that find no room in their rack in time start elsewhere at once") {
+  TwoRacks racks(2);
+  JobSpec spec = TaskIn("r0", "wide", kTaskTime);
+  spec.steps.front().count = 2;
+  racks.cluster.Submit(spec, kTaskTime);
+  CHECK(racks.cluster.RunUntilStarted("wide.0.0.1") == "worker1");
+  CHECK(racks.cluster.RunUntilStarted("wide.0.0.0") == "worker0");
+}
+
+// Guards against gangs, which are placed by a function of their own, that do not wait.
+TEST_CASE("a gang waits for the rack of its data") {
+  TwoRacks racks(2);
+  JobSpec spec = TaskIn("r0", "gang", kTaskTime);
+  spec.steps.front().gang = true;
+  racks.cluster.Submit(spec, kTaskTime);
+  CHECK(racks.cluster.RunUntilStarted("gang.0.0.0") == "worker0");
+  CHECK(racks.cluster.scheduler().counters().locality_waits == 1);
+}
+
+// Guards against a gang that waits for a rack in which it never fits.
+TEST_CASE("a gang that does not fit in the rack of its data does not wait") {
+  TwoRacks racks(2);
+  JobSpec spec = TaskIn("r0", "gang", kTaskTime);
+  spec.steps.front().gang = true;
+  spec.steps.front().count = 2;
+  racks.cluster.Submit(spec, kTaskTime);
+  CHECK_FALSE(racks.cluster.RunUntilStarted("gang.0.0.0").empty());
+  CHECK(racks.cluster.scheduler().counters().locality_waits == 0);
+}
+
+// Guards against a second step that leaves the rack in which the first step ran.
+TEST_CASE("the second step starts where the first step ran") {
+  TwoRacks racks(2);
+  JobSpec spec = TaskIn("r0", "steps", kTaskTime);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps.back().after = {0};
+  racks.cluster.Submit(spec, kTaskTime);
+  CHECK(racks.cluster.RunUntilStarted("steps.0.0.0") == "worker0");
+  CHECK(racks.cluster.RunUntilStarted("steps.0.1.0") == "worker0");
+}
+
 // Guards against a task that waits on after a change of the owner, although the run in its rack
 // exceeds its estimate.
 TEST_CASE("a wait is bounded under the next owner") {
