--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -150,6 +150,7 @@
   settings.drain_time = m_settings.drain_time;
   settings.evacuation_bound = m_settings.evacuation_bound;
   settings.retention = m_settings.retention;
+  settings.far_factor = m_settings.far_factor;
   return settings;
 }
 
--- a/packages/scheduler/include/cranberryplank/scheduler/job_order.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_order.h
@@ -47,6 +47,9 @@
 /// Returns whether the work will end so late that its result has no value.
 bool IsWorthless(const OrderInput& input, TimePoint now);
 
+/// Returns the latest time at which the waiting work counts as work that can meet its objective.
+TimePoint LatestStart(const OrderInput& input);
+
 }  // namespace cranberryplank
 
 #endif  // CRANBERRYPLANK_SCHEDULER_JOB_ORDER_H_
--- a/packages/scheduler/include/cranberryplank/scheduler/zone_evacuation.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/zone_evacuation.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cranberryplank/model/time.h"
--- a/packages/scheduler/src/job_order.cc
+++ b/packages/scheduler/src/job_order.cc
@@ -15,13 +15,19 @@
 /// Work that ends later than this many times its objective has no value.
 constexpr int kWorthlessFactor = 3;
 
-/// Returns the rank of batch work by the time at which it can end.
-Rank RankInTime(const OrderInput& input, TimePoint now) {
-  TimePoint earliest_end = now + input.remaining_chain;
+/// Returns how long the work takes from its start, with the spare time that it must have.
+Duration TimeNeeded(const OrderInput& input) {
+  Duration needed = input.remaining_chain;
   if (!input.begun) {
-    earliest_end += input.remaining_chain / kSpareDivisor +
-                    input.remaining_steps * (kStepOverhead + input.step_delay);
+    needed += input.remaining_chain / kSpareDivisor +
+              input.remaining_steps * (kStepOverhead + input.step_delay);
   }
+  return needed;
+}
+
+/// Returns the rank of batch work by the time at which it can end.
+Rank RankInTime(const OrderInput& input, TimePoint now) {
+  const TimePoint earliest_end = now + TimeNeeded(input);
   if (earliest_end <= input.due + input.objective) {
     return kInTime;
   }
@@ -59,4 +65,8 @@
   return !input.best_effort && !input.long_running && RankInTime(input, now) == kWorthless;
 }
 
+TimePoint LatestStart(const OrderInput& input) {
+  return input.due + input.objective - TimeNeeded(input);
+}
+
 }  // namespace cranberryplank
--- a/packages/scheduler/src/scheduler_evacuation.cc
+++ b/packages/scheduler/src/scheduler_evacuation.cc
@@ -152,7 +152,7 @@
   for (std::size_t i = 0; i < considered && stopped < kMaxMigrations; ++i) {
     const LeavingRun& each = leaving[(first + i) % leaving.size()];
     const QueueConfig& queue = QueueOfJob(*each.task.job);
-    if (!MayPlace({{}, &queue, each.task}) || !WithinCap(*each.task.job, {}) ||
+    if (!MayPlace({{}, &queue, each.task, {}}) || !WithinCap(*each.task.job, {}) ||
         !CanMissOneMore(each.task) || !AssignRoom(&rooms[queue.pool], each.task)) {
       continue;
     }
