--- a/packages/entry/include/cranberryplank/entry/job_settings.h
+++ b/packages/entry/include/cranberryplank/entry/job_settings.h
@@ -37,8 +37,9 @@
   Duration upkeep_time{2'000};
   Duration notice_time{4'500};  ///< A task that has not run for this long counts as away.
   Duration harm_time{4'000};    ///< Longest time that best-effort tasks may slow a serving task.
-  /// While the pools want more VMs than there are, the fleet is divided among them.
-  bool divide_fleet = false;
+  /// While the pools want more VMs than there are, a fleet of at least this many VMs is divided
+  /// among them; 0 for none.
+  int divide_from_vms = 0;
   std::size_t memory_mb = 160;          ///< Memory of the VM that the process may use.
   std::size_t max_descriptors = 4'100;  ///< Descriptors that the process may open.
   double far_factor = 1;  ///< Duration of a task away from its data, relative to near it.
--- a/packages/entry/include/cranberryplank/entry/vm_fleet.h
+++ b/packages/entry/include/cranberryplank/entry/vm_fleet.h
@@ -27,8 +27,9 @@
   Duration machine_lease{3'000};
   Duration move_time{1'500};
   Duration upkeep_time{2'000};
-  /// While the pools want more VMs than there are, they get shares instead of what is free.
-  bool divide_fleet = false;
+  /// While the pools want more VMs than there are, they get shares of a fleet of at least this many
+  /// VMs; 0 for none.
+  int divide_from_vms = 0;
 };
 
 struct VmFleetParts {
@@ -80,6 +81,8 @@
     std::vector<std::string> busy;  ///< With batch tasks only; the least busy one is the last.
   };
   std::map<std::string, PoolVms> MovableVmsByPool() const;
+  /// Returns whether the fleet is large enough to be divided among pools.
+  bool DividesFleet() const;
   std::vector<int> TargetsOf(std::span<const JobPoolLoad> loads) const;
   void BeginMove(TimePoint now, const std::string& vm, const PoolMove& move);
 
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -161,7 +161,7 @@
   settings.machine_lease = m_settings.machine_lease;
   settings.move_time = m_settings.move_time;
   settings.upkeep_time = m_settings.upkeep_time;
-  settings.divide_fleet = m_settings.divide_fleet;
+  settings.divide_from_vms = m_settings.divide_from_vms;
   return settings;
 }
 
--- a/packages/entry/src/job_settings.cc
+++ b/packages/entry/src/job_settings.cc
@@ -18,6 +18,7 @@
 constexpr double kHourSeconds = 3'600;
 constexpr double kMaxCores = 1'000;
 constexpr double kMaxFarFactor = 100;
+constexpr std::int64_t kMostVms = 1'000'000;
 constexpr std::int64_t kLeastMemoryMb = 64;
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
 constexpr std::int64_t kLeastDescriptors = 64;
@@ -73,7 +74,7 @@
     return;
   }
   TableReader table(root, "overload", problems);
-  table.Flag("divide_fleet", &settings->divide_fleet);
+  table.Number("divide_from_vms", 0, kMostVms, &settings->divide_from_vms);
   table.ReportUnknownKeys();
 }
 
--- a/packages/entry/src/vm_fleet.cc
+++ b/packages/entry/src/vm_fleet.cc
@@ -62,8 +62,7 @@
   RecordEndedWorkers(now);
   if (now >= m_next_plan) {
     m_next_plan = now + kPlanInterval;
-    const std::vector<JobPoolLoad> loads =
-        m_parts.scheduler->PoolLoads(now, m_settings.divide_fleet);
+    const std::vector<JobPoolLoad> loads = m_parts.scheduler->PoolLoads(now, DividesFleet());
     PlanWaves(now, loads);
     PlanPoolMoves(now, loads);
   }
@@ -183,8 +182,13 @@
   return movable;
 }
 
+bool VmFleet::DividesFleet() const {
+  return m_settings.divide_from_vms > 0 &&
+         m_list.vms().size() >= static_cast<std::size_t>(m_settings.divide_from_vms);
+}
+
 std::vector<int> VmFleet::TargetsOf(std::span<const JobPoolLoad> loads) const {
-  if (m_settings.divide_fleet) {
+  if (DividesFleet()) {
     return TargetVms(loads);
   }
   std::vector<int> targets;
@@ -214,7 +218,7 @@
   }
   const std::vector<int> targets = TargetsOf(loads);
   LogPools(now, loads, targets);
-  const bool vacate_busy = m_settings.divide_fleet && IsShortOfVms(loads);
+  const bool vacate_busy = DividesFleet() && IsShortOfVms(loads);
   auto movable = MovableVmsByPool();
   std::map<std::string, MovableVms> counts;
   for (const auto& [pool, vms] : movable) {
--- a/packages/scheduler/src/scheduler_locality.cc
+++ b/packages/scheduler/src/scheduler_locality.cc
@@ -37,8 +37,9 @@
   if (step.preferred_rack.empty()) {
     return rack_in_use;
   }
-  const bool conflict = !rack_in_use.empty() && rack_in_use != step.preferred_rack;
-  return conflict ? std::string_view() : std::string_view(step.preferred_rack);
+  const std::string_view preferred = step.preferred_rack;
+  const bool conflict = !rack_in_use.empty() && rack_in_use != preferred;
+  return conflict ? std::string_view() : preferred;
 }
 
 /// Returns whether `count` tasks of the step fit on the workers together.
--- a/packages/scheduler/tests/locality_wait_test.cc
+++ b/packages/scheduler/tests/locality_wait_test.cc
@@ -36,6 +36,7 @@
 
 constexpr int kRacks = 4;
 constexpr int kWorkersPerRack = 2;
+constexpr std::size_t kWorkers = std::size_t{kRacks} * kWorkersPerRack;
 constexpr int kSlotsPerWorker = 4;
 constexpr int kSlots = kRacks * kWorkersPerRack * kSlotsPerWorker;
 constexpr Duration kStep{5};
@@ -182,7 +183,8 @@
       std::vector<Resources> free;
       std::vector<ExpectedEnd> ends;
       for (int i = 0; i < kWorkersPerRack; ++i) {
-        const int slots = m_free[static_cast<std::size_t>(rack * kWorkersPerRack + i)];
+        const int worker = rack * kWorkersPerRack + i;
+        const int slots = m_free[static_cast<std::size_t>(worker)];
         free.push_back({slots * kCore.cpu_millis, slots * kCore.memory_mb, 0});
       }
       for (const ReplayRun& run : m_runs) {
@@ -230,7 +232,7 @@
   Policy m_policy;
   double m_far_factor;
   bool m_last_first;
-  std::vector<int> m_free = std::vector<int>(kRacks * kWorkersPerRack, kSlotsPerWorker);
+  std::vector<int> m_free = std::vector<int>(kWorkers, kSlotsPerWorker);
   std::vector<ReplayRun> m_runs;
   std::list<ReplayTask> m_waiting;
   ReplayResult m_result;
--- a/tests/process/client_limits_test.cc
+++ b/tests/process/client_limits_test.cc
@@ -108,9 +108,11 @@
 
 std::string PipelinedRequests(const std::string& method, const std::string& path) {
   constexpr int kRequests = 200;
+  const std::string request =
+      method + " " + path + " HTTP/1.1\r\nHost: nowhere\r\nContent-Length: 0\r\n\r\n";
   std::string text;
   for (int i = 0; i < kRequests; ++i) {
-    text += method + " " + path + " HTTP/1.1\r\nHost: nowhere\r\nContent-Length: 0\r\n\r\n";
+    text += request;
   }
   return text;
 }
