--- a/tests/process/client_limits_test.cc
+++ b/tests/process/client_limits_test.cc
@@ -131,7 +131,7 @@
 
 /// Starts a daemon that answers.
 std::unique_ptr<DaemonUnderTest> StartDaemon(std::size_t max_descriptors = kDescriptors) {
-  auto daemon = std::make_unique<DaemonUnderTest>(max_descriptors, "");
+  auto daemon = std::make_unique<DaemonUnderTest>(DaemonOptions{max_descriptors});
   RequireAnswer(daemon->port(Listener::kCallers), "/");
   return daemon;
 }
--- a/tests/process/daemon_under_test.cc
+++ b/tests/process/daemon_under_test.cc
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <string_view>
 
 namespace cranberryplank {
 
@@ -46,7 +47,7 @@
                             std::size_t max_descriptors) {
   const rlimit limit{max_descriptors, max_descriptors};
   setrlimit(RLIMIT_NOFILE, &limit);
-  const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
   execl(CRANBERRYPLANK_DAEMON, CRANBERRYPLANK_DAEMON, "--jobs", "--settings", settings.c_str(),
@@ -56,31 +57,62 @@
 
 }  // namespace
 
-DaemonUnderTest::DaemonUnderTest(std::size_t max_descriptors, const std::string& limits)
-    : m_ports{FreePort(), FreePort(), FreePort(), FreePort()},
+DaemonUnderTest::DaemonUnderTest(const DaemonOptions& options)
+    : m_max_descriptors(options.max_descriptors),
+      m_ports{FreePort(), FreePort(), FreePort(), FreePort()},
       m_settings_path(TemporaryFile()),
       m_log_path(TemporaryFile()) {
-  std::ofstream(m_settings_path) << fmt::format(
-      "[daemon]\nid = \"entry-1\"\nzone = \"zone-1\"\n"
+  std::ofstream settings(m_settings_path);
+  settings << fmt::format(
+      "[daemon]\nid = \"entry-{}\"\nzone = \"zone-{}\"\n"
       "[listen]\ncallers = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\n"
       "daemons = \"127.0.0.1:{}\"\nmetrics = \"127.0.0.1:{}\"\n"
-      "[platform]\nstore = \"127.0.0.1:{}\"\n{}",
-      port(Listener::kCallers), port(Listener::kReady), port(Listener::kDaemons),
-      port(Listener::kMetrics), FreePort(), limits);
-  m_process = fork();
-  REQUIRE(m_process >= 0);
-  if (m_process == 0) {
-    RunDaemon(m_settings_path, m_log_path, max_descriptors);
+      "[platform]\nstore = \"127.0.0.1:{}\"\n",
+      options.number, options.number, port(Listener::kCallers), port(Listener::kReady),
+      port(Listener::kDaemons), port(Listener::kMetrics),
+      options.store_port == 0 ? FreePort() : options.store_port);
+  if (options.memory_mb > 0) {
+    settings << fmt::format("[limits]\nmemory_mb = {}\n", options.memory_mb);
   }
+  settings.close();
+  Start();
 }
 
 DaemonUnderTest::~DaemonUnderTest() {
-  kill(m_process, SIGKILL);
-  waitpid(m_process, nullptr, 0);
+  if (m_process > 0) {
+    kill(m_process, SIGKILL);
+    waitpid(m_process, nullptr, 0);
+  }
   std::remove(m_settings_path.c_str());
   std::remove(m_log_path.c_str());
 }
 
+void DaemonUnderTest::Start() {
+  m_process = fork();
+  REQUIRE(m_process >= 0);
+  if (m_process == 0) {
+    RunDaemon(m_settings_path, m_log_path, m_max_descriptors);
+  }
+}
+
+void DaemonUnderTest::Signal(int signal) const { kill(m_process, signal); }
+
+void DaemonUnderTest::TouchSettings() const {
+  std::ofstream(m_settings_path, std::ios::app) << "# touched\n";
+}
+
+bool DaemonUnderTest::WaitForEnd() {
+  int status = 0;
+  const pid_t ended = waitpid(m_process, &status, 0);
+  m_process = -1;
+  return ended > 0 && WIFEXITED(status) && WEXITSTATUS(status) == EXIT_SUCCESS;
+}
+
+void DaemonUnderTest::Restart() {
+  REQUIRE(m_process == -1);
+  Start();
+}
+
 bool DaemonUnderTest::alive() const {
   std::ifstream stat(fmt::format("/proc/{}/stat", m_process));
   std::string id;
--- a/tests/process/daemon_under_test.h
+++ b/tests/process/daemon_under_test.h
@@ -13,13 +13,18 @@
 /// Addresses at which a daemon accepts connections.
 enum class Listener { kCallers, kReady, kDaemons, kMetrics };
 
-/// A job daemon as a process of its own, on loopback addresses, with a store that refuses
-/// connections.
+/// How a daemon under test is started.
+struct DaemonOptions {
+  std::size_t max_descriptors = 0;  ///< Limit of the process's open descriptors.
+  std::size_t memory_mb = 0;        ///< The setting `limits.memory_mb`; 0 for its default.
+  int number = 1;                   ///< Distinguishes the daemons of one test.
+  std::uint16_t store_port = 0;     ///< Of the store; 0 for one that refuses connections.
+};
+
+/// A job daemon as a process of its own, on loopback addresses.
 class DaemonUnderTest {
  public:
-  /// @param max_descriptors limit of the process's open descriptors
-  /// @param limits text of the settings' table `limits`; empty for the defaults
-  DaemonUnderTest(std::size_t max_descriptors, const std::string& limits);
+  explicit DaemonUnderTest(const DaemonOptions& options);
   /// Ends the process.
   ~DaemonUnderTest();
   DaemonUnderTest(const DaemonUnderTest&) = delete;
@@ -30,6 +35,13 @@
   }
 
   bool alive() const;
+  void Signal(int signal) const;
+  /// Changes the settings file without a change of what it sets.
+  void TouchSettings() const;
+  /// Waits until the process ends by itself. @return whether its exit status was 0
+  bool WaitForEnd();
+  /// Starts the process again after its end, with the same settings.
+  void Restart();
   /// Returns the highest resident memory of the process so far, in kilobytes.
   std::size_t peak_memory_kb() const;
   /// Returns the resident memory of the process, in kilobytes.
@@ -39,6 +51,9 @@
  private:
   std::size_t StatusField(const std::string& name) const;
 
+  void Start();
+
+  std::size_t m_max_descriptors;
   std::array<std::uint16_t, 4> m_ports;  ///< By listener.
   std::string m_settings_path;
   std::string m_log_path;
