Give the kernel's queues and all limits together a budget

What callers saw: with what the process holds bounded, a crowd's bytes moved into the kernel's queues, which are the VM's memory too. 1,500 clients that send ahead and do not read made it hold 83 to 151 MB on a daemon with 64 MB, and all crowds together 348 MB on one with 160 MB.

Cause: the kernel lets a connection's queues grow to megabytes, times some two thousand connections, and nothing counted them. Each limit was kept by itself; no budget said what they add up to.

New gauges of open connections and buffered bytes; gauges may have labels.

Evidence: the tests of the crowds now count the kernel's queues (/proc/net/tcp) with the process; crowds and bounds as fixed before.

--- a/packages/daemon/include/cranberryplank/daemon/api_server.h
+++ b/packages/daemon/include/cranberryplank/daemon/api_server.h
@@ -143,6 +143,12 @@
   /// while a request is being processed, so it does not detect this itself.
   void CheckCallerConnections();
 
+  /// Returns the number of open connections.
+  std::size_t open_connections() const { return m_connections.open(); }
+
+  /// Returns the memory of incomplete requests and unread responses, in bytes.
+  std::size_t buffered_bytes() const { return m_connections.buffered_bytes(); }
+
   /// Returns the number of connections that were closed because of a limit.
   std::size_t closed_connections() const { return m_connections.closed(); }
 
@@ -165,6 +171,8 @@
   Handler m_handler;
   bool m_urgent;
   std::vector<std::weak_ptr<ApiExchange>> m_open;
+  std::size_t m_receive_queue_bytes;
+  std::size_t m_send_queue_bytes;
   std::size_t m_max_open_bytes;
   ClientConnections m_connections;
   std::shared_ptr<OpenRequests> m_open_requests = std::make_shared<OpenRequests>();
--- a/packages/daemon/include/cranberryplank/daemon/client_connections.h
+++ b/packages/daemon/include/cranberryplank/daemon/client_connections.h
@@ -21,6 +21,12 @@
   std::size_t connections = 4'096;  ///< Number of open connections.
   /// Memory of incomplete requests and unread responses, in bytes.
   std::size_t buffered_bytes = std::size_t{1} << 30U;
+  /// Memory of the kernel for what one connection has received and the process has not read, in
+  /// bytes; 0 for the system's default.
+  std::size_t receive_queue_bytes = 0;
+  /// Memory of the kernel for what the process has written to one connection and its client has
+  /// not received, in bytes; 0 for the system's default.
+  std::size_t send_queue_bytes = 0;
 };
 
 /// The open connections of one HTTP server. At a limit it closes those that make least progress, so
--- a/packages/daemon/include/cranberryplank/daemon/metrics.h
+++ b/packages/daemon/include/cranberryplank/daemon/metrics.h
@@ -30,7 +30,8 @@
   /// Sets the value of a counter that another component maintains.
   void SetTotal(std::string_view name, std::uint64_t value);
 
-  void SetGauge(std::string_view name, double value);
+  /// @param labels as for Count
+  void SetGauge(std::string_view name, double value, std::string_view labels = {});
 
   /// Records the time between accepting a request and replying to it.
   void RecordLatency(Latency latency);
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -10,7 +10,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <utility>
 
 #include "cranberryplank/model/log.h"
@@ -101,6 +103,19 @@
   return size;
 }
 
+/// Limits the memory of a socket's queue in the kernel.
+/// @param option SO_RCVBUF or SO_SNDBUF
+/// @param bytes 0 for the system's default
+void SetQueueLimit(evutil_socket_t socket, int option, std::size_t bytes) {
+  // The kernel doubles the value, because it counts the memory of its own records too.
+  const int value = static_cast<int>(bytes / 2);
+  if (value > 0 && setsockopt(socket, SOL_SOCKET, option, &value, sizeof value) != 0) {
+    LogLine(LogLevel::kWarning, "socket_option_failed")
+        .Field("option", option)
+        .Field("reason", std::strerror(errno));
+  }
+}
+
 /// Refuses a request because of the memory that those under way need.
 void Refuse(ApiExchange* exchange) {
   LogLine(LogLevel::kWarning, "request_refused").Field("reason", "memory limit");
@@ -182,6 +197,8 @@
     : m_http(evhttp_new(base)),
       m_handler(std::move(handler)),
       m_urgent(limits.urgent),
+      m_receive_queue_bytes(limits.connections.receive_queue_bytes),
+      m_send_queue_bytes(limits.connections.send_queue_bytes),
       m_max_open_bytes(limits.max_open_bytes),
       m_connections(base, limits.connections, [this](bool accepting) { SetAccepting(accepting); }) {
   evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.max_header_bytes));
@@ -201,6 +218,10 @@
     m_last_reason = fmt::format("cannot listen on {}:{}", endpoint.host, endpoint.port);
     return false;
   }
+  // Accepted connections inherit both.
+  const evutil_socket_t listening = evhttp_bound_socket_get_fd(m_socket);
+  SetQueueLimit(listening, SO_RCVBUF, m_receive_queue_bytes);
+  SetQueueLimit(listening, SO_SNDBUF, m_send_queue_bytes);
   return true;
 }
 
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -47,6 +47,20 @@
   }
 };
 
+/// @param values by name, then by labels
+template <typename Values>
+std::string RenderValues(std::string_view type, const Values& values) {
+  std::string text;
+  for (const auto& [name, by_labels] : values) {
+    text += fmt::format("# TYPE {} {}\n", name, type);
+    for (const auto& [labels, value] : by_labels) {
+      text += labels.empty() ? fmt::format("{} {}\n", name, value)
+                             : fmt::format("{}{{{}}} {}\n", name, labels, value);
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 struct Metrics::Data {
@@ -54,7 +68,7 @@
   std::uint64_t& Counter(std::string_view name, std::string_view labels);
 
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>, std::less<>> counters;
-  std::map<std::string, double, std::less<>> gauges;
+  std::map<std::string, std::map<std::string, double, std::less<>>, std::less<>> gauges;
   LatencyHistogram latency;
   LatencyHistogram queue_wait;
 };
@@ -88,8 +102,8 @@
   m_data->Counter(name, "") = value;
 }
 
-void Metrics::SetGauge(std::string_view name, double value) {
-  m_data->gauges[std::string(name)] = value;
+void Metrics::SetGauge(std::string_view name, double value, std::string_view labels) {
+  m_data->gauges[std::string(name)][std::string(labels)] = value;
 }
 
 void Metrics::RecordLatency(Latency latency) { m_data->latency.Record(latency); }
@@ -106,17 +120,8 @@
 }
 
 std::string Metrics::Render() const {
-  std::string text;
-  for (const auto& [name, by_labels] : m_data->counters) {
-    text += fmt::format("# TYPE {} counter\n", name);
-    for (const auto& [labels, value] : by_labels) {
-      text += labels.empty() ? fmt::format("{} {}\n", name, value)
-                             : fmt::format("{}{{{}}} {}\n", name, labels, value);
-    }
-  }
-  for (const auto& [name, value] : m_data->gauges) {
-    text += fmt::format("# TYPE {0} gauge\n{0} {1}\n", name, value);
-  }
+  std::string text = RenderValues("counter", m_data->counters);
+  text += RenderValues("gauge", m_data->gauges);
   text += m_data->latency.Render("cranberryplank_request_seconds");
   text += m_data->queue_wait.Render("cranberryplank_queue_wait_seconds");
   return text;
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -74,6 +74,7 @@
   bool AllReadProgressLog(TimePoint now) const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  void RecordConnections();
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void CallOwner(const OwnerCall& call, Duration timeout, CallerGateway::Callback done);
   /// Asks the earlier owners that may still act whether they have stopped.
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryplank/entry/client_limits.h"
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/http_status.h"
 #include "owner_metrics.h"
@@ -22,21 +23,6 @@
 constexpr Duration kFirstPings{1'500};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
-constexpr std::size_t kMaxCallBytes = std::size_t{1} << 20U;
-constexpr std::size_t kMaxHeaderBytes = 16 << 10;
-constexpr std::size_t kMaxBodyBytes = 256 << 10;
-constexpr Duration kCallerIdle{15'000};
-constexpr Duration kDaemonIdle{60'000};
-/// Part of the memory that connections of all servers may use. Buffers take up to twice the bytes
-/// that they hold.
-constexpr std::size_t kConnectionMemoryDivisor = 8;
-/// A request that is being handled exists as text, as a decoded job and as a call to the owner.
-constexpr std::size_t kCopiesOfBody = 3;
-/// Parts of the descriptors and of the memory for connections. The rest of the descriptors is for
-/// calls to other daemons, to the store and to workers.
-constexpr std::size_t kCallersDivisor = 2;
-constexpr std::size_t kDaemonsDivisor = 4;
-constexpr std::size_t kProbesDivisor = 32;
 
 OwnershipRecord SelfRecord(const JobSettings& settings, const std::string& address,
                            RandomSource* random) {
@@ -47,24 +33,15 @@
   return record;
 }
 
-/// Returns a server's limits over all of its connections.
-/// @param divisor the server gets this part of the descriptors, and of the memory for connections
-ConnectionLimits ConnectionLimitsOf(const JobSettings& settings, std::size_t divisor) {
+/// Returns the limits of the daemon's servers, which also keep to the process's own limit of open
+/// descriptors.
+ClientLimits ClientLimitsOf(const JobSettings& settings) {
   rlimit descriptors{};
   std::size_t usable = settings.max_descriptors;
   if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
     usable = std::min(usable, static_cast<std::size_t>(descriptors.rlim_cur));
   }
-  const std::size_t memory = (settings.memory_mb << 20U) / kConnectionMemoryDivisor;
-  return {usable / divisor, memory / divisor};
-}
-
-ApiLimits LimitsOf(const JobSettings& settings, std::size_t max_body_bytes, Duration idle_timeout,
-                   std::size_t divisor, bool urgent = false) {
-  const ConnectionLimits connections = ConnectionLimitsOf(settings, divisor);
-  return {max_body_bytes, kMaxHeaderBytes,
-          idle_timeout,   urgent,
-          connections,    std::max(connections.buffered_bytes / kCopiesOfBody, max_body_bytes)};
+  return DivideAmongClients(settings.memory_mb << 20U, usable);
 }
 
 double CoresOf(const JobSettings& settings) { return settings.cpu_share * settings.cpu_speed; }
@@ -96,21 +73,21 @@
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
                 }),
-      m_caller_server(base, LimitsOf(settings, kMaxBodyBytes, kCallerIdle, kCallersDivisor),
+      m_caller_server(base, ClientLimitsOf(settings).callers,
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                         m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
                                          m_operators.ConfigAgeAt(now, m_settings.revocation_bound),
                                          exchange);
                       }),
-      m_ready_server(base, LimitsOf(settings, kMaxBodyBytes, kDaemonIdle, kProbesDivisor),
+      m_ready_server(base, ClientLimitsOf(settings).ready,
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
                      }),
-      m_daemon_server(base, LimitsOf(settings, kMaxCallBytes, kDaemonIdle, kDaemonsDivisor, true),
+      m_daemon_server(base, ClientLimitsOf(settings).daemons,
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                         HandleDaemonCall(now, exchange);
                       }),
-      m_metrics_server(base, LimitsOf(settings, kMaxBodyBytes, kDaemonIdle, kProbesDivisor),
+      m_metrics_server(base, ClientLimitsOf(settings).metrics,
                        [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                          HandleMetrics(now, exchange);
                        }) {
@@ -406,12 +383,7 @@
                      std::chrono::duration<double>(now - m_operators.confirmed_at()).count());
   m_metrics.SetGauge("cranberryplank_open_requests",
                      static_cast<double>(m_gateway.open_requests()));
-  std::size_t closed = 0;
-  for (const ApiServer* server :
-       {&m_caller_server, &m_ready_server, &m_daemon_server, &m_metrics_server}) {
-    closed += server->closed_connections();
-  }
-  m_metrics.SetTotal("cranberryplank_connections_closed_total", closed);
+  RecordConnections();
   if (m_owner && m_owner->ready()) {
     RecordOwnerMetrics(now, m_owner.get(), &m_metrics);
   }
@@ -421,6 +393,25 @@
   exchange->Reply(response);
 }
 
+void JobService::RecordConnections() {
+  const std::pair<const ApiServer*, std::string_view> servers[] = {
+      {&m_caller_server, "callers"},
+      {&m_ready_server, "ready"},
+      {&m_daemon_server, "daemons"},
+      {&m_metrics_server, "metrics"},
+  };
+  std::size_t closed = 0;
+  for (const auto& [server, name] : servers) {
+    const std::string label = fmt::format("listener=\"{}\"", name);
+    m_metrics.SetGauge("cranberryplank_open_connections",
+                       static_cast<double>(server->open_connections()), label);
+    m_metrics.SetGauge("cranberryplank_buffered_bytes",
+                       static_cast<double>(server->buffered_bytes()), label);
+    closed += server->closed_connections();
+  }
+  m_metrics.SetTotal("cranberryplank_connections_closed_total", closed);
+}
+
 void JobService::BeginShutdown(TimePoint now) {
   if (m_stopping_since) {
     return;
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -1,7 +1,7 @@
 // Crowds of clients that ignore all limits, against a daemon as a separate process whose settings
 // give it little memory. The checks do not depend on the machine's speed: the process lives, its
-// memory stays below the memory of its settings, its descriptors stay under their limit, and one
-// ordinary request is answered.
+// memory together with what the kernel holds for its connections stays below the memory of its
+// settings, its descriptors stay under their limit, and one ordinary request is answered.
 
 #include "client_crowd.h"
 
@@ -36,7 +36,7 @@
   }
 }
 
-/// A daemon and the most that it held.
+/// A daemon and the most that it and the kernel held for it.
 class MeasuredDaemon {
  public:
   MeasuredDaemon(std::size_t memory_mb, std::size_t max_descriptors)
@@ -49,7 +49,13 @@
   DaemonUnderTest& daemon() { return m_daemon; }
   std::uint16_t port(Listener listener) const { return m_daemon.port(listener); }
 
-  void Measure() { m_descriptors = std::max(m_descriptors, m_daemon.open_descriptors()); }
+  void Measure() {
+    const std::size_t queues_kb = m_daemon.kernel_queue_bytes() / kKilobyte;
+    const std::size_t process_kb = m_daemon.memory_kb();
+    m_peak_kb = std::max(m_peak_kb, process_kb + queues_kb);
+    m_peak_queues_kb = std::max(m_peak_queues_kb, queues_kb);
+    m_descriptors = std::max(m_descriptors, m_daemon.open_descriptors());
+  }
 
   std::function<void()> Observer() {
     return [this] { Measure(); };
@@ -65,7 +71,9 @@
     }
     REQUIRE(m_daemon.alive());
     const std::size_t bound_kb = m_memory_mb * kKilobyte;
+    CAPTURE(m_daemon.peak_memory_kb(), m_peak_queues_kb);
     CHECK(m_daemon.peak_memory_kb() < bound_kb);
+    CHECK(m_peak_kb < bound_kb);
     CHECK(m_descriptors < m_max_descriptors);
   }
 
@@ -73,6 +81,8 @@
   std::size_t m_memory_mb;
   std::size_t m_max_descriptors;
   DaemonUnderTest m_daemon;
+  std::size_t m_peak_kb = 0;
+  std::size_t m_peak_queues_kb = 0;
   std::size_t m_descriptors = 0;
 };
 
--- a/tests/process/daemon_under_test.cc
+++ b/tests/process/daemon_under_test.cc
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdio>
@@ -16,6 +17,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <string_view>
 
 namespace cranberryplank {
@@ -139,6 +141,33 @@
 
 std::size_t DaemonUnderTest::memory_kb() const { return StatusField("VmRSS:"); }
 
+std::size_t DaemonUnderTest::kernel_queue_bytes() const {
+  constexpr std::string_view kListening = "0A";
+  std::ifstream sockets("/proc/net/tcp");
+  std::string line;
+  std::getline(sockets, line);  // The table's header.
+  std::size_t bytes = 0;
+  while (std::getline(sockets, line)) {
+    std::istringstream fields(line);
+    std::string slot;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    fields >> slot >> local >> remote >> state >> queues;
+    const std::size_t colon = local.find(':');
+    const auto local_port =
+        static_cast<std::uint16_t>(std::stoul(local.substr(colon + 1), nullptr, 16));
+    if (state == kListening ||
+        std::find(m_ports.begin(), m_ports.end(), local_port) == m_ports.end()) {
+      continue;
+    }
+    bytes += std::stoul(queues.substr(0, queues.find(':')), nullptr, 16);
+    bytes += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return bytes;
+}
+
 std::size_t DaemonUnderTest::open_descriptors() const {
   const std::filesystem::directory_iterator descriptors(fmt::format("/proc/{}/fd", m_process));
   return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
--- a/tests/process/daemon_under_test.h
+++ b/tests/process/daemon_under_test.h
@@ -46,6 +46,9 @@
   std::size_t peak_memory_kb() const;
   /// Returns the resident memory of the process, in kilobytes.
   std::size_t memory_kb() const;
+  /// Returns the bytes that the kernel holds in the queues of the process's connections with its
+  /// clients: received and not read, sent and not acknowledged.
+  std::size_t kernel_queue_bytes() const;
   std::size_t open_descriptors() const;
 
  private:
