Bound the memory of the jobs that an owner accepts

What callers saw: one small valid call ended the owner of the schedule, and, because the job was stored, each owner after it: a job of 500 steps with 100,000 tasks each, or a timed job with two billion occurrences that are all due. Jobs of 1,000 tasks took a daemon with 64 MB to 114 MB after 400 calls.

Cause: a job was checked step by step only; all due occurrences opened at once; nothing counted the state that accepted jobs take.

Change: a job has at most 100,000 tasks over all steps, and at most 1,000 open occurrences; further ones wait in order. JobTable estimates the memory of each job. Beyond a fifth of the VM's memory a new job is refused (503, Retry-After; it never runs); the upper quarter of that is for customers with little, so that one customer can't shut the others out. Due times no longer overflow. New: log event job_refused, field job_bytes of owner_load, gauge cranberryplank_job_bytes.

Unit tests: job_memory_test.cc, job_test.cc.

--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -23,6 +23,8 @@
 constexpr Duration kFirstPings{1'500};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
+/// Part of the memory for the jobs that the owner knows.
+constexpr std::size_t kJobMemoryDivisor = 5;
 
 OwnershipRecord SelfRecord(const JobSettings& settings, const std::string& address,
                            RandomSource* random) {
@@ -129,6 +131,7 @@
   settings.evacuation_bound = m_settings.evacuation_bound;
   settings.retention = m_settings.retention;
   settings.far_factor = m_settings.far_factor;
+  settings.max_job_bytes = (m_settings.memory_mb << 20U) / kJobMemoryDivisor;
   return settings;
 }
 
--- a/packages/entry/src/owner_metrics.cc
+++ b/packages/entry/src/owner_metrics.cc
@@ -15,6 +15,8 @@
   metrics->SetGauge("cranberryplank_oldest_unstored_change_seconds",
                     std::chrono::duration<double>(load.oldest_unstored).count());
   metrics->SetGauge("cranberryplank_starts_per_pass", load.fewest_starts);
+  metrics->SetGauge("cranberryplank_job_bytes",
+                    static_cast<double>(owner->scheduler()->job_table().memory()));
   metrics->SetGauge(
       "cranberryplank_registrations_age_seconds",
       std::chrono::duration<double>(owner->scheduler()->RegistrationsAge(now)).count());
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -24,6 +24,7 @@
     kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kQueuePrefix,
     kWorkersKey, kWavePrefix,     kCursorKey,         kSettledEpochKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
+constexpr std::int64_t kRetryWhenFull = 2'000;
 /// Longest time that a call about an unknown job waits for a confirmation of the ownership.
 constexpr Duration kConfirmationWait{400};
 
@@ -313,6 +314,7 @@
       .Field("registrations_age_ms", m_scheduler->RegistrationsAge(now).count())
       .Field("usable_workers", m_scheduler->usable_workers())
       .Field("active_jobs", m_scheduler->job_table().active().size())
+      .Field("job_bytes", m_scheduler->job_table().memory())
       .Field("waiting_calls", m_waiting.size());
 }
 
@@ -381,6 +383,18 @@
     done(now.time, reply);
     return;
   }
+  if (!known && !m_scheduler->job_table().HasRoomFor(*call.spec)) {
+    LogLine(LogLevel::kWarning, "job_refused")
+        .Field("job", call.job)
+        .Field("customer", call.spec->customer)
+        .Field("tasks", call.spec->TaskCount())
+        .Field("job_bytes", m_scheduler->job_table().memory())
+        .Field("reason", "memory limit");
+    OwnerReply reply = ReplyOf(OwnerStatus::kRefused, "the unfinished jobs take too much memory");
+    reply.retry_after_ms = kRetryWhenFull;
+    done(now.time, reply);
+    return;
+  }
   const std::uint64_t waiting = AddWaitingCall(std::move(done));
   const auto answer = [this, waiting](bool stored) {
     OwnerReply reply = ReplyOf(stored ? OwnerStatus::kOk : OwnerStatus::kRefused,
--- a/packages/jobs/src/job.cc
+++ b/packages/jobs/src/job.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include "cranberryplank/model/text.h"
 
@@ -13,6 +14,8 @@
 
 constexpr int kMaxSteps = 1'000;
 constexpr int kMaxTasksPerStep = 100'000;
+/// Over all steps. The state of this many tasks takes some 26 MB of the owner's memory.
+constexpr std::int64_t kMaxTasks = 100'000;
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 
 std::optional<std::string> FindStepError(const StepSpec& step, int number) {
@@ -60,6 +63,24 @@
   return footprint;
 }
 
+std::int64_t JobSpec::DueUnixMs(int occurrence) const {
+  std::int64_t offset = 0;
+  std::int64_t due = 0;
+  if (__builtin_mul_overflow(interval_ms, occurrence, &offset) ||
+      __builtin_add_overflow(first_due_unix_ms, offset, &due)) {
+    return std::numeric_limits<std::int64_t>::max();
+  }
+  return std::max<std::int64_t>(due, 0);
+}
+
+std::int64_t JobSpec::TaskCount() const {
+  std::int64_t count = 0;
+  for (const StepSpec& step : steps) {
+    count += step.count;
+  }
+  return count;
+}
+
 std::int64_t JobSpec::ChainEstimateMs() const {
   std::vector<std::int64_t> end(steps.size(), 0);
   std::int64_t longest = 0;
@@ -98,6 +119,9 @@
       return error;
     }
   }
+  if (spec.TaskCount() > kMaxTasks) {
+    return fmt::format("the job has too many tasks: {}", spec.TaskCount());
+  }
   return std::nullopt;
 }
 
--- a/packages/jobs/tests/job_test.cc
+++ b/packages/jobs/tests/job_test.cc
@@ -1,6 +1,7 @@
 #include "cranberryplank/jobs/job.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "cranberryplank/jobs/job_codec.h"
@@ -129,6 +130,30 @@
   CHECK_FALSE(TaskId::Parse("").has_value());
 }
 
+// Guards against one job whose tasks alone take the owner's memory.
+TEST_CASE("a job may have a hundred thousand tasks over all of its steps") {
+  JobSpec spec;
+  StepSpec step;
+  step.count = 50'000;
+  spec.steps = {step, step};
+  CHECK_FALSE(FindSpecError(spec));
+  spec.steps.push_back(step);
+  CHECK(FindSpecError(spec));
+}
+
+TEST_CASE("the due time of an occurrence does not overflow") {
+  constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+  JobSpec spec;
+  spec.first_due_unix_ms = 1'000;
+  spec.interval_ms = 500;
+  CHECK(spec.DueUnixMs(3) == 2'500);
+  spec.interval_ms = kMost / 2;
+  CHECK(spec.DueUnixMs(2'000'000'000) == kMost);
+  spec.first_due_unix_ms = -kMost;
+  spec.interval_ms = 0;
+  CHECK(spec.DueUnixMs(0) == 0);
+}
+
 TEST_CASE("jobs that can never run are rejected at submission") {
   JobSpec spec = Sample();
   CHECK_FALSE(FindSpecError(spec).has_value());
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -88,6 +89,7 @@
   bool started = false;            ///< A worker is known to have begun a task.
   bool over_share = false;  ///< Exceeded its customer's guaranteed jobs per second on arrival.
   int placed_runs = 0;
+  std::size_t memory = 0;  ///< What the table counts for the job, in bytes.
   /// Runs whose worker fell silent soon after their start, by task and run. Kept here and not with
   /// the tasks, because few jobs have any.
   std::map<JobProgress::TaskKey, std::map<int, SuspectStart>> suspects;
@@ -128,9 +130,21 @@
   }
 };
 
+/// Estimates the memory of a job, in bytes, from what its submitter chose.
+/// @param occurrences number of open occurrences
+std::size_t MemoryOf(const JobSpec& spec, std::size_t occurrences);
+
 /// All jobs known to the owner of the schedule, with the order in which changes must be stored.
 class JobTable {
  public:
+  /// Limits the memory of all jobs, in bytes. Jobs that were accepted stay beyond it, with one open
+  /// occurrence each.
+  void SetMemoryLimit(std::size_t bytes) { m_memory_limit = bytes; }
+  /// Returns the estimated memory of all jobs, in bytes.
+  std::size_t memory() const { return m_memory; }
+  /// Returns whether a job can be added within the limit of the memory. The upper quarter of it is
+  /// for customers whose own jobs take little, so that one customer cannot shut the others out.
+  bool HasRoomFor(const JobSpec& spec) const;
   /// Adds a job that was just submitted; its record is to be stored.
   Job* Add(TimePoint now, JobSpec spec);
   /// Adds a job from the store.
@@ -149,6 +163,8 @@
   /// Marks a task as done, and also its occurrence and job if all their tasks are done.
   void MarkDone(TimePoint now, const TaskRef& task, std::int64_t now_unix_ms);
   void SetState(TimePoint now, Job* job, JobState state, std::int64_t now_unix_ms);
+  /// Frees the payload of a job whose end is stored; nothing of it starts any more.
+  void ReleasePayload(Job* job);
   /// Records that the job has a change to store. @return the number of the change
   std::uint64_t MarkChanged(TimePoint now, Job* job);
 
@@ -163,12 +179,23 @@
 
  private:
   void Open(Job* job, int occurrence, TimePoint now, std::int64_t now_unix_ms);
+  /// Opens the due occurrences of a timed job for which there is room.
+  /// @return whether any was opened
+  bool OpenDueOf(Job* job, TimePoint now, std::int64_t now_unix_ms);
+  /// Returns whether one more occurrence of the job may be open now.
+  bool MayOpen(const Job& job) const;
+  /// Updates the memory that is counted for a job.
+  void Count(Job* job);
+  void SetMemory(Job* job, std::size_t bytes);
 
   std::unordered_map<std::string, JobPointer> m_jobs;
   std::map<std::string, Job*, std::less<>> m_active;
   std::set<std::pair<std::uint64_t, Job*>> m_changed;
   std::uint64_t m_last_change = 0;
   std::uint64_t m_last_serial = 0;
+  std::size_t m_memory = 0;  ///< Sum over all jobs.
+  std::unordered_map<std::string, std::size_t> m_memory_by_customer;
+  std::size_t m_memory_limit = std::numeric_limits<std::size_t>::max();
 };
 
 }  // namespace cranberryplank
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -38,6 +38,8 @@
   /// No worker of a zone begins a start later than this after operators requested the zone's
   /// evacuation; nothing if zones are not evacuated.
   std::optional<Duration> evacuation_bound;
+  /// Memory of all jobs; further ones are refused, in bytes.
+  std::size_t max_job_bytes = std::numeric_limits<std::size_t>::max();
   double far_factor = 1;  ///< Duration of a task away from its data; 1: none waits for its rack.
 };
 
@@ -116,7 +118,10 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
-  void SetSettings(const SchedulerSettings& settings) { m_settings = settings; }
+  void SetSettings(const SchedulerSettings& settings) {
+    m_settings = settings;
+    m_jobs.SetMemoryLimit(settings.max_job_bytes);
+  }
   const SchedulerSettings& settings() const { return m_settings; }
 
   /// Begins to act as owner; jobs must have been loaded with `LoadJob`.
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -7,6 +7,16 @@
 
 namespace {
 
+/// Memory of a job without its payload, steps and tasks: the record, its entries in the tables, and
+/// allocations for its lists.
+constexpr std::size_t kJobBytes = sizeof(Job) + 512;
+/// Most occurrences of one job that are open at the same time. Further ones wait until one ends.
+constexpr std::size_t kMaxOpenOccurrences = 1'000;
+/// The upper part of the limit, which is for customers whose jobs take little.
+constexpr std::size_t kReservedDivisor = 4;
+/// A customer whose jobs take less than this part of the limit may use the upper part.
+constexpr std::size_t kSmallCustomerDivisor = 16;
+
 /// Returns the state of a task that is named in stored progress, or nullptr if there is none.
 JobTaskState* TaskAt(Job* job, const JobProgress::TaskKey& key) {
   const TaskRef task{job, key.first.first, key.first.second, key.second};
@@ -18,6 +28,17 @@
 
 }  // namespace
 
+std::size_t MemoryOf(const JobSpec& spec, std::size_t occurrences) {
+  std::size_t steps = 0;
+  for (const StepSpec& step : spec.steps) {
+    steps += sizeof(StepSpec) + step.after.size() * sizeof(int) + step.required_label.size() +
+             step.preferred_rack.size() + step.image.size();
+  }
+  const std::size_t occurrence = spec.steps.size() * sizeof(StepState) +
+                                 static_cast<std::size_t>(spec.TaskCount()) * sizeof(JobTaskState);
+  return kJobBytes + spec.payload.size() + steps + occurrences * occurrence;
+}
+
 bool OccurrenceState::AllDone() const {
   return std::all_of(steps.begin(), steps.end(), [](const StepState& step) {
     return step.done == static_cast<int>(step.tasks.size());
@@ -83,6 +104,7 @@
   Job* raw = job.get();
   m_active.emplace(raw->spec.id, raw);
   m_jobs.emplace(raw->spec.id, std::move(job));
+  Count(raw);
   MarkChanged(now, raw);
   return raw;
 }
@@ -101,6 +123,7 @@
     job->finished_unix_ms = record.ended->finished_unix_ms;
     job->ended_record = true;
     m_jobs[id] = std::move(job);
+    Count(raw);
     return raw;
   }
   job->spec = *record.spec;
@@ -111,6 +134,7 @@
   job->loaded_from_store = true;
   job->done_occurrences = progress.done_occurrences;
   m_jobs[id] = job;
+  Count(raw);
   if (IsFinal(job->state)) {
     return raw;
   }
@@ -118,10 +142,8 @@
   if (!job->spec.timed() && job->done_occurrences.empty()) {
     Open(raw, 0, job->accepted, now_unix_ms);
   }
-  while (job->spec.timed() && job->next_occurrence < job->spec.occurrence_count() &&
-         job->spec.first_due_unix_ms + job->next_occurrence * job->spec.interval_ms <=
-             now_unix_ms) {
-    Open(raw, job->next_occurrence, now, now_unix_ms);
+  if (job->spec.timed()) {
+    OpenDueOf(raw, now, now_unix_ms);
   }
   for (const auto& [key, tasks] : progress.done) {
     const auto occurrence = job->open.find(key.first);
@@ -178,6 +200,7 @@
   if (const auto active = m_active.find(id); active != m_active.end()) {
     m_active.erase(active);
   }
+  SetMemory(it->second.get(), 0);
   m_jobs.erase(it);
 }
 
@@ -200,9 +223,8 @@
     return;
   }
   OccurrenceState state;
-  state.due_unix_ms = job->spec.timed()
-                          ? job->spec.first_due_unix_ms + occurrence * job->spec.interval_ms
-                          : job->spec.accepted_unix_ms;
+  state.due_unix_ms =
+      job->spec.timed() ? job->spec.DueUnixMs(occurrence) : job->spec.accepted_unix_ms;
   state.due =
       now -
       Duration(job->spec.timed() ? std::max<std::int64_t>(now_unix_ms - state.due_unix_ms, 0) : 0);
@@ -212,6 +234,61 @@
     state.steps.push_back(std::move(step_state));
   }
   job->open.emplace(occurrence, std::move(state));
+  Count(job);
+}
+
+bool JobTable::MayOpen(const Job& job) const {
+  if (job.open.empty()) {
+    return true;  // Counted since the job was added.
+  }
+  const std::size_t added =
+      MemoryOf(job.spec, job.open.size() + 1) - MemoryOf(job.spec, job.open.size());
+  return job.open.size() < kMaxOpenOccurrences && m_memory + added <= m_memory_limit;
+}
+
+bool JobTable::OpenDueOf(Job* job, TimePoint now, std::int64_t now_unix_ms) {
+  bool opened = false;
+  while (job->next_occurrence < job->spec.occurrences &&
+         job->spec.DueUnixMs(job->next_occurrence) <= now_unix_ms && MayOpen(*job)) {
+    Open(job, job->next_occurrence, now, now_unix_ms);
+    opened = true;
+  }
+  return opened;
+}
+
+void JobTable::Count(Job* job) {
+  // The first occurrence is counted before it is open, so that it always has room.
+  const std::size_t occurrences =
+      IsFinal(job->state) ? job->open.size() : std::max<std::size_t>(job->open.size(), 1);
+  SetMemory(job, MemoryOf(job->spec, occurrences));
+}
+
+void JobTable::SetMemory(Job* job, std::size_t bytes) {
+  std::size_t& of_customer = m_memory_by_customer[job->spec.customer];
+  m_memory = m_memory - job->memory + bytes;
+  of_customer = of_customer - job->memory + bytes;
+  job->memory = bytes;
+  if (of_customer == 0) {
+    m_memory_by_customer.erase(job->spec.customer);
+  }
+}
+
+bool JobTable::HasRoomFor(const JobSpec& spec) const {
+  const std::size_t bytes = MemoryOf(spec, 1);
+  if (m_memory + bytes > m_memory_limit) {
+    return false;
+  }
+  const auto of_customer = m_memory_by_customer.find(spec.customer);
+  const std::size_t held = of_customer == m_memory_by_customer.end() ? 0 : of_customer->second;
+  return m_memory + bytes <= m_memory_limit - m_memory_limit / kReservedDivisor ||
+         held + bytes <= m_memory_limit / kSmallCustomerDivisor;
+}
+
+void JobTable::ReleasePayload(Job* job) {
+  if (!job->spec.payload.empty()) {
+    job->spec.payload = std::string();
+    Count(job);
+  }
 }
 
 bool JobTable::OpenDue(TimePoint now, std::int64_t now_unix_ms) {
@@ -227,12 +304,7 @@
       }
       continue;
     }
-    while (job->next_occurrence < job->spec.occurrences &&
-           job->spec.first_due_unix_ms + job->next_occurrence * job->spec.interval_ms <=
-               now_unix_ms) {
-      Open(job, job->next_occurrence, now, now_unix_ms);
-      opened = true;
-    }
+    opened = OpenDueOf(job, now, now_unix_ms) || opened;
   }
   return opened;
 }
@@ -252,6 +324,7 @@
   if (occurrence->second.AllDone()) {
     task.job->done_occurrences.insert(task.occurrence);
     task.job->open.erase(occurrence);
+    Count(task.job);
   }
   if (static_cast<int>(task.job->done_occurrences.size()) == task.job->spec.occurrence_count()) {
     SetState(now, task.job, JobState::kDone, now_unix_ms);
@@ -265,6 +338,7 @@
   if (IsFinal(state)) {
     job->finished_unix_ms = now_unix_ms;
     m_active.erase(job->spec.id);
+    Count(job);
   }
   MarkChanged(now, job);
 }
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -69,7 +69,9 @@
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerSettings& settings, WorkerLink* link)
-    : m_settings(settings), m_link(link) {}
+    : m_settings(settings), m_link(link) {
+  m_jobs.SetMemoryLimit(settings.max_job_bytes);
+}
 
 Scheduler::~Scheduler() = default;
 
@@ -447,6 +449,7 @@
     if (current && IsFinal(job->state)) {
       job->stored_state = job->state;
       job->ended_record = true;
+      m_jobs.ReleasePayload(job);
     }
     if (!current) {
       continue;
--- /dev/null
+++ b/packages/scheduler/tests/job_memory_test.cc
@@ -0,0 +1,122 @@
+// Memory of the owner's jobs: what is counted for each, and what happens at the limit.
+
+#include <catch2/catch.hpp>
+#include <limits>
+#include <string>
+
+#include "cranberryplank/scheduler/job_table.h"
+
+namespace cranberryplank {
+namespace {
+
+constexpr std::int64_t kNowUnixMs = 1'700'000'000'000;
+const TimePoint kNow = TimePoint{} + Duration(1'000'000);
+
+JobSpec SpecOf(const std::string& id, int tasks, const std::string& customer = "customer") {
+  JobSpec spec;
+  spec.id = id;
+  spec.queue = "queue";
+  spec.customer = customer;
+  spec.payload = std::string(1'000, 'x');
+  StepSpec step;
+  step.count = tasks;
+  spec.steps.push_back(step);
+  return spec;
+}
+
+JobSpec TimedSpecOf(const std::string& id, int tasks, int occurrences, std::int64_t first_due,
+                    std::int64_t interval) {
+  JobSpec spec = SpecOf(id, tasks);
+  spec.occurrences = occurrences;
+  spec.first_due_unix_ms = first_due;
+  spec.interval_ms = interval;
+  return spec;
+}
+
+Job* AddStored(JobTable* table, const JobSpec& spec) {
+  Job* job = table->Add(kNow, spec);
+  table->MarkStored(kNow, job, job->change);
+  return job;
+}
+
+// Guards against one stored job whose occurrences take all memory of each owner in turn.
+TEST_CASE("a timed job opens a bounded number of due occurrences at a time") {
+  constexpr int kOccurrences = 2'000'000'000;
+  constexpr std::size_t kMostOpen = 1'000;
+  const std::int64_t interval = GENERATE(0, 1, std::numeric_limits<std::int64_t>::max());
+  const JobSpec spec = TimedSpecOf("job", 1, kOccurrences, 1, interval);
+  JobTable table;
+  Job* job = AddStored(&table, spec);
+  CHECK(table.OpenDue(kNow, kNowUnixMs));
+  CHECK(job->open.size() == (interval > kNowUnixMs ? 1 : kMostOpen));
+
+  JobTable loaded;
+  JobRecord record;
+  record.spec = spec;
+  CHECK(loaded.Load(kNow, kNowUnixMs, "job", record, {})->open.size() == job->open.size());
+}
+
+TEST_CASE("a further occurrence opens once an earlier one is done") {
+  JobTable table;
+  Job* job = AddStored(&table, TimedSpecOf("job", 1, 2'000, 1, 1));
+  table.OpenDue(kNow, kNowUnixMs);
+  CHECK_FALSE(table.OpenDue(kNow, kNowUnixMs));
+  table.MarkDone(kNow, {job, 0, 0, 0}, kNowUnixMs);
+  CHECK(table.OpenDue(kNow, kNowUnixMs));
+  CHECK(job->next_occurrence == 1'001);
+}
+
+TEST_CASE("occurrences beyond the first of each job wait for room within the limit") {
+  JobTable table;
+  const JobSpec spec = TimedSpecOf("job", 1'000, 500, 1, 1);
+  table.SetMemoryLimit(MemoryOf(spec, 10));
+  Job* job = AddStored(&table, spec);
+  table.OpenDue(kNow, kNowUnixMs);
+  CHECK(job->open.size() == 10);
+  table.SetMemoryLimit(0);
+  Job* other = AddStored(&table, TimedSpecOf("other", 1'000, 500, 1, 1));
+  table.OpenDue(kNow, kNowUnixMs);
+  CHECK(other->open.size() == 1);
+}
+
+TEST_CASE("the memory of a job counts until the job is removed, less as its tasks end") {
+  JobTable table;
+  const JobSpec spec = SpecOf("job", 10);
+  Job* job = AddStored(&table, spec);
+  CHECK(table.memory() == MemoryOf(spec, 1));
+  table.OpenDue(kNow, kNowUnixMs);
+  CHECK(table.memory() == MemoryOf(spec, 1));
+  for (int task = 0; task < 10; ++task) {
+    table.MarkDone(kNow, {job, 0, 0, task}, kNowUnixMs);
+  }
+  CHECK(table.memory() == MemoryOf(spec, 0));
+  table.ReleasePayload(job);
+  CHECK(table.memory() == MemoryOf(spec, 0) - spec.payload.size());
+  table.Remove("job");
+  CHECK(table.memory() == 0);
+}
+
+// Guards against one customer whose jobs shut out all others.
+TEST_CASE("a part of the memory is kept for customers whose jobs take little") {
+  constexpr std::size_t kJobsInLimit = 100;
+  JobTable table;
+  table.SetMemoryLimit(kJobsInLimit * MemoryOf(SpecOf("job-000", 100), 1));
+  const auto fill = [&](const std::string& customer) {
+    std::size_t added = 0;
+    while (table.HasRoomFor(SpecOf("job-000", 100, customer))) {
+      table.Add(kNow, SpecOf(customer + std::to_string(added), 100, customer));
+      ++added;
+    }
+    return added;
+  };
+  CHECK(fill("large") == 75);
+  CHECK(fill("small") == 6);
+  CHECK(fill("large") == 0);
+  while (table.HasRoomFor(SpecOf("job-000", 100, std::to_string(table.jobs().size())))) {
+    fill(std::to_string(table.jobs().size()));
+  }
+  CHECK(table.jobs().size() == kJobsInLimit);
+}
+
+}  // namespace
+}  // namespace cranberryplank
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -7,19 +7,17 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <csignal>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "daemon_under_test.h"
+#include "measured_daemon.h"
 
 namespace cranberryplank {
 
 namespace {
 
-constexpr std::size_t kKilobyte = std::size_t{1} << 10U;
 constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
 constexpr std::size_t kMemoryMb = 64;
 constexpr std::size_t kDescriptors = 4'100;
@@ -28,64 +26,6 @@
 constexpr std::size_t kSmallestVmMemoryMb = 160;
 constexpr std::size_t kSmallestVmDescriptors = 4'100;
 
-/// Returns whether an ordinary client gets an answer. It tries again while it gets none, as clients
-/// do; a daemon that never answers fails the test by its time limit.
-void RequireAnswer(std::uint16_t port, const std::string& path) {
-  const std::string request = "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-  while (!Call(port, request).starts_with("HTTP/1.1 ")) {
-  }
-}
-
-/// A daemon and the most that it and the kernel held for it.
-class MeasuredDaemon {
- public:
-  MeasuredDaemon(std::size_t memory_mb, std::size_t max_descriptors)
-      : m_memory_mb(memory_mb),
-        m_max_descriptors(max_descriptors),
-        m_daemon(DaemonOptions{max_descriptors, memory_mb}) {
-    RequireAnswer(port(Listener::kCallers), "/");
-  }
-
-  DaemonUnderTest& daemon() { return m_daemon; }
-  std::uint16_t port(Listener listener) const { return m_daemon.port(listener); }
-
-  void Measure() {
-    const std::size_t queues_kb = m_daemon.kernel_queue_bytes() / kKilobyte;
-    const std::size_t process_kb = m_daemon.memory_kb();
-    m_peak_kb = std::max(m_peak_kb, process_kb + queues_kb);
-    m_peak_queues_kb = std::max(m_peak_queues_kb, queues_kb);
-    m_descriptors = std::max(m_descriptors, m_daemon.open_descriptors());
-  }
-
-  std::function<void()> Observer() {
-    return [this] { Measure(); };
-  }
-
-  /// Checks that ordinary requests are answered and that all limits were kept.
-  void CheckServesWithinLimits() {
-    for (const auto& [listener, path] :
-         {std::pair{Listener::kCallers, "/"}, std::pair{Listener::kReady, "/ready"},
-          std::pair{Listener::kMetrics, "/metrics"}}) {
-      RequireAnswer(port(listener), path);
-      Measure();
-    }
-    REQUIRE(m_daemon.alive());
-    const std::size_t bound_kb = m_memory_mb * kKilobyte;
-    CAPTURE(m_daemon.peak_memory_kb(), m_peak_queues_kb);
-    CHECK(m_daemon.peak_memory_kb() < bound_kb);
-    CHECK(m_peak_kb < bound_kb);
-    CHECK(m_descriptors < m_max_descriptors);
-  }
-
- private:
-  std::size_t m_memory_mb;
-  std::size_t m_max_descriptors;
-  DaemonUnderTest m_daemon;
-  std::size_t m_peak_kb = 0;
-  std::size_t m_peak_queues_kb = 0;
-  std::size_t m_descriptors = 0;
-};
-
 std::string Request(std::string_view method, std::string_view path) {
   std::string request(method);
   request += ' ';
@@ -157,7 +97,7 @@
   const std::vector<Traffic> all = AllTraffic();
   const Traffic traffic = all.at(GENERATE_COPY(range(std::size_t{0}, all.size())));
   DYNAMIC_SECTION(traffic.name) {
-    MeasuredDaemon measured(kMemoryMb, kDescriptors);
+    MeasuredDaemon measured({kDescriptors, kMemoryMb});
     {
       ClientCrowd crowd(measured.port(traffic.listener), kClients);
       crowd.Send(traffic.text, traffic.bytes_each, measured.Observer());
@@ -174,7 +114,7 @@
   const auto traffic =
       std::find_if(all.begin(), all.end(), [&](const Traffic& each) { return each.name == name; });
   REQUIRE(traffic != all.end());
-  MeasuredDaemon measured(kMemoryMb, kDescriptors);
+  MeasuredDaemon measured({kDescriptors, kMemoryMb});
   ClientCrowd crowd(measured.port(traffic->listener), kClients,
                     ClientCrowd::WhenClosed::kReconnect);
   crowd.Send(traffic->text, traffic->bytes_each, measured.Observer());
@@ -184,7 +124,7 @@
 // Guards against limits of which each is kept and whose sum exceeds the memory.
 TEST_CASE("all crowds together stay within the memory of the smallest VM") {
   constexpr int kClientsOfEach = 400;
-  MeasuredDaemon measured(kSmallestVmMemoryMb, kSmallestVmDescriptors);
+  MeasuredDaemon measured({kSmallestVmDescriptors, kSmallestVmMemoryMb});
   std::vector<std::unique_ptr<ClientCrowd>> crowds;
   for (const Traffic& traffic : AllTraffic()) {
     crowds.push_back(
@@ -202,7 +142,7 @@
   const auto traffic =
       std::find_if(all.begin(), all.end(), [&](const Traffic& each) { return each.name == name; });
   REQUIRE(traffic != all.end());
-  MeasuredDaemon measured(kSmallestVmMemoryMb, kSmallestVmDescriptors);
+  MeasuredDaemon measured({kSmallestVmDescriptors, kSmallestVmMemoryMb});
   ClientCrowd crowd(measured.port(traffic->listener), kManyClients);
   crowd.Send(traffic->text, std::min(traffic->bytes_each, kMegabyte), measured.Observer());
   measured.CheckServesWithinLimits();
--- a/tests/process/daemon_under_test.cc
+++ b/tests/process/daemon_under_test.cc
@@ -22,9 +22,6 @@
 
 namespace cranberryplank {
 
-namespace {
-
-/// Returns a loopback port that is free at the time of the call.
 std::uint16_t FreePort() {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -37,6 +34,8 @@
   return ntohs(address.sin_port);
 }
 
+namespace {
+
 std::string TemporaryFile() {
   std::string path = "/tmp/client-limits-XXXXXX";
   const int file = mkstemp(path.data());
--- a/tests/process/daemon_under_test.h
+++ b/tests/process/daemon_under_test.h
@@ -13,6 +13,9 @@
 /// Addresses at which a daemon accepts connections.
 enum class Listener { kCallers, kReady, kDaemons, kMetrics };
 
+/// Returns a loopback port that is free at the time of the call.
+std::uint16_t FreePort();
+
 /// How a daemon under test is started.
 struct DaemonOptions {
   std::size_t max_descriptors = 0;  ///< Limit of the process's open descriptors.
