--- a/packages/daemon/include/cranberryplank/daemon/client_connections.h
+++ b/packages/daemon/include/cranberryplank/daemon/client_connections.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <string_view>
 #include <unordered_map>
 
 #include "cranberryplank/model/time.h"
@@ -61,7 +60,7 @@
   /// Returns the memory of incomplete requests and unread responses, in bytes.
   std::size_t buffered_bytes() const { return m_buffered; }
   /// Returns the number of connections that were closed because of a limit.
-  std::size_t closed() const { return m_closed; }
+  std::size_t closed() const { return m_closed_for_number + m_closed_for_bytes; }
 
  private:
   struct Connection {
@@ -96,7 +95,9 @@
   Table::iterator LeastProgress(TimePoint now);
   Table::iterator MostBuffered();
   /// Closes a connection whose request is not being handled, because of a limit.
-  void Close(Table::iterator connection, std::string_view limit);
+  void Close(Table::iterator connection);
+  /// Logs the closings since the last call. A line for each would be most of the log in a crowd.
+  void LogClosings();
   /// Closes the socket of a connection that the HTTP library has ended, and frees its buffers.
   Table::iterator Release(Table::iterator connection);
 
@@ -107,8 +108,10 @@
   SetAccepting m_set_accepting;
   bool m_accepting = true;
   Table m_connections;
-  std::size_t m_buffered = 0;  ///< Sum of `counted`.
-  std::size_t m_closed = 0;
+  std::size_t m_buffered = 0;           ///< Sum of `counted`.
+  std::size_t m_closed_for_number = 0;  ///< Because there were too many connections.
+  std::size_t m_closed_for_bytes = 0;   ///< Because they held too much memory.
+  std::size_t m_logged_closings = 0;
 };
 
 }  // namespace cranberryplank
--- a/packages/daemon/src/api_server.cc
+++ b/packages/daemon/src/api_server.cc
@@ -118,7 +118,7 @@
 
 /// Refuses a request because of the memory that those under way need.
 void Refuse(ApiExchange* exchange) {
-  LogLine(LogLevel::kWarning, "request_refused").Field("reason", "memory limit");
+  LogLine(LogLevel::kInfo, "request_refused").Field("reason", "memory limit");
   ApiResponse response;
   response.status = http_status::kUnavailable;
   response.body = "{}";
--- a/packages/daemon/src/client_connections.cc
+++ b/packages/daemon/src/client_connections.cc
@@ -97,7 +97,8 @@
     if (victim == m_connections.end()) {
       break;
     }
-    Close(victim, "connections");
+    ++m_closed_for_number;
+    Close(victim);
   }
   bufferevent* stream = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE);
   if (stream == nullptr) {
@@ -131,6 +132,7 @@
   auto* connections = static_cast<ClientConnections*>(self);
   connections->RemoveEnded();
   connections->UpdateAccepting();
+  connections->LogClosings();
   if (!connections->m_connections.empty()) {
     evtimer_add(connections->m_sweep, &kSweepInterval);
   }
@@ -230,7 +232,8 @@
     if (victim == m_connections.end()) {
       return;
     }
-    Close(victim, "buffered bytes");
+    ++m_closed_for_bytes;
+    Close(victim);
   }
 }
 
@@ -264,16 +267,24 @@
   return chosen;
 }
 
-void ClientConnections::Close(Table::iterator closed, std::string_view limit) {
-  auto& [stream, connection] = *closed;
-  ++m_closed;
-  LogLine(LogLevel::kWarning, "connection_closed")
-      .Field("limit", limit)
-      .Field("buffered_bytes", connection.counted)
-      .Field("open", m_connections.size());
+void ClientConnections::Close(Table::iterator closed) {
+  bufferevent* stream = closed->first;
   DropQueuesAtClose(bufferevent_getfd(stream));
   End(stream);
   Release(closed);
 }
 
+void ClientConnections::LogClosings() {
+  if (closed() == m_logged_closings) {
+    return;
+  }
+  LogLine(LogLevel::kWarning, "connections_closed")
+      .Field("closed", closed() - m_logged_closings)
+      .Field("total_for_number", m_closed_for_number)
+      .Field("total_for_bytes", m_closed_for_bytes)
+      .Field("open", m_connections.size())
+      .Field("buffered_bytes", m_buffered);
+  m_logged_closings = closed();
+}
+
 }  // namespace cranberryplank
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -384,7 +384,7 @@
     return;
   }
   if (!known && !m_scheduler->job_table().HasRoomFor(*call.spec)) {
-    LogLine(LogLevel::kWarning, "job_refused")
+    LogLine(LogLevel::kInfo, "job_refused")
         .Field("job", call.job)
         .Field("customer", call.spec->customer)
         .Field("tasks", call.spec->TaskCount())
--- a/packages/jobs/include/cranberryplank/jobs/job.h
+++ b/packages/jobs/include/cranberryplank/jobs/job.h
@@ -66,8 +66,8 @@
   bool timed() const { return occurrences > 0; }
   int occurrence_count() const { return occurrences > 0 ? occurrences : 1; }
 
-  /// Returns when an occurrence of a timed job is due, in milliseconds since 1970; the largest value
-  /// if that does not fit.
+  /// Returns when an occurrence of a timed job is due, in milliseconds since 1970; the largest
+  /// value if that does not fit.
   std::int64_t DueUnixMs(int occurrence) const;
   /// Returns the number of tasks of one occurrence.
   std::int64_t TaskCount() const;
