Bound what a daemon remembers of other daemons

Cause: each ping adds its sender to the table of daemons for 10 s, and each hand-over its incarnation for good, whatever their length and number. A client on the daemons' address could make the owner hold any amount.

Change: at most 4,096 senders of at most 64 bytes, and 1,000 hand-overs. One that isn't recorded only makes the next owner wait as after a failure.

Evidence: the new unit test fails before: ping intervals of 25,005 and 5 ms, now 20,480 and 0.

--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -73,6 +73,7 @@
   /// log.
   bool AllReadProgressLog(TimePoint now) const;
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  void RecordHandOver(TimePoint now, const OwnerCall& call);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void RecordConnections();
   void HandleMetrics(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
--- a/packages/entry/src/daemon_peers.cc
+++ b/packages/entry/src/daemon_peers.cc
@@ -13,11 +13,19 @@
 /// A daemon that has not called for this long is forgotten.
 constexpr Duration kMayTakeOver{10'000};
 
+/// Far more daemons than a fleet has.
+constexpr std::size_t kMaxPeers = 4'096;
+constexpr std::size_t kMaxAddressBytes = 64;
+
 }  // namespace
 
 void DaemonPeers::RecordCall(TimePoint now, const OwnerCall& call) {
   std::erase_if(m_peers,
                 [&](const auto& item) { return now - item.second.last_call > kMayTakeOver; });
+  const bool known = m_peers.contains(call.sender);
+  if (!known && (m_peers.size() >= kMaxPeers || call.sender.size() > kMaxAddressBytes)) {
+    return;
+  }
   Peer& peer = m_peers[call.sender];
   peer.last_call = now;
   peer.cores = call.cores;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -23,6 +23,9 @@
 constexpr Duration kFirstPings{1'500};
 /// The store counts as unreachable after this time without an answer.
 constexpr Duration kStoreSilence{1'500};
+/// Most hand-overs that a daemon remembers.
+constexpr std::size_t kMaxHandOvers = 1'000;
+constexpr std::size_t kMaxIncarnationBytes = 64;
 /// Part of the memory for the jobs that the owner knows.
 constexpr std::size_t kJobMemoryDivisor = 5;
 
@@ -342,9 +345,7 @@
         m_stopping_since || !m_operators.config() ? OwnerStatus::kNotReady : OwnerStatus::kOk;
     if (reply.status == OwnerStatus::kOk) {
       m_claim.RequestTakeOver();
-      m_handed_over[call->incarnation] = call->earlier_owners_act_for
-                                             ? std::optional(now + *call->earlier_owners_act_for)
-                                             : std::nullopt;
+      RecordHandOver(now, *call);
       m_ownership.Read(now);
     }
     answer(now, reply);
@@ -369,6 +370,15 @@
   m_owner->Handle({now, UnixMilliseconds()}, *call, answer);
 }
 
+void JobService::RecordHandOver(TimePoint now, const OwnerCall& call) {
+  if (m_handed_over.size() >= kMaxHandOvers || call.incarnation.size() > kMaxIncarnationBytes) {
+    return;  // The next owner waits for the earlier one as for one that has failed.
+  }
+  m_handed_over[call.incarnation] = call.earlier_owners_act_for
+                                        ? std::optional(now + *call.earlier_owners_act_for)
+                                        : std::nullopt;
+}
+
 void JobService::HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
   const bool fresh = now - m_operators.confirmed_at() < m_settings.revocation_bound;
   ApiResponse response;
--- a/packages/entry/tests/daemon_peers_test.cc
+++ b/packages/entry/tests/daemon_peers_test.cc
@@ -72,4 +72,20 @@
   CHECK(peers.PingIntervalMs() == 2'000);
 }
 
+// Guards against memory that grows with each made-up sender.
+TEST_CASE("a daemon remembers a bounded number of senders, and only addresses") {
+  constexpr int kSenders = 5'000;
+  constexpr std::int64_t kMaxPeers = 4'096;
+  constexpr std::int64_t kPingsPerSecond = 200;
+  DaemonPeers peers;
+  RecordPing(&peers, kStart, std::string(1'000, 'a'), 1);
+  CHECK(peers.PingIntervalMs() == 0);
+  for (int i = 0; i < kSenders; ++i) {
+    RecordPing(&peers, kStart, std::to_string(i), 1);
+  }
+  CHECK(peers.PingIntervalMs() == kMaxPeers * 1'000 / kPingsPerSecond);
+  RecordPing(&peers, kStart + Duration(2'000), "0", 2);
+  CHECK(peers.ChooseSuccessor(kStart, 0) == "0");
+}
+
 }  // namespace cranberryplank
