--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -91,6 +91,14 @@
   };
 }
 
+Traffic TrafficNamed(std::string_view name) {
+  const std::vector<Traffic> all = AllTraffic();
+  const auto found =
+      std::find_if(all.begin(), all.end(), [&](const Traffic& each) { return each.name == name; });
+  REQUIRE(found != all.end());
+  return *found;
+}
+
 }  // namespace
 
 TEST_CASE("a crowd of clients stays within the memory of the settings") {
@@ -109,15 +117,23 @@
 
 // Guards against connections that a daemon has closed and still holds.
 TEST_CASE("clients that connect again at once after each closing stay within the memory") {
-  const std::vector<Traffic> all = AllTraffic();
-  const std::string name = GENERATE("last byte missing", "unknown method", "header lines");
-  const auto traffic =
-      std::find_if(all.begin(), all.end(), [&](const Traffic& each) { return each.name == name; });
-  REQUIRE(traffic != all.end());
+  const Traffic traffic =
+      TrafficNamed(GENERATE("last byte missing", "unknown method", "header lines"));
   MeasuredDaemon measured({kDescriptors, kMemoryMb});
-  ClientCrowd crowd(measured.port(traffic->listener), kClients,
-                    ClientCrowd::WhenClosed::kReconnect);
-  crowd.Send(traffic->text, traffic->bytes_each, measured.Observer());
+  ClientCrowd crowd(measured.port(traffic.listener), kClients, ClientCrowd::WhenClosed::kReconnect);
+  crowd.Send(traffic.text, traffic.bytes_each, measured.Observer());
+  measured.CheckServesWithinLimits();
+}
+
+// Guards against a daemon that takes the slowest reading for progress and closes none of them.
+TEST_CASE("clients that read a byte at a time stay within the memory") {
+  const Traffic traffic = TrafficNamed(GENERATE("ready, callers' address", "no route", "options"));
+  MeasuredDaemon measured({kDescriptors, kMemoryMb});
+  ClientCrowd crowd(measured.port(traffic.listener), kClients);
+  crowd.Send(traffic.text, traffic.bytes_each, [&] {
+    crowd.ReadFromEach(1);
+    measured.Measure();
+  });
   measured.CheckServesWithinLimits();
 }
 
@@ -136,15 +152,11 @@
 
 TEST_CASE("a crowd of thousands stays within the memory of the smallest VM") {
   constexpr int kManyClients = 3'000;
-  const std::vector<Traffic> all = AllTraffic();
-  const std::string name =
-      GENERATE("last byte missing", "large bodies", "long paths", "header lines");
-  const auto traffic =
-      std::find_if(all.begin(), all.end(), [&](const Traffic& each) { return each.name == name; });
-  REQUIRE(traffic != all.end());
+  const Traffic traffic =
+      TrafficNamed(GENERATE("last byte missing", "large bodies", "long paths", "header lines"));
   MeasuredDaemon measured({kSmallestVmDescriptors, kSmallestVmMemoryMb});
-  ClientCrowd crowd(measured.port(traffic->listener), kManyClients);
-  crowd.Send(traffic->text, std::min(traffic->bytes_each, kMegabyte), measured.Observer());
+  ClientCrowd crowd(measured.port(traffic.listener), kManyClients);
+  crowd.Send(traffic.text, std::min(traffic.bytes_each, kMegabyte), measured.Observer());
   measured.CheckServesWithinLimits();
 }
 
