--- a/packages/daemon/include/cranberryplank/daemon/client_connections.h
+++ b/packages/daemon/include/cranberryplank/daemon/client_connections.h
@@ -32,8 +32,8 @@
 /// that clients which open many connections, do not complete requests or do not read responses
 /// leave room for others. A connection whose request is being handled is not closed.
 ///
-/// What is counted is held, and what is held is counted: a connection counts until its socket and
-/// its buffers are released, and closing one for a limit releases both at once.
+/// A connection counts until its socket and its buffers are released. Closing one for a limit
+/// releases both at once.
 class ClientConnections {
  public:
   /// Accepts connections, or stops accepting them.
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -9,6 +9,7 @@
 #include "cranberryplank/daemon/api_server.h"
 #include "cranberryplank/daemon/metrics.h"
 #include "cranberryplank/entry/caller_gateway.h"
+#include "cranberryplank/entry/client_limits.h"
 #include "cranberryplank/entry/daemon_peers.h"
 #include "cranberryplank/entry/job_settings.h"
 #include "cranberryplank/entry/operator_items.h"
@@ -84,6 +85,7 @@
   VmFleetSettings FleetSettingsOf() const;
 
   JobSettings m_settings;
+  ClientLimits m_limits;
   JobServiceParts m_parts;
   std::string m_address;  ///< Address for calls between daemons.
   std::string m_last_reason;
--- a/packages/entry/src/client_limits.cc
+++ b/packages/entry/src/client_limits.cc
@@ -30,10 +30,13 @@
 constexpr std::size_t kCallerSendQueueBytes = 8 << 10;
 constexpr std::size_t kDaemonSendQueueBytes = 16 << 10;
 
+/// The memory for connections is divided into this many parts.
+constexpr std::size_t kConnectionParts = 16;
+
 /// Part of one server in what is divided.
 struct Part {
   std::size_t descriptor_divisor;  ///< The rest is for calls to the store, workers and daemons.
-  std::size_t memory_sixteenths;   ///< Of the memory for connections.
+  std::size_t connection_parts;    ///< Of the memory for connections, of `kConnectionParts`.
   std::size_t buffer_divisor;      ///< Of the memory for buffers.
 };
 
@@ -51,7 +54,7 @@
   connections.receive_queue_bytes = kReceiveQueueBytes;
   connections.send_queue_bytes = send_queue_bytes;
   const std::size_t connection_memory =
-      memory_bytes / kConnectionMemoryDivisor * part.memory_sixteenths / 16;
+      memory_bytes / kConnectionMemoryDivisor * part.connection_parts / kConnectionParts;
   connections.connections = std::min(descriptors / part.descriptor_divisor,
                                      connection_memory / MemoryPerConnection(connections));
   connections.buffered_bytes = memory_bytes / kBufferMemoryDivisor / part.buffer_divisor;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "cranberryplank/entry/client_limits.h"
 #include "cranberryplank/model/log.h"
 #include "cranberryplank/platform/http_status.h"
 #include "owner_metrics.h"
@@ -67,6 +66,7 @@
 
 JobService::JobService(event_base* base, const JobSettings& settings, const JobServiceParts& parts)
     : m_settings(settings),
+      m_limits(ClientLimitsOf(settings)),
       m_parts(parts),
       m_address(AddressText(settings.daemon_listen)),
       m_operators(parts.store, parts.format),
@@ -78,21 +78,21 @@
                 [this](const OwnerCall& call, Duration timeout, CallerGateway::Callback done) {
                   CallOwner(call, timeout, std::move(done));
                 }),
-      m_caller_server(base, ClientLimitsOf(settings).callers,
+      m_caller_server(base, m_limits.callers,
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                         m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
                                          m_operators.ConfigAgeAt(now, m_settings.revocation_bound),
                                          exchange);
                       }),
-      m_ready_server(base, ClientLimitsOf(settings).ready,
+      m_ready_server(base, m_limits.ready,
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                        HandleReady(now, exchange);
                      }),
-      m_daemon_server(base, ClientLimitsOf(settings).daemons,
+      m_daemon_server(base, m_limits.daemons,
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                         HandleDaemonCall(now, exchange);
                       }),
-      m_metrics_server(base, ClientLimitsOf(settings).metrics,
+      m_metrics_server(base, m_limits.metrics,
                        [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
                          HandleMetrics(now, exchange);
                        }) {
