Open the same occurrences of a timed job at each owner

What callers would see: tasks of a timed job that run again after they had ended. Found by reading; no run showed it.

Cause: how many occurrences were open depended on the memory of all jobs at the moment. A new owner near its limit opened fewer than the earlier one had, dropped what was stored of the others, and would start their tasks anew.

Change: the number allowed follows from the job alone (64 occurrences, and 10,000 tasks of them if there are several), and one more opens only once the end of an earlier one is stored. So each owner opens at least what an earlier one had open. A job counts with all occurrences that may be open, so the limit of the memory holds at admission and needs no check at opening.

--- a/packages/jobs/src/job.cc
+++ b/packages/jobs/src/job.cc
@@ -14,7 +14,7 @@
 
 constexpr int kMaxSteps = 1'000;
 constexpr int kMaxTasksPerStep = 100'000;
-/// Over all steps. The state of this many tasks takes some 26 MB of the owner's memory.
+/// Over all steps. Bounds the memory that one job takes at the owner.
 constexpr std::int64_t kMaxTasks = 100'000;
 constexpr std::size_t kMaxPayloadBytes = 4'000;
 
--- a/packages/scheduler/include/cranberryplank/scheduler/job_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/job_table.h
@@ -78,6 +78,7 @@
   JobState stored_state = JobState::kQueued;  ///< The stored state, which is reported to callers.
   std::map<int, OccurrenceState> open;        ///< Due and not finished.
   std::set<int> done_occurrences;
+  std::size_t stored_done = 0;  ///< Number of done occurrences that the store has.
   int next_occurrence = 0;
   TimePoint accepted{};
   std::int64_t finished_unix_ms = 0;
@@ -134,11 +135,14 @@
 /// @param occurrences number of open occurrences
 std::size_t MemoryOf(const JobSpec& spec, std::size_t occurrences);
 
+/// Returns the number of occurrences of a job that may be open at the same time, at least 1. It
+/// follows from the job alone, so that it is the same for each owner.
+std::size_t MostOpenOccurrences(const JobSpec& spec);
+
 /// All jobs known to the owner of the schedule, with the order in which changes must be stored.
 class JobTable {
  public:
-  /// Limits the memory of all jobs, in bytes. Jobs that were accepted stay beyond it, with one open
-  /// occurrence each.
+  /// Limits the memory of all jobs, in bytes. Jobs that were accepted stay beyond it.
   void SetMemoryLimit(std::size_t bytes) { m_memory_limit = bytes; }
   /// Returns the estimated memory of all jobs, in bytes.
   std::size_t memory() const { return m_memory; }
@@ -171,7 +175,8 @@
   /// Jobs with changes to store, oldest change first.
   const std::set<std::pair<std::uint64_t, Job*>>& changed() const { return m_changed; }
   /// Records that the changes of `job` up to number `change`, as they were at `built`, are stored.
-  void MarkStored(TimePoint built, Job* job, std::uint64_t change);
+  /// @param done_occurrences number of done occurrences at that time
+  void MarkStored(TimePoint built, Job* job, std::uint64_t change, std::size_t done_occurrences);
 
   const std::unordered_map<std::string, JobPointer>& jobs() const { return m_jobs; }
   /// Jobs that are not final, by id.
@@ -179,12 +184,11 @@
 
  private:
   void Open(Job* job, int occurrence, TimePoint now, std::int64_t now_unix_ms);
-  /// Opens the due occurrences of a timed job for which there is room.
+  /// Opens the due occurrences of a timed job, in order, as far as their number is allowed. A new
+  /// owner opens at least those that an earlier one has opened: what allows one more is stored.
   /// @return whether any was opened
   bool OpenDueOf(Job* job, TimePoint now, std::int64_t now_unix_ms);
-  /// Returns whether one more occurrence of the job may be open now.
-  bool MayOpen(const Job& job) const;
-  /// Updates the memory that is counted for a job.
+  /// Updates the memory that is counted for a job: that of all occurrences that may become open.
   void Count(Job* job);
   void SetMemory(Job* job, std::size_t bytes);
 
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -65,6 +65,7 @@
   std::optional<std::string> record;    ///< New value of the job's record.
   std::optional<std::string> progress;  ///< New value of the job's progress.
   bool progress_in_log = false;         ///< `progress` goes to the log that all jobs share.
+  std::size_t done_occurrences = 0;     ///< Number of the job's done occurrences that are included.
   bool job_ended = false;
   bool remove_progress = false;  ///< Remove the job's own entry of progress.
   bool remove_record = false;
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -10,8 +10,10 @@
 /// Memory of a job without its payload, steps and tasks: the record, its entries in the tables, and
 /// allocations for its lists.
 constexpr std::size_t kJobBytes = sizeof(Job) + 512;
-/// Most occurrences of one job that are open at the same time. Further ones wait until one ends.
-constexpr std::size_t kMaxOpenOccurrences = 1'000;
+/// Most occurrences of one job that are open at the same time, and most tasks of them if there are
+/// several. Further ones wait until one ends.
+constexpr std::size_t kMaxOpenOccurrences = 64;
+constexpr std::size_t kMaxOpenTasks = 10'000;
 /// The upper part of the limit, which is for customers whose jobs take little.
 constexpr std::size_t kReservedDivisor = 4;
 /// A customer whose jobs take less than this part of the limit may use the upper part.
@@ -39,6 +41,13 @@
   return kJobBytes + spec.payload.size() + steps + occurrences * occurrence;
 }
 
+std::size_t MostOpenOccurrences(const JobSpec& spec) {
+  const auto tasks = static_cast<std::size_t>(std::max<std::int64_t>(spec.TaskCount(), 1));
+  const std::size_t by_tasks = std::max<std::size_t>(kMaxOpenTasks / tasks, 1);
+  const auto all = static_cast<std::size_t>(spec.occurrence_count());
+  return std::min({all, by_tasks, kMaxOpenOccurrences});
+}
+
 bool OccurrenceState::AllDone() const {
   return std::all_of(steps.begin(), steps.end(), [](const StepState& step) {
     return step.done == static_cast<int>(step.tasks.size());
@@ -133,6 +142,7 @@
   job->finished_unix_ms = progress.finished_unix_ms;
   job->loaded_from_store = true;
   job->done_occurrences = progress.done_occurrences;
+  job->stored_done = job->done_occurrences.size();
   m_jobs[id] = job;
   Count(raw);
   if (IsFinal(job->state)) {
@@ -237,19 +247,12 @@
   Count(job);
 }
 
-bool JobTable::MayOpen(const Job& job) const {
-  if (job.open.empty()) {
-    return true;  // Counted since the job was added.
-  }
-  const std::size_t added =
-      MemoryOf(job.spec, job.open.size() + 1) - MemoryOf(job.spec, job.open.size());
-  return job.open.size() < kMaxOpenOccurrences && m_memory + added <= m_memory_limit;
-}
-
 bool JobTable::OpenDueOf(Job* job, TimePoint now, std::int64_t now_unix_ms) {
+  const std::size_t most = job->stored_done + MostOpenOccurrences(job->spec);
   bool opened = false;
   while (job->next_occurrence < job->spec.occurrences &&
-         job->spec.DueUnixMs(job->next_occurrence) <= now_unix_ms && MayOpen(*job)) {
+         job->spec.DueUnixMs(job->next_occurrence) <= now_unix_ms &&
+         static_cast<std::size_t>(job->next_occurrence) < most) {
     Open(job, job->next_occurrence, now, now_unix_ms);
     opened = true;
   }
@@ -257,9 +260,12 @@
 }
 
 void JobTable::Count(Job* job) {
-  // The first occurrence is counted before it is open, so that it always has room.
-  const std::size_t occurrences =
-      IsFinal(job->state) ? job->open.size() : std::max<std::size_t>(job->open.size(), 1);
+  std::size_t occurrences = job->open.size();
+  if (!IsFinal(job->state)) {
+    const auto all = static_cast<std::size_t>(job->spec.occurrence_count());
+    const std::size_t left = all - std::min(all, job->done_occurrences.size());
+    occurrences = std::max(occurrences, std::min(left, MostOpenOccurrences(job->spec)));
+  }
   SetMemory(job, MemoryOf(job->spec, occurrences));
 }
 
@@ -274,7 +280,7 @@
 }
 
 bool JobTable::HasRoomFor(const JobSpec& spec) const {
-  const std::size_t bytes = MemoryOf(spec, 1);
+  const std::size_t bytes = MemoryOf(spec, MostOpenOccurrences(spec));
   if (m_memory + bytes > m_memory_limit) {
     return false;
   }
@@ -353,8 +359,10 @@
   return job->change;
 }
 
-void JobTable::MarkStored(TimePoint built, Job* job, std::uint64_t change) {
+void JobTable::MarkStored(TimePoint built, Job* job, std::uint64_t change,
+                          std::size_t done_occurrences) {
   job->stored = true;
+  job->stored_done = std::max(job->stored_done, done_occurrences);
   m_changed.erase({job->first_change, job});
   if (job->change == change) {
     job->change = job->first_change = 0;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -37,6 +37,7 @@
   change.collected = now;
   change.job = job.spec.id;
   change.number = job.change;
+  change.done_occurrences = job.done_occurrences.size();
   change.job_ended = IsFinal(job.state);
   if (job.outdated) {
     change.remove_record = true;
@@ -440,7 +441,7 @@
       continue;
     }
     const bool current = job->change == change.number;
-    m_jobs.MarkStored(change.collected, job, change.number);
+    m_jobs.MarkStored(change.collected, job, change.number, change.done_occurrences);
     job->progress_stored = job->progress_stored || (change.progress && !change.progress_in_log);
     if (change.remove_record) {
       m_jobs.Remove(change.job);
