Show a second run of done tasks after a change of owner with over 500 ends

The owner is killed while each of two workers has more than 500 ends that it has not been told to forget. The next owner reads the first 500, takes the worker's list as complete and starts the other tasks again. Their first runs had ended as done, and these ends are acknowledged later.

--- /dev/null
+++ b/review/11/case.py
@@ -0,0 +1,80 @@
+"""The daemon that owns the schedule is killed while a worker has over 500 ends to report."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../standin-3"))
+from standin import BROKEN, COULD_NOT_RUN, HELD, config, main, route  # noqa: E402
+
+PREFIX = "/puxa400/"
+JOB = "5c0e7a21d94b36f8"
+LASTING = "5c0e7a21d94b36f9"
+# Two workers of 64 cores have room for 1,600 tasks of 80 thousandths of a core.
+TASKS = 1400
+WORK_MS = 60000
+# The tasks end this long after the kill. A daemon takes over some hundred milliseconds later.
+ENDS_AFTER_KILL_S = 0.15
+# A killed process is back within 3.5 s, as in the site file.
+DOWN_S = 3.5
+TIME_FOR_JOB_S = 40
+
+
+def owner_of(world):
+    for daemon in world.daemons:
+        with open(os.path.join(world.folder, f"{daemon.name}.log"), encoding="utf-8") as log:
+            if "event=owner_ready" in log.read():
+                return daemon
+    return None
+
+
+async def case(world):
+    await world.start(config(4, [route("r-check", PREFIX)]), workers=2, daemons=3)
+    if not await world.until_served(PREFIX):
+        return COULD_NOT_RUN
+    await asyncio.sleep(2)
+    owner = owner_of(world)
+    if owner is None:
+        return COULD_NOT_RUN
+    other = next(daemon for daemon in world.daemons if daemon is not owner)
+    # Tasks that last keep a lease in force on both workers all the time.
+    lasting = [{"count": 4, "cpu": 1000, "memMb": 10, "longRunning": True, "maxPerServer": 2}]
+    step = [{"count": TASKS, "cpu": 80, "memMb": 10, "estMs": 4000}]
+    if not (await world.submit(other, PREFIX, LASTING, lasting, 0) and
+            await world.submit(other, PREFIX, JOB, step, WORK_MS, until_release=True)):
+        return COULD_NOT_RUN
+    for _ in range(500):
+        running = sum(task.startswith(JOB) for worker in world.workers for task in worker.runs)
+        if running == TASKS:
+            break
+        await asyncio.sleep(0.01)
+    if running < TASKS:
+        return COULD_NOT_RUN
+    await asyncio.sleep(0.5)
+    if world.trouble:
+        owner.signal(signal.SIGKILL)
+    world.release_at = time.monotonic() + ENDS_AFTER_KILL_S
+    await asyncio.sleep(DOWN_S)
+    if world.trouble:
+        await owner.start()
+    state = None
+    for _ in range(2 * TIME_FOR_JOB_S):
+        answer = await other.call("GET", PREFIX + JOB)
+        state = answer[1].get("state") if answer else None
+        if state == "done":
+            break
+        await asyncio.sleep(0.5)
+    await asyncio.sleep(2)
+    twice = world.starts_after_done()
+    for task, ended, started in twice:
+        world.record("TWICE broken: a start after a run has ended as done", task=task,
+                     ended=ended, started=started)
+    print(f"{len(twice)} starts after an end as done; the job is {state}")
+    if twice:
+        return BROKEN
+    return HELD if state == "done" else COULD_NOT_RUN
+
+
+main(__file__, case)
