Give the review's stand-ins ports that no outgoing connection takes

One run of a script with TROUBLE=0 could not start: a port that was free had been given to an outgoing connection. Tasks may now also fail until a script mends them.

--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -21,6 +22,9 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CONNECTION_CLOSED = (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError, OSError)
 
+PORT_RANGE = (20500, 32000)
+TAKEN_PORTS = set()
+
 # Bounds of a small deployment, as in SYSTEM.md.
 BOUNDS = {
     "revokeMs": 5000, "holdMaxMs": 6000, "stopMs": 900, "drainMs": 2000, "leaseMs": 3000,
@@ -30,12 +34,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns ports below those that the kernel gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in TAKEN_PORTS:
+            TAKEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -210,6 +220,8 @@
         fields = json.loads(spec) if spec else {}
         work = fields.get("ms", 500)
         self.until_release = fields.get("until_release", False)
+        fails_ms = fields.get("fails_ms", 0)  # Fails so soon until the script mends its cause.
+        self.fails_at = now + fails_ms / 1000 if fails_ms else float("inf")
         self.lasts = work <= 0
         self.ends = now + (3600 if self.lasts else work / 1000)
         self.work = max(work, 1) / 1000
@@ -292,6 +304,8 @@
                     self.end(task, "stopped")
                 elif now >= run.ends or (run.until_release and now >= self.world.release_at):
                     self.end(task, "done")
+                elif now >= run.fails_at and not self.world.mended:
+                    self.end(task, "failed")
                 elif self.clock() >= self.deadline:
                     self.end(task, "lapsed")
             await asyncio.sleep(0.005)
@@ -315,6 +329,9 @@
             return await self.hold(call)
         return 200, {"clockMs": self.clock()}
 
+    def runs_of_jobs(self):
+        return {task.split(".")[0] for task in self.runs}
+
     def extend(self, deadline):
         limit = self.clock() + BOUNDS["holdMaxMs"]
         self.deadline = max(self.deadline, min(deadline, limit))
@@ -439,6 +456,7 @@
         self.workers = []
         self.daemons = []
         self.release_at = float("inf")  # When tasks end whose work lasts until then.
+        self.mended = False  # Whether tasks that fail by their own fault work now.
         self.starts = []  # (time, task, run, worker)
         # Ends that were taken note of while the worker's lease had not lapsed since.
         self.noted = []  # (time of the end, task, run, how, worker)
