--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,16 +10,19 @@
 from standin import BROKEN, COULD_NOT_RUN, HELD, config, main, route  # noqa: E402
 
 PREFIX = "/puxa400/"
-JOB = "5c0e7a21d94b36f8"
 LASTING = "5c0e7a21d94b36f9"
-# Two workers of 64 cores have room for 1,600 tasks of 80 thousandths of a core.
-TASKS = 1400
+# Two workers of 64 cores have room for 1,600 tasks of 80 thousandths of a core. A step has at most 24
+# tasks, as in the site file.
+JOBS = 60
+TASKS_PER_JOB = 24
+TASKS = JOBS * TASKS_PER_JOB
+SUBMIT_INTERVAL_S = 0.05
 WORK_MS = 60000
 # The tasks end this long after the kill. A daemon takes over some hundred milliseconds later.
 ENDS_AFTER_KILL_S = 0.15
 # A killed process is back within 3.5 s, as in the site file.
 DOWN_S = 3.5
-TIME_FOR_JOB_S = 40
+TIME_FOR_JOBS_S = 40
 
 
 def owner_of(world):
@@ -41,12 +44,17 @@
     other = next(daemon for daemon in world.daemons if daemon is not owner)
     # Tasks that last keep a lease in force on both workers all the time.
     lasting = [{"count": 4, "cpu": 1000, "memMb": 10, "longRunning": True, "maxPerServer": 2}]
-    step = [{"count": TASKS, "cpu": 80, "memMb": 10, "estMs": 4000}]
-    if not (await world.submit(other, PREFIX, LASTING, lasting, 0) and
-            await world.submit(other, PREFIX, JOB, step, WORK_MS, until_release=True)):
+    step = [{"count": TASKS_PER_JOB, "cpu": 80, "memMb": 10, "estMs": 9000}]
+    jobs = [f"{number:016x}" for number in range(1, JOBS + 1)]
+    if not await world.submit(other, PREFIX, LASTING, lasting, 0):
         return COULD_NOT_RUN
+    for job in jobs:
+        if not await world.submit(other, PREFIX, job, step, WORK_MS, until_release=True):
+            return COULD_NOT_RUN
+        await asyncio.sleep(SUBMIT_INTERVAL_S)
     for _ in range(500):
-        running = sum(task.startswith(JOB) for worker in world.workers for task in worker.runs)
+        running = sum(not task.startswith(LASTING) for worker in world.workers
+                      for task in worker.runs)
         if running == TASKS:
             break
         await asyncio.sleep(0.01)
@@ -59,11 +67,13 @@
     await asyncio.sleep(DOWN_S)
     if world.trouble:
         await owner.start()
-    state = None
-    for _ in range(2 * TIME_FOR_JOB_S):
-        answer = await other.call("GET", PREFIX + JOB)
-        state = answer[1].get("state") if answer else None
-        if state == "done":
+    open_jobs = set(jobs)
+    for _ in range(2 * TIME_FOR_JOBS_S):
+        for job in sorted(open_jobs):
+            answer = await other.call("GET", PREFIX + job)
+            if answer and answer[1].get("state") == "done":
+                open_jobs.discard(job)
+        if not open_jobs:
             break
         await asyncio.sleep(0.5)
     await asyncio.sleep(2)
@@ -71,10 +81,10 @@
     for task, ended, started in twice:
         world.record("TWICE broken: a start after a run has ended as done", task=task,
                      ended=ended, started=started)
-    print(f"{len(twice)} starts after an end as done; the job is {state}")
+    print(f"{len(twice)} starts after an end as done; {len(open_jobs)} jobs are not done")
     if twice:
         return BROKEN
-    return HELD if state == "done" else COULD_NOT_RUN
+    return COULD_NOT_RUN if open_jobs else HELD
 
 
 main(__file__, case)
