--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves out the disruption.
 set -u
 cd "$(dirname "$0")" || exit 2
-command -v python3 > /dev/null || exit 2
+python3 -c "import tomllib" 2> /dev/null || exit 2
 PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -562,7 +562,8 @@
         world = World(os.path.dirname(os.path.abspath(case_file)))
         try:
             result = await asyncio.wait_for(case(world), 110)
-        except asyncio.TimeoutError:
+        except Exception as error:  # An exit code of 1 is kept for a broken rule.
+            print(f"the script failed: {error!r}")
             result = COULD_NOT_RUN
         finally:
             await world.close()
@@ -571,7 +572,11 @@
     if not os.path.exists(os.path.join(ROOT, "target/packages/daemon/cranberryplankd")):
         print("the deploy file's build is missing")
         sys.exit(COULD_NOT_RUN)
-    result = asyncio.run(run())
+    try:
+        result = asyncio.run(run())
+    except Exception as error:
+        print(f"the script failed: {error!r}")
+        result = COULD_NOT_RUN
     print({HELD: "the rule held", BROKEN: "the rule was broken",
            COULD_NOT_RUN: "the case could not run"}[result])
     sys.exit(result)
