--- a/review/11/case.py
+++ b/review/11/case.py
@@ -20,8 +20,8 @@
 WORK_MS = 60000
 # The tasks end this long after the kill. A daemon takes over some hundred milliseconds later.
 ENDS_AFTER_KILL_S = 0.15
-# A killed process is back within 3.5 s, as in the site file.
-DOWN_S = 3.5
+# The site file has 3.5 s.
+DOWN_S = 3.4
 TIME_FOR_JOBS_S = 40
 
 
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -11,7 +11,9 @@
 PREFIX = "/puxa400/"
 JOB = "5c0e7a21d94b36f8"
 DEADLINE_S = 3.0
-FREEZE_S = 3.5
+FREEZE_S = 3.4
+# One of nine is the share 0.11 of the site file.
+DAEMONS = 9
 GONE_S = (BOUNDS["cancel_ms"] + BOUNDS["stopMs"]) / 1000
 # The rule excuses tasks that run on near another disruption.
 CONTACT_S = BOUNDS["contactMs"] / 1000
@@ -30,14 +32,14 @@
 async def case(world):
     # The queues of tasks that last are public in the site file.
     open_route = {**route("r-archive", PREFIX), "public": True}
-    await world.start(config(4, [open_route]), workers=3, daemons=3)
+    await world.start(config(4, [open_route]), workers=3, daemons=DAEMONS)
     if not await world.until_served(PREFIX):
         return COULD_NOT_RUN
     await asyncio.sleep(2)
     owner = await owner_of(world)
     if owner is None:
         return COULD_NOT_RUN
-    frozen, other = [daemon for daemon in world.daemons if daemon is not owner]
+    frozen, other = [daemon for daemon in world.daemons if daemon is not owner][:2]
     loop = asyncio.get_running_loop()
     if world.trouble:
         frozen.signal(signal.SIGSTOP)
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -22,6 +22,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CONNECTION_CLOSED = (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError, OSError)
 
+CONNECTIONS_PER_WORKER = 64  # As in SYSTEM.md.
 PORT_RANGE = (20500, 32000)
 TAKEN_PORTS = set()
 
@@ -77,8 +78,9 @@
 class HttpServer:
     """A small HTTP/1.1 server with JSON bodies and kept connections."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, most_connections=None):
         self.handler = handler  # async (method, path, query, headers, body) -> (status, dict)
+        self.most_connections = most_connections  # Further ones are closed unread.
         self.server = None
         self.writers = set()
 
@@ -86,6 +88,9 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=1024)
 
     async def serve(self, reader, writer):
+        if self.most_connections and len(self.writers) >= self.most_connections:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -257,7 +262,7 @@
         self.lapsed = True  # No lease is in force.
         self.lapses = []
         self.end_times = {}  # By the number of the end.
-        self.http = HttpServer(self.handle)
+        self.http = HttpServer(self.handle, CONNECTIONS_PER_WORKER)
         await self.http.listen(self.port)
         self.up = True
         self.ticker = asyncio.create_task(self.tick())
