Wait for all ended runs of a worker before its tasks are started anew

Cause: a worker returns its ended runs 500 at a time. An owner that has runs of its own keeps them while a list is full, but a new owner has none: it took the first list for complete, ended its wait for the worker and started what was neither running nor ended by that list. The size of a page was known to the scheduler only, and counted after rows of unknown kinds were left out.

Change: the reply says whether further ended runs may follow. A new owner waits for a worker with a full first list as for one that it hasn't heard, stores and acknowledges page by page, and ends the wait with a list that isn't full, with the end of a run that the first list showed as present (ended runs are listed in order), or with the end of the worker's leases. A worker whose newest list was full isn't idle, so its VM isn't taken down.

A simulated worker's calls referred to the link that sent them, which a killed owner takes with it; they hold the workers now.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -314,6 +314,13 @@
   void WaitForConfirmation(TimePoint now, const Worker& worker);
   void ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply);
   void ApplyEndedRun(TimePoint now, Worker* worker, const EndedRun& end);
+  /// Ends the wait for ended runs that the worker's first list to this owner left out, once they
+  /// have been listed.
+  /// @param reply a reply whose ended runs are not applied yet
+  void CheckEarlierEnds(Worker* worker, const RenewalInFlight& renewal,
+                        const LeaseRenewalReply& reply);
+  /// Returns whether an ended run was present when the worker was reconciled or later.
+  bool EndedAfterReconciliation(const Worker& worker, const EndedRun& end) const;
   void ApplyList(TimePoint now, Worker* worker, const RenewalInFlight& renewal,
                  const LeaseRenewalReply& reply);
   void ApplyListedRun(TimePoint now, Worker* worker, const RenewalInFlight& renewal,
@@ -411,7 +418,8 @@
   /// Returns whether the store has the settings by which the job is run, and no task of the step
   /// may still run on a worker that was not heard of since an earlier owner.
   bool MayPlace(const WaitingStep& waiting) const;
-  /// Returns the pools with workers that were not heard of since an earlier owner.
+  /// Returns the pools with workers that were not heard of since an earlier owner, or that have not
+  /// listed all runs that ended before.
   std::set<std::string, std::less<>> UnheardPools() const;
   void MoveLongRunningOffDraining(TimePoint now);
   void RemoveOldJobs(Now now);
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_link.h
@@ -95,8 +95,11 @@
   CallOutcome outcome = CallOutcome::kUnknown;
   std::int64_t clock_ms = 0;         ///< The worker's steady clock.
   std::int64_t started_unix_ms = 0;  ///< 0 if not given.
-  std::vector<ListedRun> running;
-  std::vector<EndedRun> ended;
+  std::vector<ListedRun> running;    ///< All runs that are present.
+  std::vector<EndedRun> ended;       ///< Those that are not acknowledged, lowest numbers first.
+  /// `ended` may leave out further ended runs. The worker lists them once those in `ended` are
+  /// acknowledged.
+  bool more_ended = false;
 };
 
 /// Starts one run of a task.
--- a/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/worker_table.h
@@ -117,6 +117,10 @@
   int failed_renewals = 0;
   /// The newest list contained runs that are not counted in `used`.
   bool has_untracked_runs = false;
+  bool more_ended = false;  ///< The newest list may have left out ended runs.
+  /// The list by which the worker was reconciled may have left out ended runs, and they have not
+  /// been listed since. Tasks of earlier owners may be among them.
+  bool awaits_earlier_ends = false;
   std::uint64_t last_ended_number = 0;
   std::uint64_t acknowledged = 0;
   std::uint64_t acknowledged_sent = 0;
@@ -134,8 +138,8 @@
   int stopping_runs = 0;  ///< Runs that have been ordered to stop.
 
   Resources free() const { return info.capacity - used; }
-  /// Returns whether the worker has no runs and no ended runs to acknowledge.
-  bool idle() const { return runs.empty() && pending_acknowledgements.empty(); }
+  /// Returns whether the worker has no runs and no ended runs to list or to acknowledge.
+  bool idle() const { return runs.empty() && pending_acknowledgements.empty() && !more_ended; }
   /// Returns when an idle worker last had a run, or when it became known.
   TimePoint last_used() const { return std::max(last_removed, first_seen); }
   /// Returns whether the worker has listed its runs under a fence of this owner, in this
--- a/packages/scheduler/src/scheduler_expiry.cc
+++ b/packages/scheduler/src/scheduler_expiry.cc
@@ -49,6 +49,7 @@
       WantConfirmation(run.ended_by);
     }
   }
+  worker->awaits_earlier_ends = false;  // Its tasks are started again, as all whose lease expired.
   if (worker->recorded && worker->runs.empty()) {
     // Nothing runs there, so the next owner need not wait for the worker.
     worker->recorded = false;
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -268,6 +268,11 @@
   for (const auto& [id, worker] : m_unreconciled) {
     pools.insert(worker.pool);
   }
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.awaits_earlier_ends) {
+      pools.insert(worker.info.pool);
+    }
+  }
   return pools;
 }
 
--- a/packages/scheduler/src/scheduler_renewals.cc
+++ b/packages/scheduler/src/scheduler_renewals.cc
@@ -17,8 +17,6 @@
 /// Pause while ended runs wait for the store. The worker would reply at once to a renewal that does
 /// not acknowledge them.
 constexpr Duration kUnstoredEndedRunsWait{150};
-/// A worker with more ended runs than this lists only a part of its runs.
-constexpr std::size_t kListedEndedRunsLimit = 500;
 constexpr Duration kUntrackedStopInterval{500};
 /// Interval at which a worker with untracked runs is checked until they have ended.
 constexpr Duration kUntrackedCheckInterval{100};
@@ -74,7 +72,7 @@
   const bool resolves = std::any_of(worker->runs.begin(), worker->runs.end(), [](const auto& item) {
     return item.second.phase == RunPhase::kUncertain;
   });
-  if (trusted && !resolves && !worker->has_untracked_runs &&
+  if (trusted && !resolves && !worker->has_untracked_runs && !worker->more_ended &&
       worker->pending_acknowledgements.empty()) {
     order.wait = worker->trial ? std::min(m_settings.renewal_wait, TrialRenewalWait())
                                : m_settings.renewal_wait;
@@ -128,6 +126,10 @@
     // The worker refuses earlier orders from now on, so no lease is longer than one granted now.
     worker->reconciled = true;
     worker->reconciled_at = now;
+    worker->awaits_earlier_ends = reply.more_ended;
+    if (reply.more_ended) {
+      LogLine(LogLevel::kInfo, "earlier_ends_awaited").Field("worker", id);
+    }
     WantConfirmation(now);
     worker->lease_bound =
         now + (worker->MayHoldEarlierDeadline() ? LongestEarlierLease() : LongestLease());
@@ -136,9 +138,11 @@
   // The list in this reply reflects the ended runs in it, but not necessarily runs that were
   // removed after the renewal was sent.
   renewal.outdated = worker->last_removed > renewal.sent;
+  CheckEarlierEnds(worker, renewal, reply);
   ApplyEndedRuns(now, worker, reply);
   if (renewal.sent >= worker->last_list_sent) {
     worker->has_untracked_runs = false;
+    worker->more_ended = reply.more_ended;
     worker->last_list_sent = renewal.sent;
     ApplyList(now, worker, renewal, reply);
   }
@@ -189,6 +193,33 @@
   worker->next_renewal = now + std::min(kFirstRetry * (1 << doublings), kMaxRetry);
 }
 
+void Scheduler::CheckEarlierEnds(Worker* worker, const RenewalInFlight& renewal,
+                                 const LeaseRenewalReply& reply) {
+  // A reply to an earlier call may be older than the list that left out ended runs.
+  if (!worker->awaits_earlier_ends || renewal.sent < worker->reconciled_at) {
+    return;
+  }
+  // Ended runs are listed in the order in which they ended. So one that ended later shows that the
+  // earlier ones have been listed, also if the worker always has more of them than one list holds.
+  const bool any_later =
+      std::any_of(reply.ended.begin(), reply.ended.end(),
+                  [&](const EndedRun& end) { return EndedAfterReconciliation(*worker, end); });
+  if (reply.more_ended && !any_later) {
+    return;
+  }
+  worker->awaits_earlier_ends = false;
+  LogLine(LogLevel::kInfo, "earlier_ends_listed")
+      .Field("worker", worker->info.id)
+      .Field("last_number", reply.ended.empty() ? 0 : reply.ended.back().number);
+}
+
+bool Scheduler::EndedAfterReconciliation(const Worker& worker, const EndedRun& end) const {
+  const TaskRef task = m_jobs.Resolve(end.task);
+  const auto placed = task.job == nullptr ? worker.runs.end() : worker.runs.find(task);
+  return placed != worker.runs.end() && placed->second.run == end.run &&
+         placed->second.listed_at >= worker.reconciled_at;
+}
+
 void Scheduler::ApplyEndedRuns(TimePoint now, Worker* worker, const LeaseRenewalReply& reply) {
   // One line for all of a reply's runs, because a line for each run would be most of the log of an
   // owner that ends a thousand runs per second.
@@ -254,8 +285,8 @@
     }
     ApplyListedRun(now, worker, renewal, listed);
   }
-  if (reply.ended.size() >= kListedEndedRunsLimit) {
-    return;
+  if (reply.more_ended) {
+    return;  // The ends of runs that are not listed may be among those that were left out.
   }
   std::vector<TaskRef> missing;
   for (const auto& [task, run] : worker->runs) {
--- a/packages/scheduler/src/scheduler_restarts.cc
+++ b/packages/scheduler/src/scheduler_restarts.cc
@@ -19,6 +19,7 @@
   worker->last_ended_number = worker->acknowledged = 0;
   worker->acknowledged_sent = worker->acknowledged_by_worker = 0;
   worker->pending_acknowledgements.clear();
+  worker->more_ended = worker->awaits_earlier_ends = false;
   worker->untracked_stops.clear();
   worker->lease_until_ms = worker->heard_clock_ms = 0;
   worker->failure_streak = 0;
--- a/packages/scheduler/tests/partition_random_test.cc
+++ b/packages/scheduler/tests/partition_random_test.cc
@@ -31,6 +31,9 @@
     if (waits) {
       m_workers.EnableWaits();
     }
+    if (seed % 3 == 0) {
+      m_workers.SetListedEndsLimit(kFewListedEnds);
+    }
     m_workers.Advance(m_now);
     for (int i = 0; i < kWorkers; ++i) {
       m_workers.AddWorker("worker" + std::to_string(i), "pool", kCapacity);
--- a/packages/scheduler/tests/scheduler_random_test.cc
+++ b/packages/scheduler/tests/scheduler_random_test.cc
@@ -54,6 +54,9 @@
   if (waits) {
     workers.EnableWaits();
   }
+  if (seed % 3 == 0) {
+    workers.SetListedEndsLimit(kFewListedEnds);
+  }
   DurableState store;
   TimePoint now{std::chrono::seconds(1'000)};
   workers.Advance(now);
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -231,6 +231,9 @@
   /// Adds an owner that takes over. Earlier owners tick until their authority expires.
   void ReplaceOwner() { m_owners.push_back(std::make_unique<Owner>(m_now, &m_workers, &m_store)); }
 
+  /// Ends the newest owner at once, as a kill does. The next one begins with `ReplaceOwner`.
+  void KillOwner() { m_owners.pop_back(); }
+
   /// The operators store a configuration, which the newest owner receives at once.
   void Configure(const ClusterConfig& config) {
     m_store.config = std::make_shared<const ClusterConfig>(config);
--- a/packages/scheduler/tests/simulated_workers.h
+++ b/packages/scheduler/tests/simulated_workers.h
@@ -24,6 +24,11 @@
   double late = 0;         ///< Executed seconds later, no reply.
 };
 
+/// Number of ended runs that a worker lists at a time.
+constexpr std::size_t kListedEndsLimit = 500;
+/// The same for random tests, in which few runs end at the same time.
+constexpr std::size_t kFewListedEnds = 2;
+
 /// Longest lease that a worker grants.
 constexpr Duration kLongestLease{6'000};
 
@@ -124,6 +129,8 @@
   /// Sets whether replies to starts carry the worker's clock.
   void SetClockInStartReplies(bool given) { m_clock_in_start_replies = given; }
 
+  /// Sets how many ended runs a worker lists at a time.
+  void SetListedEndsLimit(std::size_t limit) { m_listed_ends_limit = limit; }
   /// Sets the progress that all runs report; long-running tasks are ready at 100.
   void SetListedPercent(int percent) { m_listed_percent = percent; }
   void SetFaults(const LinkFaults& faults) { m_faults = faults; }
@@ -339,7 +346,10 @@
       listed.percent = m_listed_percent;
       reply.running.push_back(listed);
     }
-    reply.ended = worker.ends;
+    const std::size_t listed = std::min(worker.ends.size(), m_listed_ends_limit);
+    reply.ended.assign(worker.ends.begin(),
+                       worker.ends.begin() + static_cast<std::ptrdiff_t>(listed));
+    reply.more_ended = listed == m_listed_ends_limit;
     return reply;
   }
 
@@ -498,6 +508,7 @@
   TimePoint m_now{};
   std::int64_t m_incarnations = 1'000'000;
   int m_listed_percent = 0;
+  std::size_t m_listed_ends_limit = kListedEndsLimit;
   LinkFaults m_faults;
   std::map<std::string, SimulatedWorker> m_workers;
   std::function<void(const SimulatedWorker&)> m_report_registration;
@@ -573,8 +584,8 @@
     const std::string id = worker.id;
     Send(
         id,
-        [this, id, order, capacity = m_workers->workers().at(id).info.capacity] {
-          return m_workers->Start(id, order, capacity);
+        [workers = m_workers, id, order, capacity = m_workers->workers().at(id).info.capacity] {
+          return workers->Start(id, order, capacity);
         },
         [id, order](WorkerEvents* events, TimePoint now, const OrderReply* reply) {
           events->OnStart(now, id, order, reply ? *reply : OrderReply{});
@@ -583,7 +594,7 @@
   void Stop(const WorkerInfo& worker, const StopOrder& order) override {
     const std::string id = worker.id;
     Send(
-        id, [this, id, order] { return m_workers->Stop(id, order); },
+        id, [workers = m_workers, id, order] { return workers->Stop(id, order); },
         [id, order](WorkerEvents* events, TimePoint now, const CallOutcome* outcome) {
           events->OnStop(now, id, order, {outcome ? *outcome : CallOutcome::kUnknown, 0});
         });
