Identify a job's queue by its path instead of its name

Cause: the owner compared names of queues; a job is identified by its path. The name was the key of all that concerns a queue: records of jobs, ended jobs and queues, the owner's table, counts of waiting jobs. So new settings of a renamed queue did not reach its jobs either.

Change: host and path prefix identify a queue in the records, in the owner and in calls between daemons. Dropping the comparison would let a job be read and cancelled through another queue's prefix. A path belongs to one queue and one id, so a 410 holds for any configuration that may be in force. Records of earlier versions belong to the path that has their queue's name when they are loaded; if none has it, calls about the job get 503, not 410.

--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -24,7 +24,10 @@
   OwnerCallKind kind = OwnerCallKind::kPing;
   std::string incarnation;  ///< Of the owner that hands over and has stopped acting.
   std::string job;
-  std::string queue;
+  std::string queue;  ///< Its name; daemons of earlier versions know queues by name only.
+  /// Host and path prefix of the call, which identify the queue. Empty in calls of daemons of
+  /// earlier versions.
+  std::string queue_path;
   std::string sender;  ///< Address at which the sender accepts calls.
   std::uint64_t config_version = 0;
   double cores = 0;                       ///< Processing power of the sender's VM.
--- a/packages/entry/include/cranberryplank/entry/queue_codec.h
+++ b/packages/entry/include/cranberryplank/entry/queue_codec.h
@@ -11,8 +11,9 @@
 
 constexpr std::string_view kQueuePrefix = "queue/";
 
-/// Returns the key of a queue's record. Long names are replaced by a digest, because keys in the
+/// Returns the key of a queue's record. Long ids are replaced by a digest, because keys in the
 /// store are limited.
+/// @param queue `QueueConfig::id` of the queue
 std::string QueueKey(std::string_view queue);
 
 /// Encode and decode a queue's record, as MessagePack.
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -113,6 +113,11 @@
   void Answer(std::uint64_t waiting, const OwnerReply& reply);
   /// Returns whether the job that the call is about is known and in the call's queue.
   bool Knows(const OwnerCall& call) const;
+  /// Returns whether a job with the call's id is known of which it is not known whether it is in
+  /// the call's queue: an earlier version accepted it at a queue that has another name now.
+  bool MayBeInQueue(const OwnerCall& call) const;
+  /// Returns `QueueConfig::id` of the call's queue.
+  std::string QueueIdOf(const OwnerCall& call) const;
   /// Answers the calls about unknown jobs. A daemon may have taken over and accepted the job, so
   /// "no such job" is answered only after a confirmation of the ownership that was sent later than
   /// the call arrived. Without one, the caller is told soon to ask again.
@@ -138,13 +143,14 @@
   std::map<std::string, JobRecord> m_records;
   std::map<std::string, LoadedProgress> m_progress;
   std::vector<RecordedWorker> m_recorded;
+  std::vector<QueueRecord> m_queue_records;  ///< Loaded once the configuration is known.
   TimePoint m_started_at{};
   EarlierOwners m_earlier;
   bool m_stored_settled = false;  ///< It was stored that no earlier owner acts any more.
   std::map<std::uint64_t, Callback> m_waiting;  ///< Calls that wait for the store.
   std::uint64_t m_last_waiting = 0;
   std::vector<UnknownJobCall> m_unknown_job_calls;       ///< They wait for a confirmation.
-  std::map<std::string, WaitingCount> m_waiting_counts;  ///< By queue.
+  std::map<std::string, WaitingCount> m_waiting_counts;  ///< By id of the queue.
   OwnerLoadMeter m_load;
   std::uint64_t m_reported_starts = 0;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -141,11 +141,13 @@
   pending.call.kind = OwnerKindOf(call->kind);
   pending.call.job = call->job;
   pending.call.queue = queue->name;
+  pending.call.queue_path = queue->path();
   pending.call.config_version = config->version;
   if (call->kind == CallKind::kSubmit) {
     JobSpec spec;
     spec.id = call->job;
     spec.queue = queue->name;
+    spec.queue_path = queue->path();
     spec.pool = queue->pool;
     spec.accepted_unix_ms = now.unix_ms;
     if (const CustomerConfig* customer = config->CustomerOfKey(key)) {
--- a/packages/entry/src/owner_messages.cc
+++ b/packages/entry/src/owner_messages.cc
@@ -50,7 +50,7 @@
        call.config_version, call.spec ? json(EncodeJob(*call.spec)) : json(nullptr), call.cores,
        call.state_format,
        call.earlier_owners_act_for ? json(call.earlier_owners_act_for->count()) : json(nullptr),
-       ToJson(call.queue_config)}));
+       ToJson(call.queue_config), call.queue_path}));
 }
 
 std::optional<OwnerCall> DecodeOwnerCall(std::string_view bytes) {
@@ -71,6 +71,9 @@
     if (fields.size() > 10) {
       call.queue_config = QueueFromJson(fields.at(10));
     }
+    if (fields.size() > 11) {
+      call.queue_path = fields.at(11);
+    }
     if (!fields.at(6).is_null()) {
       const auto record = DecodeJob(call.job, fields.at(6).get<std::string>());
       if (!record || !record->spec) {
--- a/packages/entry/src/queue_codec.cc
+++ b/packages/entry/src/queue_codec.cc
@@ -15,8 +15,10 @@
 using nlohmann::json;
 
 constexpr int kFormat = 1;
-/// Names up to this length stand in the key; a digest has 64 bytes.
-constexpr std::size_t kMaxNameInKey = 63;
+/// Ids up to this length stand in the key; a digest has 64 bytes.
+constexpr std::size_t kMaxIdInKey = 63;
+/// First of two fields that are missing in records of earlier versions: host and path prefix.
+constexpr std::size_t kPathFields = 9;
 
 json ToJson(const std::optional<AdvicePolicy>& advice) {
   if (!advice) {
@@ -39,14 +41,15 @@
 
 std::string QueueKey(std::string_view queue) {
   return fmt::format("{}{}", kQueuePrefix,
-                     queue.size() > kMaxNameInKey ? Sha256(queue).hex : std::string(queue));
+                     queue.size() > kMaxIdInKey ? Sha256(queue).hex : std::string(queue));
 }
 
 std::string EncodeQueue(const QueueRecord& record) {
   const QueueConfig& queue = record.queue;
   return ToMessagePack(
       json::array({kFormat, queue.name, queue.pool, queue.priority, queue.max_attempts,
-                   queue.stretch, queue.objective.count(), ToJson(queue.advice), record.pools}));
+                   queue.stretch, queue.objective.count(), ToJson(queue.advice), record.pools,
+                   queue.host, queue.path_prefix}));
 }
 
 std::optional<QueueRecord> DecodeQueue(std::string_view value) {
@@ -64,6 +67,10 @@
     for (const json& pool : fields.at(8)) {
       record.pools.insert(pool.get<std::string>());
     }
+    if (fields.size() > kPathFields) {
+      queue.host = fields.at(kPathFields);
+      queue.path_prefix = fields.at(kPathFields + 1);
+    }
     return record;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -160,10 +160,10 @@
       readable = true;
     }
   } else if (prefix == kQueuePrefix) {
-    const auto record = DecodeQueue(item.value);
+    auto record = DecodeQueue(item.value);
     readable = record.has_value();
     if (record) {
-      m_scheduler->LoadQueue(*record);
+      m_queue_records.push_back(std::move(*record));
     }
   } else if (prefix == kProgressPrefix) {
     readable = LoadProgress(id, item.value, item.revision);
@@ -217,6 +217,9 @@
 }
 
 void ScheduleOwner::FinishLoad(Now now) {
+  for (QueueRecord& record : std::exchange(m_queue_records, {})) {
+    m_scheduler->LoadQueue(std::move(record));
+  }
   for (const auto& [id, record] : m_records) {
     const auto progress = m_progress.find(id);
     m_scheduler->LoadJob(now, id, record,
@@ -349,15 +352,31 @@
   }
 }
 
+std::string ScheduleOwner::QueueIdOf(const OwnerCall& call) const {
+  if (!call.queue_path.empty()) {
+    return call.queue_path;
+  }
+  const QueueConfig* configured = m_config ? m_config->FindQueue(call.queue) : nullptr;
+  return configured == nullptr ? call.queue : configured->id();
+}
+
 bool ScheduleOwner::Knows(const OwnerCall& call) const {
-  return m_scheduler->QueueOf(call.job) == call.queue &&
+  const JobSpec* spec = m_scheduler->SpecOf(call.job);
+  return spec != nullptr && spec->queue_id() == QueueIdOf(call) &&
          (call.kind == OwnerCallKind::kCancel || m_scheduler->StateOf(call.job));
 }
 
+bool ScheduleOwner::MayBeInQueue(const OwnerCall& call) const {
+  const JobSpec* spec = m_scheduler->SpecOf(call.job);
+  return spec != nullptr && spec->queue_path.empty() && !call.queue_path.empty();
+}
+
 void ScheduleOwner::AnswerUnknownJobs(Now now) {
   for (UnknownJobCall& waiting : std::exchange(m_unknown_job_calls, {})) {
     if (Knows(waiting.call)) {
       Handle(now, waiting.call, std::move(waiting.done));
+    } else if (MayBeInQueue(waiting.call)) {
+      waiting.done(now.time, ReplyOf(OwnerStatus::kNotReady, "the job's queue is not known"));
     } else if (m_parts.ownership->confirmed() > waiting.asked) {
       waiting.done(now.time, ReplyOf(OwnerStatus::kNoSuchJob));
     } else if (now.time - waiting.asked > kConfirmationWait) {
@@ -441,7 +460,7 @@
       Cancel(now, call, std::move(done));
       return;
     case OwnerCallKind::kCountWaiting:
-      reply.waiting = WaitingJobs(now.time, call.queue);
+      reply.waiting = WaitingJobs(now.time, QueueIdOf(call));
       done(now.time, reply);
       return;
   }
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -176,14 +176,20 @@
 }
 
 void StateWriter::AddQueues(Slot* slot, std::size_t* room) {
-  slot->queues = m_scheduler->CollectQueues(std::min(kQueueRecords, *room));
+  // A record may also remove that of an earlier version.
+  slot->queues = m_scheduler->CollectQueues(std::min(kQueueRecords, *room / 2));
   *room -= slot->queues.size();
   for (const QueueRecord& record : slot->queues) {
-    const std::string key = QueueKey(record.queue.name);
-    if (record.remove) {
-      slot->transaction.removals.push_back(key);
-    } else {
+    const bool has_former_key = !record.former_key_name.empty();
+    if (has_former_key) {
+      slot->transaction.removals.push_back(QueueKey(record.former_key_name));
+      --*room;
+    }
+    const std::string key = QueueKey(record.queue.id());
+    if (!record.remove) {
       slot->transaction.writes.push_back({key, EncodeQueue(record)});
+    } else if (!has_former_key) {
+      slot->transaction.removals.push_back(key);
     }
   }
 }
--- a/packages/jobs/include/cranberryplank/jobs/job.h
+++ b/packages/jobs/include/cranberryplank/jobs/job.h
@@ -53,7 +53,10 @@
 /// A job as it was submitted.
 struct JobSpec {
   std::string id;
-  std::string queue;
+  std::string queue;  ///< Name of the queue at acceptance, for logs; operators may change it.
+  /// Host and path prefix at which the job was submitted, which identify its queue. Empty in
+  /// records of earlier versions.
+  std::string queue_path;
   std::string pool;      ///< Pool of the queue at acceptance.
   std::string customer;  ///< Empty if the queue is open to all and the request had no key.
   std::string payload;   ///< Opaque bytes passed to every run of a task.
@@ -63,6 +66,8 @@
   int occurrences = 0;  ///< 0 for a job that runs once, immediately.
   std::int64_t accepted_unix_ms = 0;
 
+  /// Returns what identifies the job's queue: its path, or its name if the path is not known.
+  const std::string& queue_id() const { return queue_path.empty() ? queue : queue_path; }
   bool timed() const { return occurrences > 0; }
   int occurrence_count() const { return occurrences > 0 ? occurrences : 1; }
 
--- a/packages/jobs/include/cranberryplank/jobs/job_codec.h
+++ b/packages/jobs/include/cranberryplank/jobs/job_codec.h
@@ -53,6 +53,7 @@
   std::string customer;
   JobState state = JobState::kDone;
   std::int64_t finished_unix_ms = 0;
+  std::string queue_path = {};  ///< As in `JobSpec`.
 };
 
 /// Encodes records for the store. The encoding is MessagePack with numbered fields.
--- a/packages/jobs/src/job_codec.cc
+++ b/packages/jobs/src/job_codec.cc
@@ -12,6 +12,13 @@
 
 constexpr int kFormatLive = 1;
 constexpr int kFormatEnded = 2;
+/// Fields that are missing in records of earlier versions.
+constexpr std::size_t kQueuePathOfLive = 10;
+constexpr std::size_t kQueuePathOfEnded = 5;
+
+std::string OptionalText(const json& fields, std::size_t index) {
+  return fields.size() > index ? fields.at(index).get<std::string>() : std::string();
+}
 
 json ToJson(const StepSpec& step) {
   const int flags = (step.saves_progress ? 1 : 0) | (step.gang ? 2 : 0) | (step.same_rack ? 4 : 0) |
@@ -56,6 +63,7 @@
   spec.occurrences = fields.at(6);
   spec.accepted_unix_ms = fields.at(7);
   spec.pool = fields.at(9);
+  spec.queue_path = OptionalText(fields, kQueuePathOfLive);
   for (const json& step : fields.at(8)) {
     spec.steps.push_back(StepFromJson(step));
   }
@@ -108,14 +116,15 @@
   for (const StepSpec& step : spec.steps) {
     steps.push_back(ToJson(step));
   }
-  return ToMessagePack(
-      json::array({kFormatLive, spec.queue, spec.customer, spec.payload, spec.first_due_unix_ms,
-                   spec.interval_ms, spec.occurrences, spec.accepted_unix_ms, steps, spec.pool}));
+  return ToMessagePack(json::array({kFormatLive, spec.queue, spec.customer, spec.payload,
+                                    spec.first_due_unix_ms, spec.interval_ms, spec.occurrences,
+                                    spec.accepted_unix_ms, steps, spec.pool, spec.queue_path}));
 }
 
 std::string EncodeEndedJob(const EndedJob& job) {
-  return ToMessagePack(json::array(
-      {kFormatEnded, job.queue, job.customer, static_cast<int>(job.state), job.finished_unix_ms}));
+  return ToMessagePack(
+      json::array({kFormatEnded, job.queue, job.customer, static_cast<int>(job.state),
+                   job.finished_unix_ms, job.queue_path}));
 }
 
 std::optional<JobRecord> DecodeJob(std::string_view id, std::string_view value) {
@@ -123,8 +132,8 @@
     const json fields = FromMessagePack(value);
     JobRecord record;
     if (fields.at(0) == kFormatEnded) {
-      record.ended =
-          EndedJob{fields.at(1), fields.at(2), static_cast<JobState>(fields.at(3)), fields.at(4)};
+      record.ended = EndedJob{fields.at(1), fields.at(2), static_cast<JobState>(fields.at(3)),
+                              fields.at(4), OptionalText(fields, kQueuePathOfEnded)};
       return record;
     }
     record.spec = SpecFromJson(id, fields);
--- a/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/cluster_config.h
@@ -34,6 +34,12 @@
   Duration objective{0};  ///< Added to the stretched chain.
   bool open_to_all = false;
   std::optional<AdvicePolicy> advice;
+
+  /// Returns host and path prefix, which identify the queue of a call; empty if they are not known.
+  std::string path() const { return host + path_prefix; }
+  /// Returns what identifies the queue: its path, or its name if the path is not known. Operators
+  /// may give the queue at a path another name, and its former name to another queue.
+  std::string id() const { return host.empty() && path_prefix.empty() ? name : path(); }
 };
 
 struct PoolConfig {
@@ -67,6 +73,7 @@
   std::vector<CustomerConfig> customers;
   CallerLimits limits;
 
+  /// Returns the queue that has the name now, or nullptr.
   const QueueConfig* FindQueue(std::string_view name) const;
   /// Returns the queue with the longest path prefix of `path` on `host`, or nullptr.
   const QueueConfig* Route(std::string_view host, std::string_view path) const;
--- a/packages/scheduler/include/cranberryplank/scheduler/queue_table.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/queue_table.h
@@ -18,18 +18,23 @@
 /// What the store keeps of a queue, so that later owners know it for as long as it has jobs that
 /// are not finished. The operators' item in the store has only the newest configuration.
 struct QueueRecord {
-  QueueConfig queue;  ///< How its jobs are run. Fields that concern calls only are not kept.
+  /// How its jobs are run. Of the fields that concern calls only the path is kept.
+  QueueConfig queue;
   std::set<std::string, std::less<>> pools;  ///< Pools in which runs of its jobs may be.
   bool remove = false;                       ///< The record is to be removed from the store.
+  /// Name under which an earlier version has stored the record, instead of the queue's id. That
+  /// entry is removed with the next change. Empty if there is none.
+  std::string former_key_name = {};
 };
 
 /// Returns whether both configurations run jobs in the same way. How calls are routed to the queue
 /// is not compared.
 bool RunsJobsAlike(const QueueConfig& left, const QueueConfig& right);
 
-/// All queues known to the owner of the schedule. Jobs are run by settings that the store has: a
-/// change that concerns unfinished jobs is stored before it is used, so that a later owner knows
-/// each pool in which a run may be. Queues without unfinished jobs cause no call to the store.
+/// All queues known to the owner of the schedule, by `QueueConfig::id`. Jobs are run by settings
+/// that the store has: a change that concerns unfinished jobs is stored before it is used, so that
+/// a later owner knows each pool in which a run may be. Queues without unfinished jobs cause no
+/// call to the store.
 class QueueTable {
  public:
   /// Takes over the queues of a configuration. Removed queues stay known.
@@ -40,17 +45,17 @@
   /// Takes over a record of an earlier owner.
   void Load(const QueueRecord& record);
   /// Records that a queue has a job that is not finished.
-  void Use(const std::string& name);
+  void Use(const std::string& id);
 
   /// Returns by which settings the jobs of a queue are run. The reference stays valid.
-  const QueueConfig& Used(std::string_view name) const;
+  const QueueConfig& Used(std::string_view id) const;
   /// Returns whether the store has a record of the queue, so that its tasks may be started.
-  bool HasRecord(std::string_view name) const;
+  bool HasRecord(std::string_view id) const;
   /// Returns whether the store has the newest settings of the queue.
   /// @param being_stored records in the same transaction
-  bool IsRecorded(std::string_view name, std::span<const QueueRecord> being_stored) const;
+  bool IsRecorded(std::string_view id, std::span<const QueueRecord> being_stored) const;
   /// Returns whether a run of the queue's jobs may be in the pool.
-  bool MayRunIn(std::string_view name, std::string_view pool) const;
+  bool MayRunIn(std::string_view id, std::string_view pool) const;
 
   /// Collects records to store. Their queues are collected again only after `OnStored` or
   /// `Release`.
@@ -67,13 +72,14 @@
     QueueConfig used;                          ///< As in the store, if it has a record.
     std::set<std::string, std::less<>> pools;  ///< As in the store.
     bool configured = false;                   ///< The newest configuration has the queue.
-    bool stored = false;        ///< The store has a record, which is not being removed.
-    bool being_stored = false;  ///< A record was collected.
+    bool stored = false;          ///< The store has a record, which is not being removed.
+    bool being_stored = false;    ///< A record was collected.
+    std::string former_key_name;  ///< As in `QueueRecord`.
 
     bool recorded() const { return stored && RunsJobsAlike(newest, used); }
   };
 
-  const Queue* Find(std::string_view name) const;
+  const Queue* Find(std::string_view id) const;
   void SetNewest(const QueueConfig& config, Queue* queue);
 
   std::map<std::string, Queue, std::less<>> m_queues;  ///< Entries are never removed.
--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -158,7 +158,7 @@
   void LoadJob(Now now, const std::string& id, const JobRecord& record,
                const JobProgress& progress);
   /// Takes over a queue's record from the store. To be called before `Begin`.
-  void LoadQueue(const QueueRecord& record) { m_queues.Load(record); }
+  void LoadQueue(QueueRecord record);
   void SetConfig(Now now, std::shared_ptr<const ClusterConfig> config);
   const ClusterConfig* config() const { return m_config.get(); }
   void SetWorker(Now now, const WorkerInfo& info);
@@ -182,8 +182,9 @@
   /// Returns the stored state of a job. @return nothing if there is no such job
   std::optional<JobState> StateOf(const std::string& id) const;
   /// Returns the queue of a job. @return an empty string if there is no such job
-  std::string QueueOf(const std::string& id) const;
+  const JobSpec* SpecOf(const std::string& id) const;
   /// Returns the number of accepted jobs of a queue without a started task.
+  /// @param queue id of the queue
   int WaitingJobs(std::string_view queue) const;
 
   /// Executes all due work. Must be called every few milliseconds.
@@ -289,6 +290,9 @@
   void SetRecordedClock(Worker* worker);
   /// Returns by which settings the job is run.
   const QueueConfig& QueueOfJob(const Job& job);
+  /// Sets the path of a job's queue if a daemon of an earlier version has left it out: that of the
+  /// queue that has the name now.
+  void ResolveQueuePath(JobSpec* spec) const;
 
   // Leases and lists of runs.
   void SendRenewals(TimePoint now);
--- a/packages/scheduler/src/job_table.cc
+++ b/packages/scheduler/src/job_table.cc
@@ -127,6 +127,7 @@
   if (record.ended) {
     job->spec.id = id;
     job->spec.queue = record.ended->queue;
+    job->spec.queue_path = record.ended->queue_path;
     job->spec.customer = record.ended->customer;
     job->state = job->stored_state = record.ended->state;
     job->finished_unix_ms = record.ended->finished_unix_ms;
--- a/packages/scheduler/src/queue_table.cc
+++ b/packages/scheduler/src/queue_table.cc
@@ -16,14 +16,14 @@
   std::set<std::string_view> accepted_pools;  ///< Of the queue when the jobs were accepted.
 };
 
-/// Returns the queues with unfinished jobs, by name.
+/// Returns the queues with unfinished jobs, by id.
 std::map<std::string_view, QueueUse> QueuesInUse(const JobTable& jobs) {
   std::map<std::string_view, QueueUse> uses;
   for (const auto& [id, job] : jobs.jobs()) {
     if (job->ended_record) {
       continue;
     }
-    QueueUse& use = uses[job->spec.queue];
+    QueueUse& use = uses[job->spec.queue_id()];
     use.has_stored_job = use.has_stored_job || job->stored;
     if (job->loaded_from_store) {
       use.accepted_pools.insert(job->spec.pool);
@@ -43,8 +43,8 @@
   return RunSettings(left) == RunSettings(right);
 }
 
-const QueueTable::Queue* QueueTable::Find(std::string_view name) const {
-  const auto it = m_queues.find(name);
+const QueueTable::Queue* QueueTable::Find(std::string_view id) const {
+  const auto it = m_queues.find(id);
   return it == m_queues.end() ? nullptr : &it->second;
 }
 
@@ -56,16 +56,17 @@
 }
 
 void QueueTable::SetConfig(const ClusterConfig& config, const JobTable& jobs) {
-  for (auto& [name, queue] : m_queues) {
+  for (auto& [id, queue] : m_queues) {
     queue.configured = false;
   }
-  std::vector<std::string_view> changed;
+  std::vector<std::string> changed;
   for (const QueueConfig& configured : config.queues) {
-    Queue& queue = m_queues[configured.name];
+    std::string id = configured.id();
+    Queue& queue = m_queues[id];
     queue.configured = true;
     SetNewest(configured, &queue);
     if (!queue.recorded()) {
-      changed.push_back(configured.name);
+      changed.push_back(std::move(id));
     }
   }
   if (changed.empty()) {
@@ -73,24 +74,24 @@
   }
   std::set<std::string_view> in_use;
   for (const auto& [id, job] : jobs.active()) {
-    in_use.insert(job->spec.queue);
+    in_use.insert(job->spec.queue_id());
   }
-  for (const std::string_view name : changed) {
-    if (in_use.contains(name)) {
-      m_to_store.emplace(name);
+  for (const std::string& id : changed) {
+    if (in_use.contains(id)) {
+      m_to_store.insert(id);
     }
   }
 }
 
 void QueueTable::AddUnconfigured(const QueueConfig& queue) {
-  const auto [it, added] = m_queues.try_emplace(queue.name);
+  const auto [it, added] = m_queues.try_emplace(queue.id());
   if (added) {
     SetNewest(queue, &it->second);
   }
 }
 
 void QueueTable::Load(const QueueRecord& record) {
-  const auto [it, added] = m_queues.try_emplace(record.queue.name);
+  const auto [it, added] = m_queues.try_emplace(record.queue.id());
   Queue& queue = it->second;
   if (added) {
     queue.newest = record.queue;
@@ -98,38 +99,38 @@
   queue.used = record.queue;
   queue.pools = record.pools;
   queue.stored = true;
+  queue.former_key_name = record.former_key_name;
 }
 
-void QueueTable::Use(const std::string& name) {
-  if (!m_queues.at(name).recorded()) {
-    m_to_store.insert(name);
+void QueueTable::Use(const std::string& id) {
+  if (!m_queues.at(id).recorded()) {
+    m_to_store.insert(id);
   }
 }
 
-const QueueConfig& QueueTable::Used(std::string_view name) const {
-  return m_queues.find(name)->second.used;
+const QueueConfig& QueueTable::Used(std::string_view id) const {
+  return m_queues.find(id)->second.used;
 }
 
-bool QueueTable::HasRecord(std::string_view name) const {
-  const Queue* queue = Find(name);
+bool QueueTable::HasRecord(std::string_view id) const {
+  const Queue* queue = Find(id);
   return queue != nullptr && queue->stored;
 }
 
-bool QueueTable::IsRecorded(std::string_view name,
-                            std::span<const QueueRecord> being_stored) const {
-  const Queue* queue = Find(name);
+bool QueueTable::IsRecorded(std::string_view id, std::span<const QueueRecord> being_stored) const {
+  const Queue* queue = Find(id);
   if (queue == nullptr) {
     return false;
   }
   return queue->recorded() ||
          std::any_of(being_stored.begin(), being_stored.end(), [&](const QueueRecord& record) {
-           return record.queue.name == name && !record.remove &&
+           return record.queue.id() == id && !record.remove &&
                   RunsJobsAlike(record.queue, queue->newest);
          });
 }
 
-bool QueueTable::MayRunIn(std::string_view name, std::string_view pool) const {
-  const Queue* queue = Find(name);
+bool QueueTable::MayRunIn(std::string_view id, std::string_view pool) const {
+  const Queue* queue = Find(id);
   if (queue == nullptr) {
     return true;
   }
@@ -153,7 +154,7 @@
     const auto use = uses.find(*it);
     QueueRecord record;
     record.queue = queue.newest;
-    record.queue.name = *it;
+    record.former_key_name = queue.former_key_name;
     record.pools.insert(queue.newest.pool);
     record.remove = use == uses.end();
     if (use != uses.end() && use->second.has_stored_job) {
@@ -173,45 +174,46 @@
 
 void QueueTable::Release(std::span<const QueueRecord> records) {
   for (const QueueRecord& record : records) {
-    Queue& queue = m_queues.at(record.queue.name);
+    Queue& queue = m_queues.at(record.queue.id());
     queue.being_stored = false;
     queue.stored = queue.stored || record.remove;
-    m_to_store.insert(record.queue.name);
+    m_to_store.insert(record.queue.id());
   }
 }
 
 void QueueTable::OnStored(std::span<const QueueRecord> records) {
   for (const QueueRecord& record : records) {
-    Queue& queue = m_queues.at(record.queue.name);
+    Queue& queue = m_queues.at(record.queue.id());
     queue.being_stored = false;
     queue.stored = !record.remove;
     queue.used = record.queue;
     queue.pools = record.pools;
+    queue.former_key_name.clear();
     LogLine(LogLevel::kInfo, record.remove ? "queue_record_removed" : "queue_recorded")
         .Field("queue", record.queue.name)
         .Field("pool", record.queue.pool)
         .Field("pools", record.pools.size())
         .Field("attempts", record.queue.max_attempts);
     if (!queue.recorded()) {
-      m_to_store.insert(record.queue.name);  // A newer change, or a job that has come meanwhile.
+      m_to_store.insert(record.queue.id());  // A newer change, or a job that has come meanwhile.
     }
   }
 }
 
 void QueueTable::FindOutdated(const JobTable& jobs) {
   std::vector<std::string_view> removed;
-  for (const auto& [name, queue] : m_queues) {
+  for (const auto& [id, queue] : m_queues) {
     if (queue.stored && !queue.configured && !queue.being_stored) {
-      removed.push_back(name);
+      removed.push_back(id);
     }
   }
   if (removed.empty()) {
     return;
   }
   const std::map<std::string_view, QueueUse> uses = QueuesInUse(jobs);
-  for (const std::string_view name : removed) {
-    if (!uses.contains(name)) {
-      m_to_store.emplace(name);
+  for (const std::string_view id : removed) {
+    if (!uses.contains(id)) {
+      m_to_store.emplace(id);
     }
   }
 }
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -42,8 +42,8 @@
   if (job.outdated) {
     change.remove_record = true;
   } else if (IsFinal(job.state)) {
-    change.record =
-        EncodeEndedJob({job.spec.queue, job.spec.customer, job.state, job.finished_unix_ms});
+    change.record = EncodeEndedJob(
+        {job.spec.queue, job.spec.customer, job.state, job.finished_unix_ms, job.spec.queue_path});
     change.remove_progress = job.progress_stored;
   } else if (!job.stored) {
     change.record = EncodeJob(job.spec);
@@ -59,6 +59,9 @@
 QueueConfig UnrecordedQueueOf(const JobSpec& spec) {
   QueueConfig queue;
   queue.name = spec.queue;
+  const std::size_t prefix = std::min(spec.queue_path.find('/'), spec.queue_path.size());
+  queue.host = spec.queue_path.substr(0, prefix);
+  queue.path_prefix = spec.queue_path.substr(prefix);
   queue.pool = spec.pool;
   queue.priority = 1;
   queue.max_attempts = 3;
@@ -110,13 +113,31 @@
   }
   for (const auto& [id, job] : m_jobs.active()) {
     m_queues.AddUnconfigured(UnrecordedQueueOf(job->spec));
-    m_queues.Use(job->spec.queue);
+    m_queues.Use(job->spec.queue_id());
+  }
+}
+
+void Scheduler::LoadQueue(QueueRecord record) {
+  const QueueConfig* configured = m_config ? m_config->FindQueue(record.queue.name) : nullptr;
+  if (record.queue.path().empty() && configured != nullptr && !configured->path().empty()) {
+    record.former_key_name = record.queue.name;
+    record.queue.host = configured->host;
+    record.queue.path_prefix = configured->path_prefix;
+  }
+  m_queues.Load(record);
+}
+
+void Scheduler::ResolveQueuePath(JobSpec* spec) const {
+  const QueueConfig* configured = m_config ? m_config->FindQueue(spec->queue) : nullptr;
+  if (spec->queue_path.empty() && configured != nullptr) {
+    spec->queue_path = configured->path();
   }
 }
 
 void Scheduler::LoadJob(Now now, const std::string& id, const JobRecord& record,
                         const JobProgress& progress) {
   Job* job = m_jobs.Load(now.time, now.unix_ms, id, record, progress);
+  ResolveQueuePath(&job->spec);
   m_suspects_wait =
       m_suspects_wait || !progress.crashes.empty() || !progress.unconfirmed_crashes.empty();
   LoadSuspects(now.time, job);
@@ -163,7 +184,7 @@
 
 const QueueConfig& Scheduler::QueueOfJob(const Job& job) {
   if (job.queue == nullptr) {
-    m_jobs.Find(job.spec.id)->queue = &m_queues.Used(job.spec.queue);
+    m_jobs.Find(job.spec.id)->queue = &m_queues.Used(job.spec.queue_id());
   }
   return *job.queue;
 }
@@ -242,14 +263,16 @@
   if (!m_active || m_fenced) {
     return false;
   }
-  m_queues.AddUnconfigured(queue ? *queue : UnrecordedQueueOf(spec));
+  ResolveQueuePath(&spec);
+  m_queues.AddUnconfigured(queue && queue->id() == spec.queue_id() ? *queue
+                                                                   : UnrecordedQueueOf(spec));
   const std::string customer = spec.customer;
   constexpr double kMillicoreMsPerCoreS = 1e6;
   if (!spec.timed() && !spec.steps.front().long_running) {
     m_arrivals[spec.pool].Add(now.time, spec.WorkEstimate() / kMillicoreMsPerCoreS);
   }
   Job* job = m_jobs.Add(now.time, std::move(spec));
-  m_queues.Use(job->spec.queue);
+  m_queues.Use(job->spec.queue_id());
   job->on_stored.push_back(std::move(done));
   const CustomerConfig* config = m_config ? m_config->FindCustomer(customer) : nullptr;
   if (config != nullptr && config->weight > 0) {
@@ -303,15 +326,15 @@
   return job->started ? JobState::kRunning : JobState::kQueued;
 }
 
-std::string Scheduler::QueueOf(const std::string& id) const {
+const JobSpec* Scheduler::SpecOf(const std::string& id) const {
   const Job* job = m_jobs.Find(id);
-  return job == nullptr ? std::string() : job->spec.queue;
+  return job == nullptr ? nullptr : &job->spec;
 }
 
 int Scheduler::WaitingJobs(std::string_view queue) const {
   int count = 0;
   for (const auto& [id, job] : m_jobs.active()) {
-    if (job->spec.queue == queue && job->stored && !job->started) {
+    if (job->spec.queue_id() == queue && job->stored && !job->started) {
       ++count;
     }
   }
@@ -382,7 +405,7 @@
   std::vector<PendingChange> pending;
   for (const auto& [number, job] : m_jobs.changed()) {
     const bool waits =
-        !job->stored && !IsFinal(job->state) && !m_queues.IsRecorded(job->spec.queue, queues);
+        !job->stored && !IsFinal(job->state) && !m_queues.IsRecorded(job->spec.queue_id(), queues);
     if (job->being_stored || waits) {
       continue;
     }
--- a/packages/scheduler/src/scheduler_placing.cc
+++ b/packages/scheduler/src/scheduler_placing.cc
@@ -254,12 +254,12 @@
 
 bool Scheduler::MayPlace(const WaitingStep& waiting) const {
   const Job& job = *waiting.step.job;
-  if (!m_queues.HasRecord(job.spec.queue)) {
+  if (!m_queues.HasRecord(job.spec.queue_id())) {
     return false;
   }
   return !job.loaded_from_store ||
          std::none_of(m_unheard_pools.begin(), m_unheard_pools.end(), [&](const auto& pool) {
-           return pool == job.spec.pool || m_queues.MayRunIn(job.spec.queue, pool);
+           return pool == job.spec.pool || m_queues.MayRunIn(job.spec.queue_id(), pool);
          });
 }
 
--- a/packages/scheduler/tests/scheduler_random_test.cc
+++ b/packages/scheduler/tests/scheduler_random_test.cc
@@ -22,6 +22,7 @@
   JobSpec spec;
   spec.id = "job" + std::to_string(number);
   spec.queue = "queue";
+  spec.queue_path = kTestQueueId;
   spec.pool = "pool";
   spec.accepted_unix_ms = now_ms;
   const int steps = 1 + static_cast<int>(random->Below(3));
@@ -67,6 +68,7 @@
   std::vector<std::unique_ptr<Owner>> owners;
   owners.push_back(std::make_unique<Owner>(now, &workers, &store));
   RandomSource& random = workers.random();
+  SeededRandom renames(seed);  // Of its own, so that the other faults of a seed stay the same.
   std::vector<std::string> jobs;
   std::map<std::string, TimePoint> unreachable_until;
   const TimePoint begun = now;
@@ -99,6 +101,10 @@
         worker.reachable = true;
       }
     }
+    if (faulty && renames.Below(1'000) == 0) {
+      store.config = TestConfig(store.config->version + 1);
+      owner.scheduler().SetConfig({now, 0}, store.config);
+    }
     if (faulty && random.Below(800) == 0) {
       owners.push_back(std::make_unique<Owner>(now, &workers, &store));
     }
--- a/packages/scheduler/tests/simulated_owner.h
+++ b/packages/scheduler/tests/simulated_owner.h
@@ -22,15 +22,22 @@
 constexpr Duration kAuthority{8'000};
 constexpr Duration kAuthorityMargin{300};
 
-inline std::shared_ptr<const ClusterConfig> TestConfig() {
+/// Identifies the queue of `TestConfig`.
+constexpr const char* kTestQueueId = "host/jobs/";
+
+/// Returns a configuration with one queue. @param version higher ones have other names for it
+inline std::shared_ptr<const ClusterConfig> TestConfig(std::uint64_t version = 1) {
   ClusterConfig config;
-  config.version = 1;
+  config.version = version;
   QueueConfig queue;
   queue.name = "queue";
+  queue.host = "host";
+  queue.path_prefix = "/jobs/";
   queue.pool = "pool";
   queue.max_attempts = 50;
   queue.stretch = 2;
   queue.objective = Duration(1'000);
+  queue.name += version > 1 ? std::to_string(version) : "";
   config.queues.push_back(queue);
   config.pools["pool"] = {"pool", false, false};
   return std::make_shared<const ClusterConfig>(config);
@@ -41,6 +48,7 @@
   JobSpec spec;
   spec.id = id;
   spec.queue = "queue";
+  spec.queue_path = kTestQueueId;
   spec.pool = "pool";
   StepSpec step;
   step.count = 1;
@@ -59,7 +67,7 @@
   std::map<std::string, std::string> records;
   std::map<std::string, std::string> progress;
   std::vector<RecordedWorker> workers;
-  std::map<std::string, QueueRecord> queues;
+  std::map<std::string, QueueRecord> queues;                   ///< By id.
   std::shared_ptr<const ClusterConfig> config = TestConfig();  ///< The operators' newest one.
 };
 
@@ -183,9 +191,9 @@
   void StoreQueues() {
     const std::vector<QueueRecord> queues = m_scheduler.CollectQueues(29);
     for (const QueueRecord& record : queues) {
-      m_store->queues.erase(record.queue.name);
+      m_store->queues.erase(record.queue.id());
       if (!record.remove) {
-        m_store->queues.emplace(record.queue.name, record);
+        m_store->queues.emplace(record.queue.id(), record);
       }
     }
     m_scheduler.OnQueuesStored(queues);
--- a/packages/scheduler/tests/waiting_jobs_test.cc
+++ b/packages/scheduler/tests/waiting_jobs_test.cc
@@ -20,12 +20,12 @@
   cluster.Submit(OneTask("job", kTaskTime), kTaskTime);
   cluster.Run(Duration(6'000));
   REQUIRE(cluster.scheduler().counters().starts > 0);
-  CHECK(cluster.scheduler().WaitingJobs("queue") == 1);
+  CHECK(cluster.scheduler().WaitingJobs(kTestQueueId) == 1);
   CHECK(cluster.scheduler().StateOf("job") == JobState::kQueued);
   cluster.workers().workers().at("worker0").reachable = true;
   REQUIRE_FALSE(cluster.RunUntilStarted("job.0.0.0").empty());
   cluster.Run(Duration(100));
-  CHECK(cluster.scheduler().WaitingJobs("queue") == 0);
+  CHECK(cluster.scheduler().WaitingJobs(kTestQueueId) == 0);
   CHECK(cluster.scheduler().StateOf("job") == JobState::kRunning);
 }
 
@@ -38,7 +38,7 @@
   cluster.Run(Duration(100));
   cluster.ReplaceOwner();
   cluster.Run(Duration(100));
-  CHECK(cluster.scheduler().WaitingJobs("queue") == 0);
+  CHECK(cluster.scheduler().WaitingJobs(kTestQueueId) == 0);
   CHECK(cluster.scheduler().StateOf("job") == JobState::kRunning);
 }
 
