Refuse submissions of jobs whose cancelling was acknowledged

The frozen daemon woke, and the job was accepted, started and restarted; nobody would cancel it again.

Cause: a 410 for DELETE promises that the job doesn't run, but rested on the present alone. A cancelling of an unknown job left nothing behind, so a submission that was under way was accepted like a new one, whether it lay in a frozen daemon or owner, on a slow link, or in an attempt to an earlier owner.

Change: the owner stores the paths of unknown jobs that are cancelled before it answers 410; it and all later owners refuse their submissions for status_s (at least 60 s). At most 10,000 are kept, none is dropped early, and beyond them such a cancelling is answered 503 at once. After a pause of 20 s or longer, a daemon refuses the submissions that it reads in the next 2 s.

Price: 10,500 such cancellings at once take 100 transactions, as up to 100 share an entry. A submission and its cancelling take two, as before; a change of the owner reads one more range.

The tests of unknown jobs share the fixture of an owner with the new ones.

--- a/packages/entry/include/cranberryplank/entry/caller_gateway.h
+++ b/packages/entry/include/cranberryplank/entry/caller_gateway.h
@@ -34,6 +34,12 @@
   bool stale() const { return age >= max_age; }
 };
 
+/// How long ago a request was sent that is read now.
+enum class RequestAge {
+  kRecent,
+  kUnknown,  ///< The process did not run for a long time; see `PauseMonitor`.
+};
+
 /// Checks the route and the key of a caller's request. While a newer configuration exists, an
 /// unknown queue or key yields kStaleConfig, because the newer configuration may contain it.
 AccessRefusal CheckAccess(const ClusterConfig* config, const QueueConfig* queue,
@@ -50,8 +56,10 @@
 
   /// Handles a caller's request. The reply may be sent later.
   /// @param config nullptr if none is known yet
+  /// @param request_age submissions of unknown age are refused
   void Handle(Now now, const ClusterConfig* config, const ConfigAge& age,
-              const std::shared_ptr<ApiExchange>& exchange);
+              const std::shared_ptr<ApiExchange>& exchange,
+              RequestAge request_age = RequestAge::kRecent);
   /// Retries calls that reached no owner. Must be called regularly.
   void Tick(TimePoint now);
   /// Repeats the calls that are under way, because the schedule has another owner: the earlier one
--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -14,6 +14,7 @@
 #include "cranberryplank/entry/job_settings.h"
 #include "cranberryplank/entry/operator_items.h"
 #include "cranberryplank/entry/owner_client.h"
+#include "cranberryplank/entry/pause_monitor.h"
 #include "cranberryplank/entry/platform_format.h"
 #include "cranberryplank/entry/schedule_claim.h"
 #include "cranberryplank/entry/schedule_hand_over.h"
@@ -73,6 +74,9 @@
   /// Returns whether all daemons that have called recently, and so may take over, read the progress
   /// log.
   bool AllReadProgressLog(TimePoint now) const;
+  /// Returns the age of requests that are read now.
+  RequestAge AgeOfRequests(TimePoint now);
+  void HandleCaller(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void RecordHandOver(TimePoint now, const OwnerCall& call);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
@@ -95,6 +99,7 @@
   OwnerClient m_owner_client;
   DaemonPeers m_peers;
   ScheduleClaim m_claim;
+  PauseMonitor m_pauses;
   ScheduleHandOver m_hand_over;
   std::string m_followed_incarnation;  ///< Incarnation of the owner that `m_owner_client` pings.
   CallerGateway m_gateway;
--- a/packages/entry/include/cranberryplank/entry/owner_messages.h
+++ b/packages/entry/include/cranberryplank/entry/owner_messages.h
@@ -48,7 +48,7 @@
   kNoSuchJob,
   kNotOwner,  ///< Nothing was done. The daemon called does not own the schedule.
   kNotReady,  ///< Nothing was done. The daemon called is not ready, or no owner is known.
-  kRefused,   ///< The job was not stored and will not be.
+  kRefused,   ///< Nothing was done: the job was not stored and will not be, or not cancelled.
   kUnknown,   ///< The job may have been stored.
 };
 
--- a/packages/entry/include/cranberryplank/entry/schedule_owner.h
+++ b/packages/entry/include/cranberryplank/entry/schedule_owner.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cranberryplank/entry/cancelled_jobs.h"
 #include "cranberryplank/entry/key_value_store.h"
 #include "cranberryplank/entry/owner_load_meter.h"
 #include "cranberryplank/entry/owner_messages.h"
@@ -110,6 +111,12 @@
   int WaitingJobs(TimePoint now, const std::string& queue);
   void Submit(Now now, const OwnerCall& call, Callback done);
   void Cancel(Now now, const OwnerCall& call, Callback done);
+  /// Cancels a job that is not known. It is answered once later submissions are refused.
+  void CancelUnknown(Now now, const OwnerCall& call, Callback done);
+  /// Returns the path of the job that the call is about: host, prefix and id.
+  std::string JobPathOf(const OwnerCall& call) const { return QueueIdOf(call) + call.job; }
+  /// Returns whether "no such job" is true for the waiting call now and will be.
+  bool MayDeny(const UnknownJobCall& waiting) const;
   void Answer(std::uint64_t waiting, const OwnerReply& reply);
   /// Returns whether the job that the call is about is known and in the call's queue.
   bool Knows(const OwnerCall& call) const;
@@ -120,7 +127,8 @@
   std::string QueueIdOf(const OwnerCall& call) const;
   /// Answers the calls about unknown jobs. A daemon may have taken over and accepted the job, so
   /// "no such job" is answered only after a confirmation of the ownership that was sent later than
-  /// the call arrived. Without one, the caller is told soon to ask again.
+  /// the call arrived. Without one, the caller is told soon to ask again. To a cancelling it is
+  /// answered only once every later submission of the job will be refused.
   void AnswerUnknownJobs(Now now);
   std::uint64_t AddWaitingCall(Callback done);
   /// Limits the starts of the next placement pass by the load, and logs the load.
@@ -129,6 +137,7 @@
   ScheduleOwnerParts m_parts;
   std::unique_ptr<Scheduler> m_scheduler;
   StateWriter m_writer;
+  CancelledJobs m_cancelled;
   WatchedPrefix m_workers;
   VmFleetSettings m_fleet_settings;
   std::unique_ptr<VmFleet> m_fleet;  ///< Set once the state is loaded.
--- a/packages/entry/include/cranberryplank/entry/state_writer.h
+++ b/packages/entry/include/cranberryplank/entry/state_writer.h
@@ -41,9 +41,16 @@
   StateWriter(const StateWriter&) = delete;
   StateWriter& operator=(const StateWriter&) = delete;
 
+  /// A change beside those of the scheduler. All of it is stored in one transaction.
+  struct ExtraChange {
+    std::vector<KvWrite> writes;
+    std::vector<std::string> removals;             ///< Keys.
+    std::function<void(TimePoint now)> done = {};  ///< Runs once the change is stored.
+  };
+
   void Tick(Now now);
-  /// Adds writes to the next transaction that has room. @param done runs once they are stored
-  void Put(std::vector<KvWrite> writes, std::function<void()> done);
+  /// Adds a change to the next transaction that has room.
+  void Put(ExtraChange change);
   /// Sets the revision of a cursor that an earlier owner has written.
   void LoadCursor(const std::string& key, std::uint64_t revision);
   /// Restores an entry of the progress log that an earlier owner wrote. Entries must be given in
@@ -59,11 +66,6 @@
   bool failing(TimePoint now) const;
 
  private:
-  struct ExtraWrites {
-    std::vector<KvWrite> writes;
-    std::function<void()> done;
-  };
-
   /// A transaction, and the cursor that it shares with the earlier and later ones of the slot. It
   /// is retried unchanged until its outcome is known.
   struct Slot {
@@ -79,7 +81,7 @@
     bool writes_workers = false;
     std::vector<RecordedWorker> workers;
     std::vector<QueueRecord> queues;
-    std::vector<ExtraWrites> extra;
+    std::vector<ExtraChange> extra;
     std::string log_key;  ///< Entry of the progress log that the transaction writes.
     std::vector<std::string> log_removals;
   };
@@ -109,7 +111,7 @@
   Scheduler* m_scheduler;
   std::shared_ptr<int> m_lifetime = std::make_shared<int>(0);
   std::vector<Slot> m_slots;  ///< Its size never changes.
-  std::deque<ExtraWrites> m_extra;
+  std::deque<ExtraChange> m_extra;
   ProgressLog m_progress_log;
   TimePoint m_failing_since{};
   bool m_failing = false;
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -116,7 +116,7 @@
 }
 
 void CallerGateway::Handle(Now now, const ClusterConfig* config, const ConfigAge& age,
-                           const std::shared_ptr<ApiExchange>& exchange) {
+                           const std::shared_ptr<ApiExchange>& exchange, RequestAge request_age) {
   if (m_answer_by && now.time >= *m_answer_by) {
     Refuse(now.time, exchange, kUnavailable, "the daemon is stopping");
     return;
@@ -143,6 +143,10 @@
   pending.call.queue = queue->name;
   pending.call.queue_path = queue->path();
   pending.call.config_version = config->version;
+  if (call->kind == CallKind::kSubmit && request_age == RequestAge::kUnknown) {
+    Refuse(now.time, exchange, kUnavailable, "the daemon did not run for a while");
+    return;
+  }
   if (call->kind == CallKind::kSubmit) {
     JobSpec spec;
     spec.id = call->job;
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -80,9 +80,7 @@
                 }),
       m_caller_server(base, m_limits.callers,
                       [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
-                        m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
-                                         m_operators.ConfigAgeAt(now, m_settings.revocation_bound),
-                                         exchange);
+                        HandleCaller(now, exchange);
                       }),
       m_ready_server(base, m_limits.ready,
                      [this](TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
@@ -236,6 +234,7 @@
 }
 
 void JobService::Tick(Now now) {
+  m_pauses.Observe(now.time);
   if (m_owner_ended) {
     m_owner_ended = false;
     const auto owner = std::move(m_owner);
@@ -311,7 +310,19 @@
   done(now, reply);
 }
 
+RequestAge JobService::AgeOfRequests(TimePoint now) {
+  m_pauses.Observe(now);
+  return m_pauses.MayReadOldRequests(now) ? RequestAge::kUnknown : RequestAge::kRecent;
+}
+
+void JobService::HandleCaller(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+  m_gateway.Handle({now, UnixMilliseconds()}, m_operators.config().get(),
+                   m_operators.ConfigAgeAt(now, m_settings.revocation_bound), exchange,
+                   AgeOfRequests(now));
+}
+
 void JobService::HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange) {
+  const RequestAge age = AgeOfRequests(now);
   const auto call = DecodeOwnerCall(exchange->request().body);
   ApiResponse response;
   response.content_type = "application/octet-stream";
@@ -367,6 +378,12 @@
     answer(now, reply);
     return;
   }
+  if (call->kind == OwnerCallKind::kSubmit && age == RequestAge::kUnknown) {
+    reply.status = OwnerStatus::kNotReady;
+    reply.reason = "the daemon did not run for a while";
+    answer(now, reply);
+    return;
+  }
   m_owner->Handle({now, UnixMilliseconds()}, *call, answer);
 }
 
--- a/packages/entry/src/schedule_owner.cc
+++ b/packages/entry/src/schedule_owner.cc
@@ -20,8 +20,8 @@
 constexpr Duration kCountInterval{300};
 /// Added to the time for which earlier owners may act, because clocks may differ in speed.
 constexpr Duration kAuthorityMargin{300};
-constexpr std::array<std::string_view, 8> kPrefixes{
-    kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kQueuePrefix,
+constexpr std::array<std::string_view, 9> kPrefixes{
+    kJobPrefix,  kProgressPrefix, kProgressLogPrefix, kQueuePrefix,    kCancelledPrefix,
     kWorkersKey, kWavePrefix,     kCursorKey,         kSettledEpochKey};
 constexpr std::int64_t kRetryWhenStoreFails = 1'000;
 constexpr std::int64_t kRetryWhenFull = 2'000;
@@ -46,6 +46,7 @@
     : m_parts(parts),
       m_scheduler(std::make_unique<Scheduler>(settings, parts.workers)),
       m_writer(parts.store, parts.ownership, m_scheduler.get()),
+      m_cancelled(&m_writer, settings.retention),
       m_workers(parts.store, std::string(parts.format->WorkerPrefix()), WorkerWatchWait(settings),
                 [this](TimePoint now, const KvItem& item) { OnWorkerItem(now, item); }),
       m_fleet_settings(fleet_settings) {
@@ -71,6 +72,7 @@
     m_fleet->SetSettings(fleet_settings);
   }
   m_scheduler->SetSettings(settings);
+  m_cancelled.SetTimeKept(settings.retention);
   m_workers.SetWait(WorkerWatchWait(settings));
 }
 
@@ -97,7 +99,7 @@
   if (!m_stored_settled && now >= m_earlier.act_until()) {
     m_stored_settled = true;
     const std::string epoch = std::to_string(m_parts.ownership->revision());
-    m_writer.Put({{std::string(kSettledEpochKey), epoch}}, [] {});
+    m_writer.Put({{{std::string(kSettledEpochKey), epoch}}, {}});
   }
 }
 
@@ -165,6 +167,8 @@
     if (record) {
       m_queue_records.push_back(std::move(*record));
     }
+  } else if (prefix == kCancelledPrefix) {
+    readable = m_cancelled.Load(m_started_at, item.key, item.value);
   } else if (prefix == kProgressPrefix) {
     readable = LoadProgress(id, item.value, item.revision);
   } else {
@@ -290,6 +294,7 @@
   if (m_fleet) {
     m_fleet->Tick(now.time);
   }
+  m_cancelled.Tick(now.time, m_parts.ownership->revision());
   m_writer.Tick(now);
   AnswerUnknownJobs(now);
 }
@@ -318,7 +323,8 @@
       .Field("usable_workers", m_scheduler->usable_workers())
       .Field("active_jobs", m_scheduler->job_table().active().size())
       .Field("job_bytes", m_scheduler->job_table().memory())
-      .Field("waiting_calls", m_waiting.size());
+      .Field("waiting_calls", m_waiting.size())
+      .Field("cancelled_unknown_jobs", m_cancelled.size());
 }
 
 int ScheduleOwner::WaitingJobs(TimePoint now, const std::string& queue) {
@@ -377,7 +383,7 @@
       Handle(now, waiting.call, std::move(waiting.done));
     } else if (MayBeInQueue(waiting.call)) {
       waiting.done(now.time, ReplyOf(OwnerStatus::kNotReady, "the job's queue is not known"));
-    } else if (m_parts.ownership->confirmed() > waiting.asked) {
+    } else if (MayDeny(waiting)) {
       waiting.done(now.time, ReplyOf(OwnerStatus::kNoSuchJob));
     } else if (now.time - waiting.asked > kConfirmationWait) {
       waiting.done(now.time, ReplyOf(OwnerStatus::kNotReady, "the ownership is not confirmed"));
@@ -385,17 +391,47 @@
       m_unknown_job_calls.push_back(std::move(waiting));
     }
   }
-  if (!m_unknown_job_calls.empty()) {
+  // Storing a cancelled job confirms the ownership too.
+  const bool wants_confirmation = std::any_of(
+      m_unknown_job_calls.begin(), m_unknown_job_calls.end(), [&](const UnknownJobCall& waiting) {
+        return waiting.call.kind != OwnerCallKind::kCancel ||
+               m_cancelled.IsStored(JobPathOf(waiting.call));
+      });
+  if (wants_confirmation) {
     m_parts.ownership->RequestConfirmation(now.time);
   }
 }
 
+bool ScheduleOwner::MayDeny(const UnknownJobCall& waiting) const {
+  const bool refuses_later_ones =
+      waiting.call.kind != OwnerCallKind::kCancel || m_cancelled.IsStored(JobPathOf(waiting.call));
+  return refuses_later_ones && m_parts.ownership->confirmed() > waiting.asked;
+}
+
+void ScheduleOwner::CancelUnknown(Now now, const OwnerCall& call, Callback done) {
+  if (!MayBeInQueue(call) && !m_cancelled.Add(now.time, JobPathOf(call))) {
+    OwnerReply reply = ReplyOf(OwnerStatus::kRefused, "too many unknown jobs were cancelled");
+    reply.retry_after_ms = m_cancelled.OldestKeptFor(now.time).count();
+    done(now.time, reply);
+    return;
+  }
+  m_unknown_job_calls.push_back({now.time, call, std::move(done)});
+}
+
 void ScheduleOwner::Submit(Now now, const OwnerCall& call, Callback done) {
   if (!call.spec) {
     done(now.time, ReplyOf(OwnerStatus::kRefused, "the submission has no job"));
     return;
   }
   const bool known = m_scheduler->job_table().Find(call.job) != nullptr;
+  const std::string path = JobPathOf(call);
+  if (!known && m_cancelled.Contains(path)) {
+    LogLine(LogLevel::kInfo, "job_refused").Field("job", call.job).Field("reason", "cancelled");
+    OwnerReply reply = ReplyOf(OwnerStatus::kRefused, "the job was cancelled");
+    reply.retry_after_ms = m_cancelled.RefusedFor(now.time, path).count();
+    done(now.time, reply);
+    return;
+  }
   if (!known && m_writer.failing(now.time)) {
     OwnerReply reply = ReplyOf(OwnerStatus::kRefused, "the store does not accept changes");
     reply.retry_after_ms = kRetryWhenStoreFails;
@@ -454,7 +490,7 @@
       return;
     case OwnerCallKind::kCancel:
       if (!Knows(call)) {
-        m_unknown_job_calls.push_back({now.time, call, std::move(done)});
+        CancelUnknown(now, call, std::move(done));
         return;
       }
       Cancel(now, call, std::move(done));
--- a/packages/entry/src/state_writer.cc
+++ b/packages/entry/src/state_writer.cc
@@ -87,9 +87,7 @@
          });
 }
 
-void StateWriter::Put(std::vector<KvWrite> writes, std::function<void()> done) {
-  m_extra.push_back({std::move(writes), std::move(done)});
-}
+void StateWriter::Put(ExtraChange change) { m_extra.push_back(std::move(change)); }
 
 void StateWriter::LoadCursor(const std::string& key, std::uint64_t revision) {
   for (Slot& slot : m_slots) {
@@ -195,10 +193,17 @@
 }
 
 void StateWriter::AddExtra(Slot* slot, std::size_t* room) {
-  while (!m_extra.empty() && m_extra.front().writes.size() <= *room) {
-    const std::vector<KvWrite>& writes = m_extra.front().writes;
-    *room -= writes.size();
-    slot->transaction.writes.insert(slot->transaction.writes.end(), writes.begin(), writes.end());
+  KvTransaction& transaction = slot->transaction;
+  while (!m_extra.empty()) {
+    const ExtraChange& change = m_extra.front();
+    const std::size_t entries = change.writes.size() + change.removals.size();
+    if (entries > *room) {
+      return;
+    }
+    *room -= entries;
+    transaction.writes.insert(transaction.writes.end(), change.writes.begin(), change.writes.end());
+    transaction.removals.insert(transaction.removals.end(), change.removals.begin(),
+                                change.removals.end());
     slot->extra.push_back(std::move(m_extra.front()));
     m_extra.pop_front();
   }
@@ -319,8 +324,10 @@
   if (slot->writes_workers) {
     m_scheduler->OnWorkersRecorded(slot->workers);
   }
-  for (const ExtraWrites& extra : slot->extra) {
-    extra.done();
+  for (const ExtraChange& change : slot->extra) {
+    if (change.done) {
+      change.done(now);
+    }
   }
   m_scheduler->OnQueuesStored(slot->queues);
   m_scheduler->OnStored({now, UnixMilliseconds()}, slot->changes);
--- a/packages/entry/src/upkeep_waves.cc
+++ b/packages/entry/src/upkeep_waves.cc
@@ -65,13 +65,15 @@
   m_storing = true;
   const std::size_t stored = wave.begun.size();
   const std::weak_ptr<int> lifetime = m_lifetime;
-  m_writer->Put({m_format->EncodeWaveStatus(number, done),
-                 {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave.begun)}},
-                [this, lifetime, number, done, stored]() {
-                  if (!lifetime.expired()) {
-                    OnStored(number, done, stored);
-                  }
-                });
+  StateWriter::ExtraChange change;
+  change.writes = {m_format->EncodeWaveStatus(number, done),
+                   {fmt::format("{}{}", kWavePrefix, number), EncodeWaveProgress(wave.begun)}};
+  change.done = [this, lifetime, number, done, stored](TimePoint) {
+    if (!lifetime.expired()) {
+      OnStored(number, done, stored);
+    }
+  };
+  m_writer->Put(std::move(change));
 }
 
 void UpkeepWaves::OnStored(std::int64_t number, bool done, std::size_t begun) {
--- a/packages/entry/tests/fake_key_value_store.h
+++ b/packages/entry/tests/fake_key_value_store.h
@@ -122,6 +122,13 @@
     const auto it = m_table.items().find(key);
     return it == m_table.items().end() ? std::string() : it->second.value;
   }
+  /// Returns the number of keys with a prefix.
+  int KeysWith(std::string_view prefix) const {
+    const auto& items = m_table.items();
+    return static_cast<int>(std::count_if(items.begin(), items.end(), [&](const auto& item) {
+      return item.first.starts_with(prefix);
+    }));
+  }
   void Put(const std::string& key, const std::string& value) { m_table.Put(key, value); }
   void Erase(const std::string& key) { m_table.Erase(key); }
   std::uint64_t revision() const { return m_table.revision(); }
--- a/packages/entry/tests/owner_fixture.h
+++ b/packages/entry/tests/owner_fixture.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cranberryplank/entry/schedule_owner.h"
 #include "fake_key_value_store.h"
@@ -92,14 +93,12 @@
   }
 
   /// Lets another daemon take over. The owner has not heard of it, as after a freeze.
-  void TakeOver() {
-    m_other = NewOwnership();
-    ClaimBy(m_other.get());
-  }
+  void TakeOver() { ClaimBy(NewOwnership()); }
 
   /// Kills the owner, and lets another daemon take over with the newest configuration.
   void ReplaceOwner() {
     m_owner.reset();
+    m_lost = false;
     BeginOwner(*m_config);
   }
 
@@ -127,15 +126,16 @@
     return {m_now, std::chrono::duration_cast<Duration>(m_now.time_since_epoch()).count()};
   }
 
-  std::unique_ptr<ScheduleOwnership> NewOwnership() {
-    const int number = ++m_daemons;
-    return std::make_unique<ScheduleOwnership>(
+  ScheduleOwnership* NewOwnership() {
+    const std::size_t number = m_ownerships.size();
+    m_ownerships.push_back(std::make_unique<ScheduleOwnership>(
         &m_store, "duty/schedule",
         OwnershipRecord{fmt::format("vm-{}", number),
                         fmt::format("127.0.0.1:{}", 7'000 + number),
                         fmt::format("incarnation-{}", number),
                         0,
-                        {}});
+                        {}}));
+    return m_ownerships.back().get();
   }
 
   void ClaimBy(ScheduleOwnership* ownership) {
@@ -147,12 +147,14 @@
   }
 
   void BeginOwner(const ClusterConfig& config) {
-    m_ownership = NewOwnership();
-    ClaimBy(m_ownership.get());
-    m_ownership->signal_lost().connect([this](TimePoint) { m_lost = true; });
+    ScheduleOwnership* ownership = NewOwnership();
+    ClaimBy(ownership);
+    m_ownership = ownership;
+    ownership->signal_lost().connect(
+        [this, ownership](TimePoint) { m_lost = m_lost || ownership == m_ownership; });
     m_owner = std::make_unique<ScheduleOwner>(
-        ScheduleOwnerParts{&m_store, &m_link, &m_format, m_ownership.get(), nullptr},
-        SchedulerSettings{}, VmFleetSettings{});
+        ScheduleOwnerParts{&m_store, &m_link, &m_format, ownership, nullptr}, SchedulerSettings{},
+        VmFleetSettings{});
     Configure(config);
     m_owner->Begin(Present());
     Run(Duration(500));
@@ -163,10 +165,10 @@
   FakeKeyValueStore m_store;
   KeepingLink m_link;
   WaveFormat m_format;
-  int m_daemons = 0;
   std::shared_ptr<const ClusterConfig> m_config;
-  std::unique_ptr<ScheduleOwnership> m_ownership;
-  std::unique_ptr<ScheduleOwnership> m_other;
+  /// Of all daemons. Replies of the store may refer to those of earlier owners.
+  std::vector<std::unique_ptr<ScheduleOwnership>> m_ownerships;
+  ScheduleOwnership* m_ownership = nullptr;  ///< Of the owner.
   std::unique_ptr<ScheduleOwner> m_owner;
   bool m_lost = false;
 };
