Let the fault soak rename the queue and cancel unanswered submissions

Every 5 s a version gives the queue another name; after three of ten unanswered submissions the caller cancels the job instead of trying again, and a job whose cancelling is answered "no such job" must never run. Paused daemons read such submissions when they wake.

--- a/soak/fault_soak.cc
+++ b/soak/fault_soak.cc
@@ -19,6 +19,8 @@
 /// time.
 constexpr Duration kDrainInterval{9'000};
 constexpr Duration kDrainedEnd{8'000};
+/// Time between two versions of the configuration, which rename the queue.
+constexpr Duration kVersionInterval{5'000};
 /// All jobs must reach their final state within this time after the last fault. It covers lease
 /// expiry, a change of the schedule's owner and the run times several times over.
 constexpr Duration kRecoveryBound{30'000};
@@ -42,6 +44,7 @@
   StartAll();
   m_start_time = Clock::now();
   m_next_fault = m_next_job = m_next_planned = m_next_drain = m_start_time + kWarmUp;
+  m_next_version = m_next_fault;
   const TimePoint faults_end = m_start_time + kWarmUp + m_settings.duration;
   const auto run_until = [this](const std::function<bool(TimePoint)>& condition) {
     while (!condition(Clock::now())) {
@@ -63,7 +66,7 @@
 void FaultSoak::StartAll() {
   const TimePoint now = Clock::now();
   m_workers.Advance(now);
-  EmulatedCallers::Configure(&m_store, 1, std::string(kPool));
+  EmulatedCallers::Configure(&m_store, ++m_version, std::string(kPool));
   for (int i = 0; i < kWorkers; ++i) {
     const std::string id = fmt::format("worker-{}", i);
     m_workers.AddWorker(id, std::string(kPool), {8'000, 16'000, 0});
@@ -99,6 +102,11 @@
     m_next_fault = now + Duration(300 + m_random.Below(1'800));
     InjectFault(now);
   }
+  if (!m_faults_ended && now >= m_next_version) {
+    m_next_version = now + kVersionInterval;
+    Log(now, "the queue gets another name");
+    EmulatedCallers::Configure(&m_store, ++m_version, std::string(kPool));
+  }
   if (!m_faults_ended && now >= m_next_planned) {
     m_next_planned = now + Duration(1'000 + m_planned_random.Below(5'000));
     DoPlannedWork(now);
--- a/soak/fault_soak.h
+++ b/soak/fault_soak.h
@@ -73,6 +73,8 @@
   TimePoint m_next_planned{};
   int m_drains = 0;
   TimePoint m_next_drain{};
+  TimePoint m_next_version{};
+  std::uint64_t m_version = 0;  ///< Of the configuration.
   TimePoint m_next_job{};
   bool m_faults_ended = false;
 };
--- a/soak/job_load.cc
+++ b/soak/job_load.cc
@@ -16,6 +16,8 @@
 constexpr Duration kSubmitRetryInterval{250};
 constexpr Duration kPollInterval{700};
 constexpr double kCancelShare = 0.02;
+/// Share of unanswered submissions after which the caller cancels the job instead of a new attempt.
+constexpr double kAbandonShare = 0.3;
 /// A request can be sent while the daemon's process ends. It need not be answered if the connection
 /// is closed within this time.
 constexpr Duration kLossSlack{200};
@@ -67,8 +69,7 @@
   m_last_tick = now;
   Probe();
   for (auto& [id, entry] : m_jobs) {
-    const bool open = entry.phase != Phase::kRefused && entry.phase != Phase::kEnded;
-    if (open && !entry.in_flight && now >= entry.next) {
+    if (!IsResolved(entry) && !entry.in_flight && now >= entry.next) {
       Call(now, &entry);
     }
   }
@@ -80,6 +81,17 @@
   entry->in_flight = true;
   entry->next = now + (entry->phase == Phase::kSubmitting ? kSubmitRetryInterval : kPollInterval);
   const std::string& id = entry->spec.id;
+  if (entry->phase == Phase::kSubmitting && entry->outcome_unknown && !m_cancelling_stopped &&
+      m_random->Fraction() < kAbandonShare) {
+    entry->phase = Phase::kAbandoned;
+  }
+  if (entry->phase == Phase::kAbandoned) {
+    m_callers.Cancel(
+        daemon, id,
+        Checked(number, "cancellation of " + id,
+                [this, entry](const CallerResult& result) { OnAbandoned(entry, result); }));
+    return;
+  }
   if (entry->phase == Phase::kSubmitting) {
     m_callers.Submit(
         daemon, entry->spec,
@@ -124,6 +136,20 @@
   }
 }
 
+void JobLoad::OnAbandoned(Entry* entry, const CallerResult& result) {
+  entry->in_flight = false;
+  if (result.answered && result.status == kGone) {
+    entry->phase = Phase::kDenied;
+  } else if (result.answered && result.status == kOk) {
+    entry->phase = Phase::kAccepted;  // It was known; the state that is polled next is final.
+  }
+}
+
+bool JobLoad::IsResolved(const Entry& entry) {
+  return entry.phase == Phase::kRefused || entry.phase == Phase::kDenied ||
+         entry.phase == Phase::kEnded;
+}
+
 void JobLoad::Probe() {
   const std::size_t number = m_probes++ % m_daemons.size();
   m_callers.GetState(m_daemons[number], "0000000000000000",
@@ -157,7 +183,7 @@
 std::vector<std::string> JobLoad::UnresolvedJobs() const {
   std::vector<std::string> open;
   for (const auto& [id, entry] : m_jobs) {
-    if (entry.phase != Phase::kRefused && entry.phase != Phase::kEnded) {
+    if (!IsResolved(entry)) {
       open.push_back(fmt::format("{} {}", id, entry.state));
     }
   }
@@ -170,6 +196,9 @@
     if (entry.phase == Phase::kRefused && m_workers->started_jobs().contains(id)) {
       violations.push_back(fmt::format("{} was refused but ran", id));
     }
+    if (entry.phase == Phase::kDenied && m_workers->started_jobs().contains(id)) {
+      violations.push_back(fmt::format("{} ran although its cancelling was answered", id));
+    }
     if (entry.state == "failed") {
       violations.push_back(fmt::format("{} is reported as failed although no task failed", id));
     }
@@ -180,7 +209,9 @@
 std::size_t JobLoad::accepted() const {
   std::size_t count = 0;
   for (const auto& [id, entry] : m_jobs) {
-    count += entry.phase == Phase::kRefused || entry.phase == Phase::kSubmitting ? 0 : 1;
+    const bool accepted = entry.phase == Phase::kAccepted || entry.phase == Phase::kCancelling ||
+                          entry.phase == Phase::kEnded;
+    count += accepted ? 1 : 0;
   }
   return count;
 }
--- a/soak/job_load.h
+++ b/soak/job_load.h
@@ -30,10 +30,11 @@
   /// then.
   void RecordDisruption(std::size_t daemon);
 
-  /// Returns jobs that were not refused and have not ended.
+  /// Returns jobs that were neither refused nor denied and have not ended.
   std::vector<std::string> UnresolvedJobs() const;
-  /// Returns violated guarantees: jobs that ran although every submission was refused, jobs
-  /// reported as failed although no task failed, and whole requests without an answer.
+  /// Returns violated guarantees: jobs that ran although every submission was refused or their
+  /// cancelling was answered "no such job", jobs reported as failed although no task failed, and
+  /// whole requests without an answer.
   std::vector<std::string> Violations() const;
   std::size_t jobs() const { return m_jobs.size(); }
   std::size_t accepted() const;
@@ -41,7 +42,15 @@
   std::size_t calls() const { return m_calls; }
 
  private:
-  enum class Phase { kSubmitting, kRefused, kAccepted, kCancelling, kEnded };
+  enum class Phase {
+    kSubmitting,
+    kRefused,
+    kAccepted,
+    kCancelling,
+    kAbandoned,  ///< Cancelled after an unanswered submission; the cancelling is repeated.
+    kDenied,     ///< Its cancelling was answered "no such job", so it must never run.
+    kEnded,
+  };
   struct Entry {
     JobSpec spec;
     Phase phase = Phase::kSubmitting;
@@ -53,6 +62,9 @@
 
   void Call(TimePoint now, Entry* entry);
   void OnSubmit(Entry* entry, const CallerResult& result);
+  void OnAbandoned(Entry* entry, const CallerResult& result);
+  /// Returns whether nothing more is to be asked about the job.
+  static bool IsResolved(const Entry& entry);
   /// Asks for a job that does not exist, so that each daemon has calls under way all the time.
   void Probe();
   EmulatedCallers::Callback Checked(std::size_t daemon, std::string call,
