--- a/packages/entry/include/cranberryplank/entry/job_service.h
+++ b/packages/entry/include/cranberryplank/entry/job_service.h
@@ -78,6 +78,10 @@
   RequestAge AgeOfRequests(TimePoint now);
   void HandleCaller(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void HandleDaemonCall(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
+  /// Handles the request of an owner that stops to take over.
+  OwnerReply RequestTakeOver(TimePoint now, const OwnerCall& call);
+  /// Returns the reply to a call of another daemon, if it does not depend on the schedule.
+  std::optional<OwnerReply> AnswerWithoutOwner(const OwnerCall& call, RequestAge age) const;
   void RecordHandOver(TimePoint now, const OwnerCall& call);
   void HandleReady(TimePoint now, const std::shared_ptr<ApiExchange>& exchange);
   void RecordConnections();
--- a/packages/entry/src/job_service.cc
+++ b/packages/entry/src/job_service.cc
@@ -350,41 +350,51 @@
     encoded.body = EncodeOwnerReply(reply);
     exchange->Reply(encoded);
   };
-  OwnerReply reply;
   if (call->kind == OwnerCallKind::kTakeOver) {
-    reply.status =
-        m_stopping_since || !m_operators.config() ? OwnerStatus::kNotReady : OwnerStatus::kOk;
-    if (reply.status == OwnerStatus::kOk) {
-      m_claim.RequestTakeOver();
-      RecordHandOver(now, *call);
-      m_ownership.Read(now);
-    }
-    answer(now, reply);
+    answer(now, RequestTakeOver(now, *call));
+    return;
+  }
+  if (const auto reply = AnswerWithoutOwner(*call, age)) {
+    answer(now, *reply);
     return;
   }
+  m_owner->Handle({now, UnixMilliseconds()}, *call, answer);
+}
+
+OwnerReply JobService::RequestTakeOver(TimePoint now, const OwnerCall& call) {
+  OwnerReply reply;
+  if (m_stopping_since || !m_operators.config()) {
+    reply.status = OwnerStatus::kNotReady;
+    return reply;
+  }
+  reply.status = OwnerStatus::kOk;
+  m_claim.RequestTakeOver();
+  RecordHandOver(now, call);
+  m_ownership.Read(now);
+  return reply;
+}
+
+std::optional<OwnerReply> JobService::AnswerWithoutOwner(const OwnerCall& call,
+                                                         RequestAge age) const {
+  OwnerReply reply;
   if (!m_ownership.owned() || !m_owner) {
     reply.status = OwnerStatus::kNotOwner;
-    answer(now, reply);
-    return;
+    return reply;
   }
-  if (call->kind == OwnerCallKind::kPing) {
+  if (call.kind == OwnerCallKind::kPing) {
     reply.status = OwnerStatus::kOk;
-    answer(now, reply);
-    return;
+    return reply;
   }
+  reply.status = OwnerStatus::kNotReady;
   if (!m_owner->ready()) {
-    reply.status = OwnerStatus::kNotReady;
     reply.reason = "the state is being loaded";
-    answer(now, reply);
-    return;
+    return reply;
   }
-  if (call->kind == OwnerCallKind::kSubmit && age == RequestAge::kUnknown) {
-    reply.status = OwnerStatus::kNotReady;
+  if (call.kind == OwnerCallKind::kSubmit && age == RequestAge::kUnknown) {
     reply.reason = "the daemon did not run for a while";
-    answer(now, reply);
-    return;
+    return reply;
   }
-  m_owner->Handle({now, UnixMilliseconds()}, *call, answer);
+  return std::nullopt;
 }
 
 void JobService::RecordHandOver(TimePoint now, const OwnerCall& call) {
