Take down the VM of a worker that was lost with ended runs to list

A worker with a full list doesn't count as idle. If it was lost before it had listed the rest, it never would, and a wave waited for its VM without end.

Cause: the newest list is never replaced once the worker is silent. Change: with the end of its leases nothing more is expected from it, as for the wait of a new owner. Evidence: "a worker that is lost before it has listed all ended runs is waited for until its leases end" failed before, and passes.

Also gives Scheduler::SpecOf the comment of what it returns.

--- a/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
+++ b/packages/scheduler/include/cranberryplank/scheduler/scheduler.h
@@ -181,7 +181,8 @@
   bool Cancel(Now now, const std::string& id, std::function<void(bool stored)> done);
   /// Returns the stored state of a job. @return nothing if there is no such job
   std::optional<JobState> StateOf(const std::string& id) const;
-  /// Returns the queue of a job. @return an empty string if there is no such job
+  /// Returns a job as it was submitted; only id, queue and customer of one that has ended.
+  /// @return nullptr if there is no such job
   const JobSpec* SpecOf(const std::string& id) const;
   /// Returns the number of accepted jobs of a queue without a started task.
   /// @param queue id of the queue
--- a/packages/scheduler/src/scheduler_expiry.cc
+++ b/packages/scheduler/src/scheduler_expiry.cc
@@ -49,7 +49,8 @@
       WantConfirmation(run.ended_by);
     }
   }
-  worker->awaits_earlier_ends = false;  // Its tasks are started again, as all whose lease expired.
+  // What it has not listed is started again, as all whose lease expired.
+  worker->more_ended = worker->awaits_earlier_ends = false;
   if (worker->recorded && worker->runs.empty()) {
     // Nothing runs there, so the next owner need not wait for the worker.
     worker->recorded = false;
--- a/packages/scheduler/tests/listed_ends_test.cc
+++ b/packages/scheduler/tests/listed_ends_test.cc
@@ -148,6 +148,15 @@
     Tick();
   }
 
+  /// Lets the worker be silent.
+  void BeSilent(Duration time) {
+    for (const TimePoint end = m_now + time; m_now < end; Tick()) {
+      LeaseRenewalReply reply;
+      reply.call = m_link.renewals.back().second.call;
+      m_scheduler.OnLeaseRenewal(m_now, "worker", reply);
+    }
+  }
+
   /// Returns whether the task that waits was started.
   bool Started() const { return !m_link.starts.empty(); }
   const Worker& worker() { return *m_scheduler.FindWorker("worker"); }
@@ -205,4 +214,17 @@
   CHECK_FALSE(fixture.Started());
 }
 
+// Guards against a VM that can never be taken down: its worker was lost before all of its ended
+// runs had been listed.
+TEST_CASE(
+    "a worker that is lost before it has listed all ended runs is waited for until its leases "
+    "end") {
+  NewOwnerFixture fixture;
+  fixture.Answer({}, {{1, "other.0.0.0", 1, RunEndKind::kDone, ""}}, true);
+  fixture.BeSilent(Duration(1'000));
+  CHECK_FALSE(fixture.MayBeTakenDown());
+  fixture.BeSilent(Duration(10'000));
+  CHECK(fixture.MayBeTakenDown());
+}
+
 }  // namespace cranberryplank
